--- /dev/null
+++ b/include/dandeliondock/core/log_event.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <absl/status/status.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/string_view.h>
+
+#include <functional>
+#include <string>
+#include <type_traits>
+
+namespace dandeliondock {
+
+enum class LogLevel { Debug, Info, Warn, Error };
+
+/// \brief Hook that writes one finished line. Must be callable from any thread.
+using LogSink = std::function<void(LogLevel, const std::string &)>;
+
+/// \brief Builder of one key=value line for one event.
+///
+/// \remark A builder belongs to one thread. Values with blanks, quotes or control characters are quoted.
+class LogEvent
+{
+public:
+    /// \pre \c event is a dotted lower-case name, such as "ticket.accepted".
+    LogEvent(LogLevel level, absl::string_view event);
+
+    LogEvent &field(absl::string_view key, absl::string_view value);
+
+    LogEvent &field(absl::string_view key, const char *value) { return field(key, absl::string_view(value)); }
+
+    LogEvent &field(absl::string_view key, bool value) { return field(key, value ? "true" : "false"); }
+
+    template <typename Number>
+    requires(std::is_arithmetic_v<Number> && !std::is_same_v<Number, bool>) LogEvent &field(absl::string_view key,
+                                                                                            Number value)
+    {
+        return field(key, absl::string_view(absl::StrCat(value)));
+    }
+
+    template <typename Strong>
+    requires requires { typename Strong::ValueType; }
+    LogEvent &field(absl::string_view key, const Strong &value) { return field(key, value.value()); }
+
+    /// \brief Adds the kind and the message of an error.
+    LogEvent &error(const absl::Status &status);
+
+    /// \brief The line so far.
+    [[nodiscard]] const std::string &line() const noexcept { return m_line; }
+
+    /// \brief Hands the line to \c sink; a null sink drops it.
+    void write(const LogSink &sink) const;
+
+private:
+    LogLevel m_level;
+    std::string m_line;
+};
+
+/// \brief A sink to log4cplus on standard error. Call once for each process.
+/// \pre \c levelName is debug, info, warn or error.
+[[nodiscard]] LogSink consoleLog(absl::string_view levelName);
+
+} // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/core/metrics.h
@@ -0,0 +1,96 @@
+#pragma once
+
+#include <dandeliondock/core/units.h>
+
+#include <absl/strings/string_view.h>
+
+#include <boost/histogram.hpp>
+
+#include <atomic>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace dandeliondock {
+
+/// \brief A number that only rises. Thread-safe.
+class Counter
+{
+public:
+    void add(std::uint64_t amount = 1) noexcept { m_value.fetch_add(amount, std::memory_order_relaxed); }
+
+    [[nodiscard]] std::uint64_t value() const noexcept { return m_value.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<std::uint64_t> m_value{0};
+};
+
+/// \brief A number that rises and falls. Thread-safe.
+class Gauge
+{
+public:
+    void set(std::int64_t value) noexcept { m_value.store(value, std::memory_order_relaxed); }
+
+    void add(std::int64_t amount) noexcept { m_value.fetch_add(amount, std::memory_order_relaxed); }
+
+    [[nodiscard]] std::int64_t value() const noexcept { return m_value.load(std::memory_order_relaxed); }
+
+private:
+    std::atomic<std::int64_t> m_value{0};
+};
+
+/// \brief Latencies in logarithmic buckets from 10 us to 100 s. Thread-safe.
+class LatencyHistogram
+{
+public:
+    LatencyHistogram();
+
+    void record(Microseconds latency);
+
+    /// \brief The upper edge of the bucket that holds the quantile; zero when nothing was recorded.
+    /// \pre 0 < \c quantile <= 1.
+    [[nodiscard]] Microseconds quantile(double quantile) const;
+
+    [[nodiscard]] std::uint64_t count() const;
+
+    /// \brief Appends the buckets in the Prometheus text format.
+    void print(absl::string_view name, std::string &out) const;
+
+private:
+    using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
+    using Histogram = decltype(boost::histogram::make_histogram(std::declval<Axis>()));
+
+    mutable std::mutex m_mutex;
+    Histogram m_histogram;
+    double m_sumSeconds = 0;
+};
+
+/// \brief The counters, gauges and histograms of a process by name and label.
+///
+/// \remark Every method is thread-safe. References stay valid as long as the registry.
+class Metrics
+{
+public:
+    /// \brief The counter of a name and a reason; made at the first call.
+    /// \pre \c name is in snake case and ends in _total.
+    [[nodiscard]] Counter &counter(absl::string_view name, absl::string_view reason = {});
+
+    [[nodiscard]] Gauge &gauge(absl::string_view name);
+
+    [[nodiscard]] LatencyHistogram &latency(absl::string_view name);
+
+    /// \brief Everything in the Prometheus text format, sorted by name.
+    [[nodiscard]] std::string page() const;
+
+private:
+    mutable std::mutex m_mutex;
+    std::map<std::pair<std::string, std::string>, std::unique_ptr<Counter>> m_counters;
+    std::map<std::string, std::unique_ptr<Gauge>> m_gauges;
+    std::map<std::string, std::unique_ptr<LatencyHistogram>> m_latencies;
+};
+
+} // namespace dandeliondock
--- /dev/null
+++ b/tests/support/test_main.cpp
@@ -0,0 +1,2 @@
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
