Add the thin whole path as separate processes

Cause: a ticket must reach a node and a caller's request must reach the target before parts are deepened. Ruled out: an in-process path; it would hide settings, listeners, signals and the platform's protocol.

--- /dev/null
+++ b/include/dandeliondock/forward_declarations.h
@@ -0,0 +1,33 @@
+#pragma once
+
+/// \brief Configuration distribution for a service mesh.
+namespace dandeliondock {
+
+class ConfigState;
+class ConfigStore;
+class Counter;
+class Gauge;
+class HttpClient;
+class HttpHeaders;
+class HttpServer;
+class HttpServerBuilder;
+class LatencyHistogram;
+class LogEvent;
+class Metrics;
+class Node;
+class TicketService;
+enum class ErrorKind;
+enum class LogLevel;
+enum class WorkClass;
+struct HttpRequest;
+struct HttpResponse;
+struct NodeSettings;
+struct Revision;
+struct Route;
+struct Service;
+struct StoreHooks;
+struct Ticket;
+struct TimeSource;
+struct Version;
+
+} // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/http/server.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <dandeliondock/core/units.h>
+#include <dandeliondock/http/message.h>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace dandeliondock {
+
+/// \brief Hook that answers a request; called on the thread of the caller's connection, by many threads at once.
+using HttpHandler = std::function<HttpResponse(HttpRequest)>;
+
+/// \brief A listener with a thread for each connection.
+///
+/// \remark Every method is thread-safe.
+class HttpServer
+{
+public:
+    ~HttpServer();
+
+    HttpServer(const HttpServer &) = delete;
+    HttpServer &operator=(const HttpServer &) = delete;
+
+    /// \brief The port that it listens on.
+    [[nodiscard]] std::uint16_t port() const noexcept;
+
+    /// \brief Stops accepting connections; exchanges in progress go on and close their connections at their end.
+    void quiesce();
+
+    /// \brief Waits until no exchange is in progress.
+    /// \return False when \c limit ran out first.
+    [[nodiscard]] bool waitIdle(Milliseconds limit);
+
+    /// \brief Number of exchanges in progress.
+    [[nodiscard]] std::size_t exchanges() const;
+
+    /// \brief Closes every connection. Exchanges in progress are cut; call quiesce() and waitIdle() before.
+    void stop();
+
+private:
+    friend class HttpServerBuilder;
+    struct Impl;
+    explicit HttpServer(std::unique_ptr<Impl> impl);
+
+    std::unique_ptr<Impl> m_impl;
+};
+
+/// \brief Builder of a listener. One thread at a time.
+class HttpServerBuilder
+{
+public:
+    /// \brief IP number and port; port 0 takes a free one.
+    HttpServerBuilder &listen(std::string address, std::uint16_t port);
+
+    HttpServerBuilder &handler(HttpHandler handler);
+
+    /// \brief Longest body of a request; longer ones are answered 413 without a call of the handler.
+    HttpServerBuilder &maxBody(ByteCount limit);
+
+    HttpServerBuilder &maxConnections(ConnectionCount limit);
+
+    /// \pre listen() and handler() were called.
+    [[nodiscard]] absl::StatusOr<std::unique_ptr<HttpServer>> start();
+
+private:
+    std::string m_address;
+    std::uint16_t m_port = 0;
+    HttpHandler m_handler;
+    ByteCount m_maxBody{1U << 20U};
+    ConnectionCount m_maxConnections{1'024};
+};
+
+} // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/store/http_store.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <dandeliondock/core/units.h>
+#include <dandeliondock/http/client.h>
+#include <dandeliondock/store/store_hooks.h>
+
+#include <memory>
+
+namespace dandeliondock {
+
+/// \brief Hooks that reach the table and object service over HTTP.
+///
+/// \remark The hooks keep \c client alive and are thread-safe. Each call is bounded by \c timeout.
+[[nodiscard]] StoreHooks httpStore(std::shared_ptr<HttpClient> client, Address address, Milliseconds timeout);
+
+} // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/store/rows.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <dandeliondock/core/ids.h>
+
+namespace dandeliondock {
+
+/// \brief Key of the row with the number of the latest revision.
+[[nodiscard]] RowKey headKey();
+/// \brief Key of the row of an accepted ticket.
+[[nodiscard]] RowKey ticketKey(TicketNumber number);
+/// \brief Key of the row of a revision; keys sort in the order of the numbers.
+[[nodiscard]] RowKey revisionKey(RevisionNumber number);
+
+inline constexpr const char *ticketPrefix = "ticket/";
+inline constexpr const char *revisionPrefix = "rev/";
+
+} // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/tickets/acceptance.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <dandeliondock/config/config_state.h>
+#include <dandeliondock/config/ticket.h>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <optional>
+
+namespace dandeliondock {
+
+/// \brief What the table said about a ticket's number and about the head.
+struct AcceptanceView
+{
+    RevisionNumber headRevision;        ///< 0 before the first ticket
+    ConfigSnapshot state;               ///< at the head's revision
+    std::optional<Revision> sameNumber; ///< what was accepted under the ticket's number
+};
+
+/// \brief A ticket that may be committed, or the earlier acceptance that it repeats.
+struct AcceptancePlan
+{
+    Revision revision;
+    bool repeated = false; ///< nothing is to be written
+};
+
+/// \brief Decides whether a ticket may be accepted on top of a head. Thread-safe.
+///
+/// \pre \c view.state is at \c view.headRevision.
+/// \return TicketNumberUsed, TicketSuperseded, InvalidTicket or UnresolvedReference when it may not.
+[[nodiscard]] absl::StatusOr<AcceptancePlan> planAcceptance(const AcceptanceView &view, const Ticket &ticket,
+                                                            WallTime now);
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/codec/config_codec.cpp
@@ -0,0 +1,320 @@
+#include <dandeliondock/codec/config_codec.h>
+
+#include <dandeliondock/core/error.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace dandeliondock {
+
+namespace {
+
+absl::Status invalid(absl::string_view detail)
+{
+    return makeError(ErrorKind::InvalidMessage, detail);
+}
+
+std::int64_t encodeWall(WallTime time)
+{
+    return time.time_since_epoch().count();
+}
+
+WallTime decodeWall(std::int64_t unixMs)
+{
+    return WallTime(Milliseconds(unixMs));
+}
+
+wire::WorkClass encodeClass(WorkClass workClass)
+{
+    switch (workClass) {
+    case WorkClass::Critical:
+        return wire::WORK_CLASS_CRITICAL;
+    case WorkClass::Interactive:
+        return wire::WORK_CLASS_INTERACTIVE;
+    case WorkClass::Deferrable:
+        return wire::WORK_CLASS_DEFERRABLE;
+    }
+    return wire::WORK_CLASS_UNSPECIFIED;
+}
+
+absl::StatusOr<WorkClass> decodeClass(wire::WorkClass workClass)
+{
+    switch (workClass) {
+    case wire::WORK_CLASS_CRITICAL:
+        return WorkClass::Critical;
+    case wire::WORK_CLASS_INTERACTIVE:
+        return WorkClass::Interactive;
+    case wire::WORK_CLASS_DEFERRABLE:
+        return WorkClass::Deferrable;
+    default:
+        return invalid("route.work_class is missing or unknown");
+    }
+}
+
+wire::ResourceKey encodeKey(const ResourceKey &key)
+{
+    wire::ResourceKey message;
+    switch (key.kind) {
+    case ResourceKind::Route:
+        message.set_kind(wire::ResourceKey::KIND_ROUTE);
+        break;
+    case ResourceKind::Service:
+        message.set_kind(wire::ResourceKey::KIND_SERVICE);
+        break;
+    case ResourceKind::Version:
+        message.set_kind(wire::ResourceKey::KIND_VERSION);
+        break;
+    }
+    message.set_name(key.name);
+    message.set_service(key.service);
+    return message;
+}
+
+absl::StatusOr<ResourceKey> decodeKey(const wire::ResourceKey &message)
+{
+    if (message.name().empty())
+        return invalid("the key of a resource has no name");
+    switch (message.kind()) {
+    case wire::ResourceKey::KIND_ROUTE:
+        return ResourceKey{ResourceKind::Route, message.name(), {}};
+    case wire::ResourceKey::KIND_SERVICE:
+        return ResourceKey{ResourceKind::Service, message.name(), {}};
+    case wire::ResourceKey::KIND_VERSION:
+        return ResourceKey{ResourceKind::Version, message.name(), message.service()};
+    default:
+        return invalid("the kind of a resource key is missing or unknown");
+    }
+}
+
+wire::Route encodeRoute(const Route &route)
+{
+    wire::Route message;
+    message.set_name(route.name.value());
+    message.set_host(route.host);
+    message.set_path_prefix(route.pathPrefix);
+    message.set_service(route.service.value());
+    message.set_idempotent(route.idempotent);
+    message.set_timeout_ms(static_cast<std::uint32_t>(route.timeout.count()));
+    message.set_work_class(encodeClass(route.workClass));
+    return message;
+}
+
+absl::StatusOr<Resource> decodeRoute(const wire::Route &message)
+{
+    const absl::StatusOr<WorkClass> workClass = decodeClass(message.work_class());
+    if (!workClass.ok())
+        return workClass.status();
+    Route route;
+    route.name = RouteName(message.name());
+    route.host = message.host();
+    route.pathPrefix = message.path_prefix();
+    route.service = ServiceName(message.service());
+    route.idempotent = message.idempotent();
+    route.timeout = Milliseconds(message.timeout_ms());
+    route.workClass = *workClass;
+    return route;
+}
+
+wire::RolloutPlan encodePlan(const RolloutPlan &plan)
+{
+    wire::RolloutPlan message;
+    message.set_deadline_unix_ms(encodeWall(plan.deadline));
+    for (const Share share : plan.stageShares)
+        message.add_stage_shares(share.value());
+    message.set_observation_ms(static_cast<std::uint32_t>(plan.observation.count()));
+    return message;
+}
+
+RolloutPlan decodePlan(const wire::RolloutPlan &message)
+{
+    RolloutPlan plan;
+    plan.deadline = decodeWall(message.deadline_unix_ms());
+    for (const std::uint32_t share : message.stage_shares())
+        plan.stageShares.emplace_back(share);
+    plan.observation = Milliseconds(message.observation_ms());
+    return plan;
+}
+
+wire::Service encodeService(const Service &service)
+{
+    wire::Service message;
+    message.set_name(service.name.value());
+    message.set_version(service.version.value());
+    if (service.previousVersion)
+        message.set_previous_version(service.previousVersion->value());
+    if (service.rollout)
+        *message.mutable_rollout() = encodePlan(*service.rollout);
+    message.set_slots_per_target(service.slotsPerTarget.value());
+    message.set_connections_per_target(service.connectionsPerTarget.value());
+    message.set_shed_status(service.shedStatus);
+    message.set_health_path(service.healthPath);
+    message.set_drain_header(service.drainHeader);
+    return message;
+}
+
+Resource decodeService(const wire::Service &message)
+{
+    Service service;
+    service.name = ServiceName(message.name());
+    service.version = VersionName(message.version());
+    if (!message.previous_version().empty())
+        service.previousVersion = VersionName(message.previous_version());
+    if (message.has_rollout())
+        service.rollout = decodePlan(message.rollout());
+    service.slotsPerTarget = SlotCount(message.slots_per_target());
+    service.connectionsPerTarget = ConnectionCount(message.connections_per_target());
+    service.shedStatus = message.shed_status();
+    service.healthPath = message.health_path();
+    service.drainHeader = message.drain_header();
+    return service;
+}
+
+struct EncodeVisitor
+{
+    wire::Resource &message;
+
+    void operator()(const Route &route) const { *message.mutable_route() = encodeRoute(route); }
+    void operator()(const Service &service) const { *message.mutable_service() = encodeService(service); }
+    void operator()(const Version &version) const
+    {
+        message.mutable_version()->set_service(version.service.value());
+        message.mutable_version()->set_name(version.name.value());
+    }
+};
+
+absl::Status addStamped(const wire::StampedResource &message, std::map<ResourceKey, StampedResource> &resources)
+{
+    absl::StatusOr<Resource> resource = decodeResource(message.resource());
+    if (!resource.ok())
+        return resource.status();
+    const ResourceKey key = keyOf(*resource);
+    const StampedResource stamped{*std::move(resource), TicketNumber(message.ticket()),
+                                  RevisionNumber(message.revision())};
+    if (!resources.emplace(key, stamped).second)
+        return invalid(absl::StrCat(describe(key), " stands twice in the state"));
+    return absl::OkStatus();
+}
+
+absl::Status addRemoved(const wire::RemovedResource &message, std::map<ResourceKey, StampedResource> &resources)
+{
+    const absl::StatusOr<ResourceKey> key = decodeKey(message.key());
+    if (!key.ok())
+        return key.status();
+    const StampedResource stamped{std::nullopt, TicketNumber(message.ticket()), RevisionNumber(message.revision())};
+    if (!resources.emplace(*key, stamped).second)
+        return invalid(absl::StrCat(describe(*key), " stands twice in the state"));
+    return absl::OkStatus();
+}
+
+} // namespace
+
+wire::Resource encodeResource(const Resource &resource)
+{
+    wire::Resource message;
+    std::visit(EncodeVisitor{message}, resource);
+    return message;
+}
+
+wire::Ticket encodeTicket(const Ticket &ticket)
+{
+    wire::Ticket message;
+    message.set_number(ticket.number.value());
+    message.set_author(ticket.author.value());
+    message.set_note(ticket.note);
+    for (const Resource &resource : ticket.resources)
+        *message.add_resources() = encodeResource(resource);
+    for (const ResourceKey &key : ticket.removals)
+        *message.add_removals() = encodeKey(key);
+    return message;
+}
+
+wire::Revision encodeRevision(const Revision &revision)
+{
+    wire::Revision message;
+    message.set_number(revision.number.value());
+    *message.mutable_ticket() = encodeTicket(revision.ticket);
+    message.set_accepted_unix_ms(encodeWall(revision.acceptedAt));
+    return message;
+}
+
+wire::ConfigState encodeState(const ConfigState &state)
+{
+    wire::ConfigState message;
+    message.set_revision(state.revision().value());
+    for (const auto &[key, stamped] : state.resources()) {
+        if (stamped.resource) {
+            wire::StampedResource *entry = message.add_resources();
+            *entry->mutable_resource() = encodeResource(*stamped.resource);
+            entry->set_ticket(stamped.ticket.value());
+            entry->set_revision(stamped.revision.value());
+        } else {
+            wire::RemovedResource *entry = message.add_removed();
+            *entry->mutable_key() = encodeKey(key);
+            entry->set_ticket(stamped.ticket.value());
+            entry->set_revision(stamped.revision.value());
+        }
+    }
+    return message;
+}
+
+absl::StatusOr<Resource> decodeResource(const wire::Resource &message)
+{
+    switch (message.kind_case()) {
+    case wire::Resource::kRoute:
+        return decodeRoute(message.route());
+    case wire::Resource::kService:
+        return decodeService(message.service());
+    case wire::Resource::kVersion:
+        return Resource(Version{ServiceName(message.version().service()), VersionName(message.version().name())});
+    default:
+        return invalid("a resource is neither a route nor a service nor a version");
+    }
+}
+
+absl::StatusOr<Ticket> decodeTicket(const wire::Ticket &message)
+{
+    Ticket ticket;
+    ticket.number = TicketNumber(message.number());
+    ticket.author = AuthorName(message.author());
+    ticket.note = message.note();
+    for (const wire::Resource &resource : message.resources()) {
+        absl::StatusOr<Resource> decoded = decodeResource(resource);
+        if (!decoded.ok())
+            return decoded.status();
+        ticket.resources.push_back(*std::move(decoded));
+    }
+    for (const wire::ResourceKey &key : message.removals()) {
+        absl::StatusOr<ResourceKey> decoded = decodeKey(key);
+        if (!decoded.ok())
+            return decoded.status();
+        ticket.removals.push_back(*std::move(decoded));
+    }
+    return ticket;
+}
+
+absl::StatusOr<Revision> decodeRevision(const wire::Revision &message)
+{
+    if (message.number() == 0)
+        return invalid("a revision has no number");
+    absl::StatusOr<Ticket> ticket = decodeTicket(message.ticket());
+    if (!ticket.ok())
+        return ticket.status();
+    return Revision{RevisionNumber(message.number()), *std::move(ticket), decodeWall(message.accepted_unix_ms())};
+}
+
+absl::StatusOr<ConfigState> decodeState(const wire::ConfigState &message)
+{
+    std::map<ResourceKey, StampedResource> resources;
+    for (const wire::StampedResource &entry : message.resources()) {
+        if (absl::Status status = addStamped(entry, resources); !status.ok())
+            return status;
+    }
+    for (const wire::RemovedResource &entry : message.removed()) {
+        if (absl::Status status = addRemoved(entry, resources); !status.ok())
+            return status;
+    }
+    return ConfigState::fromSnapshot(RevisionNumber(message.revision()), std::move(resources));
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/node/node.cpp
@@ -0,0 +1,278 @@
+#include <dandeliondock/node/node.h>
+
+#include <dandeliondock/codec/bytes.h>
+#include <dandeliondock/codec/config_codec.h>
+#include <dandeliondock/config/config_store.h>
+#include <dandeliondock/core/error.h>
+#include <dandeliondock/core/metrics.h>
+#include <dandeliondock/http/client.h>
+#include <dandeliondock/http/server.h>
+#include <dandeliondock/node/ticket_service.h>
+#include <dandeliondock/store/http_store.h>
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <status.pb.h>
+#include <tickets.pb.h>
+
+#include <condition_variable>
+#include <mutex>
+#include <thread>
+
+namespace dandeliondock {
+
+namespace {
+
+constexpr Milliseconds storeTimeout{2'000};
+constexpr Milliseconds storePollInterval{250};
+constexpr const char *operatorKeyHeader = "X-Operator-Key";
+constexpr const char *outcomeHeader = "X-Dandeliondock-Outcome";
+
+int httpStatus(ErrorKind kind)
+{
+    switch (kind) {
+    case ErrorKind::InvalidTicket:
+    case ErrorKind::InvalidMessage:
+        return 400;
+    case ErrorKind::NotAuthorised:
+        return 401;
+    case ErrorKind::NotFound:
+        return 404;
+    case ErrorKind::TicketNumberUsed:
+    case ErrorKind::TicketSuperseded:
+    case ErrorKind::UnresolvedReference:
+    case ErrorKind::HeadContended:
+        return 409;
+    case ErrorKind::OutcomeUnknown:
+    case ErrorKind::MayHaveRun:
+    case ErrorKind::Truncated:
+        return 502;
+    case ErrorKind::DeadlineExceeded:
+        return 504;
+    default:
+        return 503;
+    }
+}
+
+HttpResponse refusal(const absl::Status &status)
+{
+    wire::Refusal message;
+    message.set_kind(std::string(errorKindName(errorKind(status))));
+    message.set_message(std::string(status.message()));
+    HttpResponse response;
+    response.status = httpStatus(errorKind(status));
+    response.headers.add("Content-Type", "application/json");
+    response.body = printJson(message);
+    return response;
+}
+
+HttpResponse jsonResponse(const google::protobuf::Message &message)
+{
+    HttpResponse response;
+    response.headers.add("Content-Type", "application/json");
+    response.body = printJson(message);
+    return response;
+}
+
+const Route *matchRoute(const ConfigState &state, absl::string_view path)
+{
+    const Route *best = nullptr;
+    for (const auto &[key, stamped] : state.resources()) {
+        const Route *route = stamped.resource ? std::get_if<Route>(&*stamped.resource) : nullptr;
+        if (route == nullptr || !absl::StartsWith(path, route->pathPrefix))
+            continue;
+        if (best == nullptr || route->pathPrefix.size() > best->pathPrefix.size())
+            best = route;
+    }
+    return best;
+}
+
+} // namespace
+
+struct Node::Impl
+{
+    NodeSettings settings;
+    LogSink log;
+    Metrics metrics;
+    TimeSource time = systemTime();
+    std::shared_ptr<HttpClient> client = std::make_shared<HttpClient>();
+    ConfigStore config;
+    StoreHooks store;
+    std::unique_ptr<TicketService> tickets;
+    std::unique_ptr<HttpServer> callers;
+    std::unique_ptr<HttpServer> operators;
+    std::mutex mutex;
+    std::condition_variable stopping;
+    bool stopRequested = false;
+    std::thread storeThread;
+
+    void pollStore()
+    {
+        std::unique_lock lock(mutex);
+        while (!stopRequested) {
+            lock.unlock();
+            pollStoreOnce();
+            lock.lock();
+            stopping.wait_for(lock, storePollInterval, [this] { return stopRequested; });
+        }
+    }
+
+    void pollStoreOnce()
+    {
+        const RevisionNumber before = config.current()->revision();
+        const absl::StatusOr<RevisionNumber> head = readHead(store);
+        const absl::Status status = head.ok() ? readRevisions(store, *head, config) : head.status();
+        const RevisionNumber after = config.current()->revision();
+        if (!status.ok()) {
+            metrics.counter("dandeliondock_store_errors_total", errorKindName(errorKind(status))).add();
+            LogEvent(LogLevel::Warn, "store.poll_failed").error(status).write(log);
+        }
+        if (after != before)
+            LogEvent(LogLevel::Info, "config.applied").field("revision", after).write(log);
+    }
+
+    HttpResponse serveCaller(const HttpRequest &request)
+    {
+        const ConfigSnapshot state = config.current();
+        const Route *route = matchRoute(*state, request.target);
+        if (route == nullptr)
+            return refuseCaller(makeError(ErrorKind::NotFound, "no route matches the request"));
+        const Service *service = state->service(route->service);
+        if (!settings.target || settings.target->service != route->service
+            || settings.target->version != service->version)
+            return refuseCaller(makeError(ErrorKind::NoTarget, absl::StrCat("no target of ", service->name.value())));
+        SendOptions options;
+        options.timeout = route->timeout;
+        const SendResult result = client->send(settings.target->address, request, options);
+        if (!result.response.ok())
+            return refuseCaller(result.response.status());
+        metrics.counter("dandeliondock_requests_total", "answered").add();
+        return *result.response;
+    }
+
+    HttpResponse refuseCaller(const absl::Status &status)
+    {
+        const ErrorKind kind = errorKind(status);
+        metrics.counter("dandeliondock_refusals_total", errorKindName(kind)).add();
+        HttpResponse response = refusal(status);
+        const bool mayHaveRun =
+                kind == ErrorKind::MayHaveRun || kind == ErrorKind::DeadlineExceeded || kind == ErrorKind::Truncated;
+        response.headers.add(outcomeHeader, mayHaveRun ? "may-have-run" : "not-run");
+        return response;
+    }
+
+    HttpResponse serveOperator(const HttpRequest &request)
+    {
+        if (request.headers.first(operatorKeyHeader) != absl::string_view(settings.operatorKey))
+            return refusal(makeError(ErrorKind::NotAuthorised, "the operators' key is missing or wrong"));
+        if (request.target == "/tickets" && request.method == "POST")
+            return fileTicket(request.body);
+        if (request.target == "/status")
+            return jsonResponse(status());
+        if (request.target == "/metrics")
+            return metricsPage();
+        return refusal(makeError(ErrorKind::NotFound, request.target));
+    }
+
+    HttpResponse fileTicket(const std::string &body)
+    {
+        wire::Ticket message;
+        if (absl::Status status = parseJson(body, ErrorKind::InvalidTicket, "ticket", message); !status.ok())
+            return refusal(status);
+        const absl::StatusOr<Ticket> ticket = decodeTicket(message);
+        if (!ticket.ok())
+            return refusal(ticket.status());
+        const absl::StatusOr<FiledTicket> filed = tickets->file(*ticket);
+        if (!filed.ok())
+            return refusal(filed.status());
+        wire::TicketFiled answer;
+        answer.set_number(ticket->number.value());
+        answer.set_revision(filed->revision.value());
+        answer.set_repeated(filed->repeated);
+        LogEvent(LogLevel::Info, "ticket.accepted")
+                .field("ticket", ticket->number)
+                .field("revision", filed->revision)
+                .field("author", ticket->author)
+                .write(log);
+        return jsonResponse(answer);
+    }
+
+    wire::NodeStatus status()
+    {
+        wire::NodeStatus message;
+        message.set_node(settings.node.value());
+        message.set_deployment(settings.deployment.value());
+        message.set_region(settings.region.value());
+        message.set_data_centre(settings.dataCentre.value());
+        message.set_revision(config.current()->revision().value());
+        return message;
+    }
+
+    HttpResponse metricsPage() const
+    {
+        HttpResponse response;
+        response.headers.add("Content-Type", "text/plain; version=0.0.4");
+        response.body = metrics.page();
+        return response;
+    }
+};
+
+Node::Node(std::unique_ptr<Impl> impl) : m_impl(std::move(impl)) {}
+
+Node::~Node()
+{
+    stop();
+}
+
+absl::StatusOr<std::shared_ptr<Node>> Node::start(NodeSettings settings, LogSink log)
+{
+    auto impl = std::make_unique<Impl>();
+    Impl *self = impl.get();
+    impl->settings = std::move(settings);
+    impl->log = std::move(log);
+    impl->store = httpStore(impl->client, impl->settings.store, storeTimeout);
+    impl->tickets = std::make_unique<TicketService>(impl->store, impl->time);
+    auto callers = HttpServerBuilder()
+                           .listen(impl->settings.callers.address, impl->settings.callers.port)
+                           .maxBody(impl->settings.maxBody)
+                           .handler([self](const HttpRequest &request) { return self->serveCaller(request); })
+                           .start();
+    if (!callers.ok())
+        return callers.status();
+    impl->callers = *std::move(callers);
+    auto operators = HttpServerBuilder()
+                             .listen(impl->settings.operators.address, impl->settings.operators.port)
+                             .handler([self](const HttpRequest &request) { return self->serveOperator(request); })
+                             .start();
+    if (!operators.ok())
+        return operators.status();
+    impl->operators = *std::move(operators);
+    impl->storeThread = std::thread([self] { self->pollStore(); });
+    LogEvent(LogLevel::Info, "node.started")
+            .field("node", impl->settings.node)
+            .field("callers_port", impl->callers->port())
+            .field("operators_port", impl->operators->port())
+            .write(impl->log);
+    return std::shared_ptr<Node>(new Node(std::move(impl)));
+}
+
+void Node::stop()
+{
+    {
+        const std::scoped_lock lock(m_impl->mutex);
+        if (m_impl->stopRequested)
+            return;
+        m_impl->stopRequested = true;
+    }
+    m_impl->stopping.notify_all();
+    m_impl->callers->quiesce();
+    const bool idle = m_impl->callers->waitIdle(m_impl->settings.drain);
+    m_impl->callers->stop();
+    m_impl->operators->quiesce();
+    m_impl->operators->stop();
+    m_impl->storeThread.join();
+    LogEvent(LogLevel::Info, "node.stopped").field("drained", idle).write(m_impl->log);
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/store/http_store.cpp
@@ -0,0 +1,144 @@
+#include <dandeliondock/store/http_store.h>
+
+#include <dandeliondock/codec/bytes.h>
+#include <dandeliondock/core/error.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <store.pb.h>
+
+namespace dandeliondock {
+
+namespace {
+
+struct Connection
+{
+    std::shared_ptr<HttpClient> client;
+    Address address;
+    Milliseconds timeout;
+
+    [[nodiscard]] SendResult call(absl::string_view method, absl::string_view path, std::string body) const
+    {
+        HttpRequest request;
+        request.method = std::string(method);
+        request.target = std::string(path);
+        request.body = std::move(body);
+        SendOptions options;
+        options.timeout = timeout;
+        return client->send(address, request, options);
+    }
+};
+
+absl::Status unavailable(absl::string_view detail)
+{
+    return makeError(ErrorKind::StoreUnavailable, detail);
+}
+
+// A read that failed changed nothing, whatever the cause.
+absl::StatusOr<std::string> readBody(const SendResult &result)
+{
+    if (!result.response.ok())
+        return unavailable(result.response.status().message());
+    if (result.response->status == 404)
+        return makeError(ErrorKind::NotFound, "the store has no such object");
+    if (result.response->status != 200)
+        return unavailable(absl::StrCat("the store answered ", result.response->status));
+    return result.response->body;
+}
+
+// A write whose answer was lost may have taken effect.
+absl::StatusOr<std::string> writeBody(const SendResult &result)
+{
+    if (!result.response.ok() && !result.sent)
+        return unavailable(result.response.status().message());
+    if (!result.response.ok())
+        return makeError(ErrorKind::OutcomeUnknown, result.response.status().message());
+    if (result.response->status == 429 || result.response->status == 503)
+        return unavailable(absl::StrCat("the store answered ", result.response->status));
+    if (result.response->status != 200)
+        return makeError(ErrorKind::OutcomeUnknown, absl::StrCat("the store answered ", result.response->status));
+    return result.response->body;
+}
+
+absl::StatusOr<std::vector<TableRow>> decodeRows(const absl::StatusOr<std::string> &body)
+{
+    if (!body.ok())
+        return body.status();
+    const auto answer = parseBytes<wire::ReadAnswer>(*body, ErrorKind::InvalidRow, "the store's answer");
+    if (!answer.ok())
+        return answer.status();
+    std::vector<TableRow> rows;
+    for (const wire::TableRow &row : answer->rows())
+        rows.push_back({RowKey(row.key()), RowVersion(row.version()), row.value()});
+    return rows;
+}
+
+absl::StatusOr<std::vector<TableRow>> readRows(const Connection &connection, const std::vector<RowKey> &keys)
+{
+    wire::ReadRequest request;
+    for (const RowKey &key : keys)
+        request.add_keys(key.value());
+    absl::StatusOr<std::vector<TableRow>> rows =
+            decodeRows(readBody(connection.call("POST", "/table/read", request.SerializeAsString())));
+    if (rows.ok() && rows->size() != keys.size())
+        return makeError(ErrorKind::InvalidRow, "the store returned another number of rows than asked for");
+    return rows;
+}
+
+absl::StatusOr<std::vector<TableRow>> scanRows(const Connection &connection, const ScanRange &range)
+{
+    wire::ReadRequest request;
+    request.set_prefix(range.prefix);
+    request.set_from(range.from);
+    request.set_limit(static_cast<std::uint32_t>(range.limit));
+    return decodeRows(readBody(connection.call("POST", "/table/scan", request.SerializeAsString())));
+}
+
+wire::CommitRequest encodeTransaction(const Transaction &transaction)
+{
+    wire::CommitRequest request;
+    for (const RowCondition &condition : transaction.conditions) {
+        wire::RowCondition *message = request.add_conditions();
+        message->set_key(condition.key.value());
+        message->set_version(condition.version.value());
+    }
+    for (const RowWrite &write : transaction.writes) {
+        wire::RowWrite *message = request.add_writes();
+        message->set_key(write.key.value());
+        message->set_value(write.value.value_or(""));
+        message->set_remove(!write.value);
+    }
+    return request;
+}
+
+absl::StatusOr<CommitResult> commitRows(const Connection &connection, const Transaction &transaction)
+{
+    const std::string body = encodeTransaction(transaction).SerializeAsString();
+    const absl::StatusOr<std::string> answerBody = writeBody(connection.call("POST", "/table/commit", body));
+    if (!answerBody.ok())
+        return answerBody.status();
+    const auto answer = parseBytes<wire::CommitAnswer>(*answerBody, ErrorKind::OutcomeUnknown, "the store's answer");
+    if (!answer.ok())
+        return answer.status();
+    return CommitResult{answer->committed(), RowKey(answer->failed_key())};
+}
+
+} // namespace
+
+StoreHooks httpStore(std::shared_ptr<HttpClient> client, Address address, Milliseconds timeout)
+{
+    const Connection connection{std::move(client), std::move(address), timeout};
+    StoreHooks hooks;
+    hooks.read = [connection](const std::vector<RowKey> &keys) { return readRows(connection, keys); };
+    hooks.scan = [connection](const ScanRange &range) { return scanRows(connection, range); };
+    hooks.commit = [connection](const Transaction &transaction) { return commitRows(connection, transaction); };
+    hooks.putObject = [connection](const std::string &name, const std::string &content) {
+        return writeBody(connection.call("PUT", absl::StrCat("/objects/", name), content)).status();
+    };
+    hooks.object = [connection](const std::string &name) {
+        return readBody(connection.call("GET", absl::StrCat("/objects/", name), {}));
+    };
+    return hooks;
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/store/rows.cpp
@@ -0,0 +1,22 @@
+#include <dandeliondock/store/rows.h>
+
+#include <absl/strings/str_format.h>
+
+namespace dandeliondock {
+
+RowKey headKey()
+{
+    return RowKey("head");
+}
+
+RowKey ticketKey(TicketNumber number)
+{
+    return RowKey(absl::StrFormat("%s%020d", ticketPrefix, number.value()));
+}
+
+RowKey revisionKey(RevisionNumber number)
+{
+    return RowKey(absl::StrFormat("%s%020d", revisionPrefix, number.value()));
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/tests/standins/platform_main.cpp
@@ -0,0 +1,29 @@
+#include "platform_server.h"
+
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+
+DEFINE_string(address, "127.0.0.1", "IP number to listen on");
+DEFINE_uint32(port, 0, "port to listen on; 0 takes a free one");
+
+int main(int argc, char **argv)
+{
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+    const auto server = dandeliondock::standins::PlatformServer::start(FLAGS_address, FLAGS_port);
+    if (!server.ok()) {
+        std::cerr << "standin-platform: " << server.status().message() << "\n";
+        return 1;
+    }
+    std::cout << "port=" << (*server)->port() << std::endl;
+    int signal = 0;
+    sigwait(&signals, &signal);
+    return 0;
+}
