Add tests of the core types

Cause: rings, errors, log lines and metrics are used by every module and had no tests. Ruled out: testing them only through the modules; a lost item or a forged log line would not be traced to them.

--- /dev/null
+++ b/tests/core/metrics_test.cpp
@@ -0,0 +1,56 @@
+#include <dandeliondock/core/metrics.h>
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace dandeliondock {
+
+// Guards against a metrics page that a Prometheus reader refuses or that drops a reason.
+TEST_CASE("the metrics page lists every counter by reason", "[core]")
+{
+    Metrics metrics;
+    metrics.counter("refusals_total", "overloaded").add(2);
+    metrics.counter("refusals_total", "no_target").add();
+    metrics.gauge("children").set(3);
+    CHECK(metrics.page()
+          == "# TYPE refusals_total counter\n"
+             "refusals_total{reason=\"no_target\"} 1\n"
+             "refusals_total{reason=\"overloaded\"} 2\n"
+             "# TYPE children gauge\n"
+             "children 3\n");
+}
+
+// Guards against a quantile that is off by more than a bucket, on which latency figures rest.
+TEST_CASE("a quantile is the upper edge of the bucket that holds it", "[core]")
+{
+    rc::prop("within one bucket above the exact value", [] {
+        const auto micros = *rc::gen::nonEmpty(rc::gen::container<std::vector<int>>(rc::gen::inRange(20, 1'000'000)));
+        LatencyHistogram histogram;
+        for (const int value : micros)
+            histogram.record(Microseconds(value));
+        std::vector<int> sorted = micros;
+        std::sort(sorted.begin(), sorted.end());
+        const double median = sorted[(sorted.size() - 1) / 2];
+        const double told = static_cast<double>(histogram.quantile(0.5).count());
+        constexpr double bucketRatio = 1.2590; // ten buckets for each factor of ten
+        RC_ASSERT(told >= median - 1);
+        RC_ASSERT(told <= median * bucketRatio + 1);
+        RC_ASSERT(histogram.count() == micros.size());
+    });
+}
+
+// Guards against latencies outside the buckets that vanish from the count.
+TEST_CASE("latencies outside the buckets are counted", "[core]")
+{
+    LatencyHistogram histogram;
+    histogram.record(Microseconds(1));
+    histogram.record(Seconds(500));
+    CHECK(histogram.count() == 2);
+    std::string page;
+    histogram.print("latency_seconds", page);
+    CHECK(page.find("latency_seconds_bucket{le=\"+Inf\"} 2\n") != std::string::npos);
+}
+
+} // namespace dandeliondock
