--- /dev/null
+++ b/tests/support/fleet.cpp
@@ -0,0 +1,169 @@
+#include "fleet.h"
+
+#include <dandeliondock/codec/bytes.h>
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace dandeliondock::testing {
+
+namespace {
+
+constexpr const char *operatorKey = "test-key";
+
+std::string listener(const char *key, std::uint16_t port)
+{
+    return absl::StrCat("\"", key, R"(": {"address": "127.0.0.1", "port": )", port, "}, ");
+}
+
+Address loopback(std::uint16_t port)
+{
+    return Address(absl::StrCat("127.0.0.1:", port));
+}
+
+} // namespace
+
+std::uint16_t portOf(ChildProcess &process)
+{
+    const std::string line = process.readLine();
+    std::uint32_t port = 0;
+    if (!absl::SimpleAtoi(line.substr(line.find('=') + 1), &port))
+        throw std::runtime_error("the stand-in printed no port");
+    return static_cast<std::uint16_t>(port);
+}
+
+Fleet::Fleet(std::string deployment, std::string storeRegion, std::string extraSettings)
+    : m_deployment(std::move(deployment)), m_storeRegion(std::move(storeRegion)),
+      m_extraSettings(std::move(extraSettings)), m_keyFile(writeTemporary("key", operatorKey)),
+      m_platform(std::make_unique<ChildProcess>("standin-platform", std::vector<std::string>{}))
+{
+    m_platformPort = portOf(*m_platform);
+}
+
+std::string Fleet::settingsOf(const NodeProcess &node) const
+{
+    std::string json = absl::StrCat("{", listener("callers", node.callersPort), listener("nodes", node.nodesPort),
+                                    listener("operators", node.operatorsPort));
+    absl::StrAppend(&json, "\"deployment\": \"", m_deployment, "\", \"node\": \"", node.plan.name, "\", \"region\": \"",
+                    node.plan.region, "\", \"data_centre\": \"", node.plan.dataCentre, "\", ");
+    absl::StrAppend(&json, "\"operator_key\": \"", operatorKey, "\", \"store_address\": \"127.0.0.1:", m_platformPort,
+                    "\", \"store_region\": \"", m_storeRegion, "\"");
+    if (node.plan.target) {
+        absl::StrAppend(&json, ", \"target\": {\"id\": \"", node.plan.name,
+                        "-target\", \"address\": \"127.0.0.1:", node.targetPort, "\", \"service\": \"",
+                        node.plan.target->service, "\", \"version\": \"", node.plan.target->version,
+                        "\", \"slots\": ", node.plan.target->slots, "}");
+    }
+    return absl::StrCat(json, m_extraSettings, "}");
+}
+
+NodeProcess &Fleet::startNode(const NodePlan &plan)
+{
+    auto node = std::make_unique<NodeProcess>();
+    node->plan = plan;
+    if (plan.target) {
+        std::vector<std::string> flags = plan.target->flags;
+        flags.push_back("--version_name=" + plan.target->version);
+        node->target = std::make_unique<ChildProcess>("standin-target", flags);
+        node->targetPort = portOf(*node->target);
+    }
+    node->callersPort = freePort();
+    node->nodesPort = freePort();
+    node->operatorsPort = freePort();
+    node->settingsPath = writeTemporary(m_deployment + "-" + plan.name + ".json", settingsOf(*node));
+    m_nodes.push_back(std::move(node));
+    restartNode(*m_nodes.back());
+    return *m_nodes.back();
+}
+
+void Fleet::restartNode(NodeProcess &node)
+{
+    node.process = std::make_unique<ChildProcess>("dandeliondock-node",
+                                                  std::vector<std::string>{"--settings=" + node.settingsPath});
+}
+
+NodeProcess &Fleet::node(const std::string &name)
+{
+    const auto found =
+            std::find_if(m_nodes.begin(), m_nodes.end(), [&name](const auto &node) { return node->plan.name == name; });
+    if (found == m_nodes.end())
+        throw std::runtime_error("no node of the name " + name);
+    return **found;
+}
+
+int Fleet::ticket(const NodeProcess &node, const std::vector<std::string> &arguments, std::string *output)
+{
+    std::vector<std::string> all = {absl::StrCat("--node=127.0.0.1:", node.operatorsPort), "--key_file=" + m_keyFile};
+    all.insert(all.end(), arguments.begin(), arguments.end());
+    ChildProcess command("dandeliondock-ticket", all);
+    const std::string text = command.readAll();
+    if (output != nullptr)
+        *output = text;
+    return command.wait();
+}
+
+int Fleet::fileTicket(const NodeProcess &node, const std::string &json, std::string *output)
+{
+    const std::string path = writeTemporary(absl::StrCat(m_deployment, "-ticket-", ++m_tickets, ".json"), json);
+    return ticket(node, {"file", path}, output);
+}
+
+SendResult Fleet::operatorCall(const NodeProcess &node, const std::string &path)
+{
+    HttpRequest request{"GET", path, {}, {}};
+    request.headers.add("X-Operator-Key", operatorKey);
+    return m_client.send(loopback(node.operatorsPort), request, {});
+}
+
+std::optional<wire::NodeStatus> Fleet::status(const NodeProcess &node)
+{
+    const SendResult result = operatorCall(node, "/status");
+    if (!result.response.ok() || result.response->status != 200)
+        return std::nullopt;
+    wire::NodeStatus status;
+    if (!parseJson(result.response->body, ErrorKind::InvalidMessage, "status", status).ok())
+        return std::nullopt;
+    return status;
+}
+
+double Fleet::metric(const NodeProcess &node, const std::string &name)
+{
+    const SendResult result = operatorCall(node, "/metrics");
+    if (!result.response.ok())
+        return 0;
+    double sum = 0;
+    for (const absl::string_view line : absl::StrSplit(result.response->body, '\n')) {
+        const bool matches = absl::StartsWith(line, name + " ") || absl::StartsWith(line, name + "{");
+        double value = 0;
+        if (matches && absl::SimpleAtod(line.substr(line.rfind(' ') + 1), &value))
+            sum += value;
+    }
+    return sum;
+}
+
+bool Fleet::everyNodeHolds(std::uint64_t revision)
+{
+    return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto &node) {
+        const std::optional<wire::NodeStatus> held = status(*node);
+        return held && held->revision() >= revision;
+    });
+}
+
+SendResult Fleet::call(const NodeProcess &node, const HttpRequest &request, Milliseconds timeout)
+{
+    SendOptions options;
+    options.timeout = timeout;
+    return m_client.send(loopback(node.callersPort), request, options);
+}
+
+SendResult Fleet::callPlatform(const HttpRequest &request)
+{
+    return m_client.send(loopback(m_platformPort), request, {});
+}
+
+} // namespace dandeliondock::testing
