Add the distribution decisions and the control codec

Cause: every node polled the store, which does not carry the fleet's size. Whether a lease is vacant is decided by an unchanged row on the observer's monotonic clock; comparing wall clocks was ruled out because instances' clocks may differ by more than a term.

--- /dev/null
+++ b/include/dandeliondock/codec/snapshot_cache.h
@@ -0,0 +1,28 @@
+#pragma once
+
+#include <dandeliondock/config/config_state.h>
+
+#include <absl/status/statusor.h>
+
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace dandeliondock {
+
+/// \brief The compressed snapshot of the latest revision asked for; encoded once and shared.
+///
+/// \remark Every method is thread-safe.
+class SnapshotCache
+{
+public:
+    /// \pre \c state is not null.
+    [[nodiscard]] absl::StatusOr<std::shared_ptr<const std::string>> encoded(const ConfigSnapshot &state);
+
+private:
+    std::mutex m_mutex;
+    RevisionNumber m_revision;
+    std::shared_ptr<const std::string> m_bytes;
+};
+
+} // namespace dandeliondock
--- a/include/dandeliondock/settings/node_settings.h
+++ b/include/dandeliondock/settings/node_settings.h
@@ -30,6 +30,12 @@
     std::string healthPath;
 };
 
+/// \brief How a node receives revisions.
+enum class DistributionMode {
+    Tree,    ///< from its parent; the root from the store
+    Polling, ///< every node from the store; a baseline for measurements
+};
+
 /// \brief Checked settings of a node.
 struct NodeSettings
 {
@@ -50,6 +56,7 @@
     ByteCount maxBody{1U << 20U};
     Milliseconds drain{30'000};
     std::string logLevel = "info";
+    DistributionMode distribution = DistributionMode::Tree;
 };
 
 /// \brief Reads and checks the text of a settings file. Thread-safe.
--- /dev/null
+++ b/src/codec/control_codec.cpp
@@ -0,0 +1,507 @@
+#include <dandeliondock/codec/control_codec.h>
+
+#include <dandeliondock/codec/bytes.h>
+#include <dandeliondock/codec/config_codec.h>
+#include <dandeliondock/core/error.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <store.pb.h>
+
+#include <algorithm>
+#include <zlib.h>
+
+namespace dandeliondock {
+
+namespace {
+
+constexpr std::uint32_t longestHoldMs = 60'000;
+
+absl::Status invalid(absl::string_view detail)
+{
+    return makeError(ErrorKind::InvalidMessage, detail);
+}
+
+absl::Status checkDeployment(const std::string &received, const DeploymentName &expected)
+{
+    if (received == expected.value())
+        return absl::OkStatus();
+    return makeError(ErrorKind::WrongDeployment,
+                     absl::StrCat("the message is of deployment '", received, "', this node of '", expected.value(), "'"));
+}
+
+wire::EndpointRecord::State encodeEndpointState(EndpointState state)
+{
+    switch (state) {
+    case EndpointState::Starting:
+        return wire::EndpointRecord::STATE_STARTING;
+    case EndpointState::Serving:
+        return wire::EndpointRecord::STATE_SERVING;
+    case EndpointState::Leaving:
+        return wire::EndpointRecord::STATE_LEAVING;
+    case EndpointState::Gone:
+        return wire::EndpointRecord::STATE_GONE;
+    }
+    return wire::EndpointRecord::STATE_UNSPECIFIED;
+}
+
+absl::StatusOr<EndpointState> decodeEndpointState(wire::EndpointRecord::State state)
+{
+    switch (state) {
+    case wire::EndpointRecord::STATE_STARTING:
+        return EndpointState::Starting;
+    case wire::EndpointRecord::STATE_SERVING:
+        return EndpointState::Serving;
+    case wire::EndpointRecord::STATE_LEAVING:
+        return EndpointState::Leaving;
+    case wire::EndpointRecord::STATE_GONE:
+        return EndpointState::Gone;
+    default:
+        return invalid("endpoint.state is missing or unknown");
+    }
+}
+
+wire::RolloutRecord::State encodeRolloutState(RolloutState state)
+{
+    switch (state) {
+    case RolloutState::Running:
+        return wire::RolloutRecord::STATE_RUNNING;
+    case RolloutState::Completed:
+        return wire::RolloutRecord::STATE_COMPLETED;
+    case RolloutState::RolledBack:
+        return wire::RolloutRecord::STATE_ROLLED_BACK;
+    }
+    return wire::RolloutRecord::STATE_UNSPECIFIED;
+}
+
+absl::StatusOr<RolloutState> decodeRolloutState(wire::RolloutRecord::State state)
+{
+    switch (state) {
+    case wire::RolloutRecord::STATE_RUNNING:
+        return RolloutState::Running;
+    case wire::RolloutRecord::STATE_COMPLETED:
+        return RolloutState::Completed;
+    case wire::RolloutRecord::STATE_ROLLED_BACK:
+        return RolloutState::RolledBack;
+    default:
+        return invalid("rollout.state is missing or unknown");
+    }
+}
+
+wire::PollAnswer::Result encodeResult(PollResult result)
+{
+    switch (result) {
+    case PollResult::Attached:
+        return wire::PollAnswer::RESULT_ATTACHED;
+    case PollResult::Full:
+        return wire::PollAnswer::RESULT_FULL;
+    case PollResult::NoPath:
+        return wire::PollAnswer::RESULT_NO_PATH;
+    case PollResult::WrongDeployment:
+        return wire::PollAnswer::RESULT_WRONG_DEPLOYMENT;
+    case PollResult::Leaving:
+        return wire::PollAnswer::RESULT_LEAVING;
+    }
+    return wire::PollAnswer::RESULT_UNSPECIFIED;
+}
+
+absl::StatusOr<PollResult> decodeResult(wire::PollAnswer::Result result)
+{
+    switch (result) {
+    case wire::PollAnswer::RESULT_ATTACHED:
+        return PollResult::Attached;
+    case wire::PollAnswer::RESULT_FULL:
+        return PollResult::Full;
+    case wire::PollAnswer::RESULT_NO_PATH:
+        return PollResult::NoPath;
+    case wire::PollAnswer::RESULT_WRONG_DEPLOYMENT:
+        return PollResult::WrongDeployment;
+    case wire::PollAnswer::RESULT_LEAVING:
+        return PollResult::Leaving;
+    default:
+        return invalid("poll answer: result is missing or unknown");
+    }
+}
+
+void encodeSummary(const OutcomeSummary &summary, wire::OutcomeSummary &message)
+{
+    message.set_requests(summary.requests);
+    message.set_failures(summary.failures);
+    const auto last = std::find_if(summary.latencyBuckets.rbegin(), summary.latencyBuckets.rend(),
+                                   [](std::uint32_t count) { return count != 0; });
+    message.mutable_latency_buckets()->Add(summary.latencyBuckets.begin(), last.base());
+}
+
+absl::StatusOr<OutcomeSummary> decodeSummary(const wire::OutcomeSummary &message, absl::string_view field)
+{
+    OutcomeSummary summary;
+    summary.requests = message.requests();
+    summary.failures = message.failures();
+    if (summary.failures > summary.requests)
+        return invalid(absl::StrCat(field, ".failures is greater than its requests"));
+    if (message.latency_buckets_size() > static_cast<int>(outcomeLatencyBuckets))
+        return invalid(absl::StrCat(field, ".latency_buckets has too many entries"));
+    std::copy(message.latency_buckets().begin(), message.latency_buckets().end(), summary.latencyBuckets.begin());
+    return summary;
+}
+
+void encodeSum(const AcknowledgementSum &sum, wire::AcknowledgementSum &message)
+{
+    message.set_lowest_revision(sum.lowest.value());
+    message.set_nodes(sum.nodes.value());
+}
+
+AcknowledgementSum decodeSum(const wire::AcknowledgementSum &message)
+{
+    return {RevisionNumber(message.lowest_revision()), NodeCount(message.nodes())};
+}
+
+// Decodes each entry of a repeated field into a list; the first error ends it.
+template <typename Messages, typename Item, typename Decode>
+absl::Status decodeList(const Messages &messages, std::vector<Item> &items, Decode decode)
+{
+    for (const auto &message : messages) {
+        absl::StatusOr<Item> item = decode(message);
+        if (!item.ok())
+            return item.status();
+        items.push_back(*std::move(item));
+    }
+    return absl::OkStatus();
+}
+
+absl::Status checkPollRequest(const wire::PollRequest &message)
+{
+    if (message.node().empty())
+        return invalid("poll: node is missing");
+    if (message.region().empty())
+        return invalid("poll: region is missing");
+    if (message.data_centre().empty())
+        return invalid("poll: data_centre is missing");
+    if (message.control_address().empty())
+        return invalid("poll: control_address is missing");
+    if (message.acknowledgement().nodes() == 0)
+        return invalid("poll: acknowledgement.nodes is 0 and must count the sender");
+    if (message.acknowledgement().lowest_revision() > message.revision())
+        return invalid("poll: acknowledgement.lowest_revision is greater than revision");
+    if (message.hold_ms() > longestHoldMs)
+        return invalid("poll: hold_ms is greater than 60000");
+    return absl::OkStatus();
+}
+
+PollRequest readPollHead(const wire::PollRequest &message)
+{
+    PollRequest request;
+    request.deployment = DeploymentName(message.deployment());
+    request.node = NodeId(message.node());
+    request.incarnation = Incarnation(message.incarnation());
+    request.region = RegionName(message.region());
+    request.dataCentre = DataCentreName(message.data_centre());
+    request.controlAddress = Address(message.control_address());
+    request.revision = RevisionNumber(message.revision());
+    request.directoryDigest = DirectoryDigest(message.directory_digest());
+    request.acknowledgement = decodeSum(message.acknowledgement());
+    request.leaving = message.leaving();
+    request.hold = Milliseconds(message.hold_ms());
+    request.fullEndpoints = message.full_endpoints();
+    return request;
+}
+
+PollAnswer readAnswerHead(const wire::PollAnswer &message)
+{
+    PollAnswer answer;
+    for (const std::string &node : message.path())
+        answer.path.emplace_back(node);
+    for (const std::string &address : message.redirects())
+        answer.redirects.emplace_back(address);
+    answer.snapshotNeeded = message.snapshot_needed();
+    answer.revision = RevisionNumber(message.revision());
+    answer.outcomeSequence = SequenceNumber(message.outcome_sequence());
+    answer.directoryDigest = DirectoryDigest(message.directory_digest());
+    answer.retryAfter = Milliseconds(message.retry_after_ms());
+    answer.grandparent = Address(message.grandparent());
+    if (message.has_acknowledgement())
+        answer.acknowledgement = decodeSum(message.acknowledgement());
+    return answer;
+}
+
+absl::Status checkRevisionOrder(const std::vector<Revision> &revisions)
+{
+    for (std::size_t i = 1; i < revisions.size(); ++i) {
+        if (revisions[i].number.value() != revisions[i - 1].number.value() + 1)
+            return invalid("poll answer: revisions are not consecutive");
+    }
+    return absl::OkStatus();
+}
+
+} // namespace
+
+wire::EndpointRecord encodeEndpoint(const Endpoint &endpoint)
+{
+    wire::EndpointRecord message;
+    message.set_target(endpoint.target.value());
+    message.set_incarnation(endpoint.stamp.incarnation.value());
+    message.set_sequence(endpoint.stamp.sequence.value());
+    message.set_state(encodeEndpointState(endpoint.stamp.state));
+    message.set_address(endpoint.address.value());
+    message.set_control_address(endpoint.controlAddress.value());
+    message.set_service(endpoint.service.value());
+    message.set_version(endpoint.version.value());
+    message.set_region(endpoint.region.value());
+    message.set_data_centre(endpoint.dataCentre.value());
+    message.set_slots(endpoint.slots.value());
+    return message;
+}
+
+absl::StatusOr<Endpoint> decodeEndpoint(const wire::EndpointRecord &message)
+{
+    if (message.target().empty())
+        return invalid("endpoint.target is missing");
+    if (message.service().empty())
+        return invalid("endpoint.service is missing");
+    const absl::StatusOr<EndpointState> state = decodeEndpointState(message.state());
+    if (!state.ok())
+        return state.status();
+    Endpoint endpoint;
+    endpoint.target = TargetId(message.target());
+    endpoint.stamp = {Incarnation(message.incarnation()), SequenceNumber(message.sequence()), *state};
+    endpoint.address = Address(message.address());
+    endpoint.controlAddress = Address(message.control_address());
+    endpoint.service = ServiceName(message.service());
+    endpoint.version = VersionName(message.version());
+    endpoint.region = RegionName(message.region());
+    endpoint.dataCentre = DataCentreName(message.data_centre());
+    endpoint.slots = SlotCount(message.slots());
+    return endpoint;
+}
+
+wire::RolloutRecord encodeRollout(const RolloutRecord &record)
+{
+    wire::RolloutRecord message;
+    message.set_ticket(record.ticket.value());
+    message.set_service(record.service.value());
+    message.set_stage(record.stage.value());
+    message.set_state(encodeRolloutState(record.state));
+    message.set_reason(record.reason);
+    return message;
+}
+
+absl::StatusOr<RolloutRecord> decodeRollout(const wire::RolloutRecord &message)
+{
+    if (message.ticket() == 0)
+        return invalid("rollout.ticket is missing");
+    const absl::StatusOr<RolloutState> state = decodeRolloutState(message.state());
+    if (!state.ok())
+        return state.status();
+    return RolloutRecord{TicketNumber(message.ticket()), ServiceName(message.service()), StageIndex(message.stage()),
+                         *state, message.reason()};
+}
+
+wire::OutcomeBatch encodeOutcomes(const OutcomeBatch &batch)
+{
+    wire::OutcomeBatch message;
+    message.set_sequence(batch.sequence.value());
+    for (const RouteOutcomes &outcomes : batch.routes) {
+        wire::RouteOutcomes *entry = message.add_routes();
+        entry->set_ticket(outcomes.rollout.value());
+        entry->set_route(outcomes.route.value());
+        encodeSummary(outcomes.oldVersion, *entry->mutable_old_version());
+        encodeSummary(outcomes.newVersion, *entry->mutable_new_version());
+    }
+    return message;
+}
+
+absl::StatusOr<OutcomeBatch> decodeOutcomes(const wire::OutcomeBatch &message)
+{
+    if (message.sequence() == 0)
+        return invalid("outcomes.sequence is missing");
+    OutcomeBatch batch;
+    batch.sequence = SequenceNumber(message.sequence());
+    for (const wire::RouteOutcomes &entry : message.routes()) {
+        if (entry.route().empty())
+            return invalid("outcomes.routes.route is missing");
+        const absl::StatusOr<OutcomeSummary> before = decodeSummary(entry.old_version(), "outcomes.old_version");
+        if (!before.ok())
+            return before.status();
+        const absl::StatusOr<OutcomeSummary> after = decodeSummary(entry.new_version(), "outcomes.new_version");
+        if (!after.ok())
+            return after.status();
+        batch.routes.push_back({TicketNumber(entry.ticket()), RouteName(entry.route()), *before, *after});
+    }
+    return batch;
+}
+
+std::string encodePollRequest(const PollRequest &request)
+{
+    wire::PollRequest message;
+    message.set_deployment(request.deployment.value());
+    message.set_node(request.node.value());
+    message.set_incarnation(request.incarnation.value());
+    message.set_region(request.region.value());
+    message.set_data_centre(request.dataCentre.value());
+    message.set_control_address(request.controlAddress.value());
+    message.set_revision(request.revision.value());
+    message.set_directory_digest(request.directoryDigest.value());
+    encodeSum(request.acknowledgement, *message.mutable_acknowledgement());
+    if (request.outcomes)
+        *message.mutable_outcomes() = encodeOutcomes(*request.outcomes);
+    for (const Endpoint &endpoint : request.endpoints)
+        *message.add_endpoints() = encodeEndpoint(endpoint);
+    for (const RolloutRecord &record : request.rollouts)
+        *message.add_rollouts() = encodeRollout(record);
+    message.set_leaving(request.leaving);
+    message.set_hold_ms(static_cast<std::uint32_t>(request.hold.count()));
+    message.set_full_endpoints(request.fullEndpoints);
+    return message.SerializeAsString();
+}
+
+absl::StatusOr<PollRequest> decodePollRequest(absl::string_view bytes, const DeploymentName &deployment)
+{
+    const auto message = parseBytes<wire::PollRequest>(bytes, ErrorKind::InvalidMessage, "the body of the poll");
+    if (!message.ok())
+        return message.status();
+    if (absl::Status status = checkDeployment(message->deployment(), deployment); !status.ok())
+        return status;
+    if (absl::Status status = checkPollRequest(*message); !status.ok())
+        return status;
+    PollRequest request = readPollHead(*message);
+    if (message->has_outcomes()) {
+        absl::StatusOr<OutcomeBatch> outcomes = decodeOutcomes(message->outcomes());
+        if (!outcomes.ok())
+            return outcomes.status();
+        request.outcomes = *std::move(outcomes);
+    }
+    absl::Status status = decodeList(message->endpoints(), request.endpoints, decodeEndpoint);
+    if (status.ok())
+        status = decodeList(message->rollouts(), request.rollouts, decodeRollout);
+    if (!status.ok())
+        return status;
+    return request;
+}
+
+std::string encodePollAnswer(const PollAnswer &answer)
+{
+    wire::PollAnswer message;
+    message.set_result(encodeResult(answer.result));
+    for (const NodeId &node : answer.path)
+        message.add_path(node.value());
+    for (const Address &address : answer.redirects)
+        message.add_redirects(address.value());
+    for (const Revision &revision : answer.revisions)
+        *message.add_revisions() = encodeRevision(revision);
+    message.set_snapshot_needed(answer.snapshotNeeded);
+    message.set_revision(answer.revision.value());
+    message.set_outcome_sequence(answer.outcomeSequence.value());
+    message.set_directory_digest(answer.directoryDigest.value());
+    for (const Endpoint &endpoint : answer.endpoints)
+        *message.add_endpoints() = encodeEndpoint(endpoint);
+    for (const RolloutRecord &record : answer.rollouts)
+        *message.add_rollouts() = encodeRollout(record);
+    message.set_retry_after_ms(static_cast<std::uint32_t>(answer.retryAfter.count()));
+    if (answer.acknowledgement)
+        encodeSum(*answer.acknowledgement, *message.mutable_acknowledgement());
+    message.set_grandparent(answer.grandparent.value());
+    return message.SerializeAsString();
+}
+
+absl::StatusOr<PollAnswer> decodePollAnswer(absl::string_view bytes)
+{
+    const auto message = parseBytes<wire::PollAnswer>(bytes, ErrorKind::InvalidMessage, "the answer to the poll");
+    if (!message.ok())
+        return message.status();
+    const absl::StatusOr<PollResult> result = decodeResult(message->result());
+    if (!result.ok())
+        return result.status();
+    PollAnswer answer = readAnswerHead(*message);
+    answer.result = *result;
+    absl::Status status = decodeList(message->revisions(), answer.revisions, decodeRevision);
+    if (status.ok())
+        status = checkRevisionOrder(answer.revisions);
+    if (status.ok())
+        status = decodeList(message->endpoints(), answer.endpoints, decodeEndpoint);
+    if (status.ok())
+        status = decodeList(message->rollouts(), answer.rollouts, decodeRollout);
+    if (!status.ok())
+        return status;
+    return answer;
+}
+
+std::string encodeSnapshotRequest(const SnapshotRequest &request)
+{
+    wire::SnapshotRequest message;
+    message.set_deployment(request.deployment.value());
+    message.set_node(request.node.value());
+    message.set_revision(request.revision.value());
+    return message.SerializeAsString();
+}
+
+absl::StatusOr<SnapshotRequest> decodeSnapshotRequest(absl::string_view bytes, const DeploymentName &deployment)
+{
+    const auto message = parseBytes<wire::SnapshotRequest>(bytes, ErrorKind::InvalidMessage, "the snapshot request");
+    if (!message.ok())
+        return message.status();
+    if (absl::Status status = checkDeployment(message->deployment(), deployment); !status.ok())
+        return status;
+    if (message->node().empty())
+        return invalid("snapshot request: node is missing");
+    return SnapshotRequest{DeploymentName(message->deployment()), NodeId(message->node()),
+                           RevisionNumber(message->revision())};
+}
+
+absl::StatusOr<std::string> encodeSnapshot(const ConfigState &state)
+{
+    const std::string plain = encodeState(state).SerializeAsString();
+    uLongf size = compressBound(plain.size());
+    std::string packed(size, '\0');
+    const int code = compress(reinterpret_cast<Bytef *>(packed.data()), &size,
+                              reinterpret_cast<const Bytef *>(plain.data()), plain.size());
+    if (code != Z_OK)
+        return makeError(ErrorKind::Internal, absl::StrCat("zlib cannot compress the snapshot: ", code));
+    packed.resize(size);
+    return packed;
+}
+
+absl::StatusOr<ConfigState> decodeSnapshot(absl::string_view bytes)
+{
+    constexpr std::size_t firstGuess = 8;
+    constexpr std::size_t smallest = 4'096;
+    std::string plain;
+    int code = Z_BUF_ERROR;
+    // The plain size is not transmitted, so that the buffer doubles until the content fits or the bound is reached.
+    for (std::size_t room = std::max(smallest, bytes.size() * firstGuess); code == Z_BUF_ERROR; room *= 2) {
+        plain.resize(std::min(room, maxSnapshotBytes));
+        uLongf size = plain.size();
+        code = uncompress(reinterpret_cast<Bytef *>(plain.data()), &size, reinterpret_cast<const Bytef *>(bytes.data()),
+                          bytes.size());
+        if (code == Z_OK)
+            plain.resize(size);
+        if (room >= maxSnapshotBytes)
+            break;
+    }
+    if (code != Z_OK)
+        return invalid("the snapshot is not a whole zlib stream of at most 64 MiB");
+    const auto message = parseBytes<wire::ConfigState>(plain, ErrorKind::InvalidMessage, "the snapshot");
+    if (!message.ok())
+        return message.status();
+    return decodeState(*message);
+}
+
+std::string encodeLease(const LeaseRecord &record)
+{
+    wire::LeaseRow message;
+    message.set_holder(record.holder.value());
+    message.set_control_address(record.controlAddress.value());
+    message.set_fence(record.fence.value());
+    message.set_expires_unix_ms(record.expires.time_since_epoch().count());
+    return message.SerializeAsString();
+}
+
+absl::StatusOr<LeaseRecord> decodeLease(absl::string_view bytes, const RowKey &key)
+{
+    const auto message = parseBytes<wire::LeaseRow>(bytes, ErrorKind::InvalidRow, key.value());
+    if (!message.ok())
+        return message.status();
+    return LeaseRecord{NodeId(message->holder()), Address(message->control_address()), Fence(message->fence()),
+                       WallTime(Milliseconds(message->expires_unix_ms()))};
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/distribution/pause_detector.cpp
@@ -0,0 +1,12 @@
+#include <dandeliondock/distribution/pause_detector.h>
+
+namespace dandeliondock {
+
+bool PauseDetector::onTick(MonotonicTime now) noexcept
+{
+    const bool paused = m_last && now - *m_last > pauseLimit;
+    m_last = now;
+    return paused;
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/distribution/relay_lease.cpp
@@ -0,0 +1,114 @@
+#include <dandeliondock/distribution/relay_lease.h>
+
+namespace dandeliondock {
+
+namespace {
+
+// Renewals and reads are spread by this part of their interval, so that holders do not write in step.
+constexpr int jitterDivisor = 4;
+// Observers wait this much longer than the term, which covers clocks of slightly different speeds.
+constexpr Milliseconds claimMargin{500};
+constexpr Milliseconds retryInterval{500};
+
+} // namespace
+
+RelayLease::RelayLease(NodeId self, Address controlAddress, RandomSource random) :
+    m_self(std::move(self)), m_address(std::move(controlAddress)), m_random(std::move(random))
+{
+}
+
+LeaseStep RelayLease::next(MonotonicTime now, WallTime wall)
+{
+    if (m_heldUntil && now >= *m_heldUntil) {
+        m_heldUntil.reset();
+        m_fresh = false;
+        m_unchangedSince.reset();
+        m_nextAction = now;
+    }
+    if (now < m_nextAction)
+        return {LeaseAction::Wait, m_nextAction, {}};
+    if (m_fresh && (m_heldUntil || vacant(now)))
+        return claim(now, wall);
+    return {LeaseAction::Read, {}, {}};
+}
+
+LeaseStep RelayLease::claim(MonotonicTime now, WallTime wall)
+{
+    m_fresh = false;
+    m_attempt = m_row;
+    m_attempt.record.holder = m_self;
+    m_attempt.record.controlAddress = m_address;
+    m_attempt.record.expires = wall + leaseTerm;
+    if (!m_heldUntil)
+        m_attempt.record.fence = Fence(m_row.record.fence.value() + 1);
+    m_attemptStarted = now;
+    return {LeaseAction::Write, {}, m_attempt};
+}
+
+bool RelayLease::vacant(MonotonicTime now) const noexcept
+{
+    if (m_row.version == RowVersion{} || m_row.record.holder.value().empty())
+        return true;
+    return m_unchangedSince && now - *m_unchangedSince >= leaseTerm + claimMargin;
+}
+
+MonotonicTime RelayLease::jittered(MonotonicTime now, Milliseconds interval) const
+{
+    const auto spread = static_cast<std::uint64_t>(interval.count() / jitterDivisor);
+    return now + interval - Milliseconds(uniformBelow(m_random, spread + 1));
+}
+
+void RelayLease::onRead(const LeaseRow &row, MonotonicTime now)
+{
+    const bool changed = !m_unchangedSince || row.version != m_row.version;
+    if (changed)
+        m_unchangedSince = now;
+    const bool attempted = m_attemptStarted && row.record == m_attempt.record && row.version != m_attempt.version;
+    if (attempted && now < *m_attemptStarted + leaseTerm)
+        m_heldUntil = *m_attemptStarted + leaseTerm;
+    m_attemptStarted.reset();
+    m_row = row;
+    if (m_heldUntil && row.record.holder != m_self)
+        m_heldUntil.reset();
+    m_fresh = true;
+    const bool mayWrite = (m_heldUntil && !attempted) || vacant(now);
+    m_nextAction = mayWrite ? now : jittered(now, leaseRenewal);
+}
+
+void RelayLease::onReadFailed(MonotonicTime now)
+{
+    m_nextAction = jittered(now, leaseRenewal);
+}
+
+void RelayLease::onWrite(LeaseWrite result, MonotonicTime started, MonotonicTime now)
+{
+    if (result == LeaseWrite::Committed) {
+        // The table does not return the row's new version, so that the next renewal begins with a read.
+        m_row.record = m_attempt.record;
+        m_attemptStarted.reset();
+        m_heldUntil = started + leaseTerm;
+        m_nextAction = jittered(now, leaseRenewal);
+        return;
+    }
+    if (result == LeaseWrite::Refused)
+        m_heldUntil.reset();
+    m_nextAction = result == LeaseWrite::Unavailable ? now + retryInterval : now;
+}
+
+bool RelayLease::held(MonotonicTime now) const noexcept
+{
+    return m_heldUntil && now < *m_heldUntil;
+}
+
+std::optional<LeaseRow> RelayLease::release(MonotonicTime now)
+{
+    if (!held(now))
+        return std::nullopt;
+    LeaseRow row = m_row;
+    row.record.holder = NodeId();
+    row.record.controlAddress = Address();
+    m_heldUntil.reset();
+    return row;
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/distribution/relay_state.cpp
@@ -0,0 +1,174 @@
+#include <dandeliondock/distribution/relay_state.h>
+
+#include <algorithm>
+
+namespace dandeliondock {
+
+namespace {
+
+PollResult resultOf(PollRefusal refusal)
+{
+    switch (refusal) {
+    case PollRefusal::None:
+        return PollResult::Attached;
+    case PollRefusal::WrongDeployment:
+        return PollResult::WrongDeployment;
+    case PollRefusal::Full:
+        return PollResult::Full;
+    case PollRefusal::Leaving:
+        return PollResult::Leaving;
+    case PollRefusal::NoPath:
+    case PollRefusal::Loop:
+    case PollRefusal::StaleIncarnation:
+        break;
+    }
+    return PollResult::NoPath;
+}
+
+} // namespace
+
+RelayState::RelayState(DeploymentName deployment, NodeId self, RegionName region, std::size_t fanOut) :
+    m_deployment(std::move(deployment)), m_self(std::move(self)), m_region(std::move(region)), m_fanOut(fanOut)
+{
+}
+
+void RelayState::setPath(std::vector<NodeId> path)
+{
+    m_path = std::move(path);
+}
+
+PollRefusal RelayState::refusalOf(const PollRequest &request) const
+{
+    if (request.deployment != m_deployment)
+        return PollRefusal::WrongDeployment;
+    if (m_leaving)
+        return PollRefusal::Leaving;
+    if (request.node == m_self || std::find(m_path.begin(), m_path.end(), request.node) != m_path.end())
+        return PollRefusal::Loop;
+    const auto known = m_children.find(request.node);
+    if (known != m_children.end()) {
+        const bool stale = request.incarnation < known->second.incarnation;
+        return stale ? PollRefusal::StaleIncarnation : PollRefusal::None;
+    }
+    if (m_path.empty())
+        return PollRefusal::NoPath;
+    return m_children.size() >= m_fanOut ? PollRefusal::Full : PollRefusal::None;
+}
+
+PollDecision RelayState::onPoll(const PollRequest &request, MonotonicTime now)
+{
+    const PollRefusal refusal = refusalOf(request);
+    if (refusal == PollRefusal::Loop)
+        m_children.erase(request.node);
+    if (refusal != PollRefusal::None)
+        return refuse(refusal);
+    if (request.leaving) {
+        m_children.erase(request.node);
+        return {PollResult::Attached, PollRefusal::None, {}, false, request.outcomes.has_value()};
+    }
+    return accept(request, now);
+}
+
+PollDecision RelayState::refuse(PollRefusal refusal) const
+{
+    PollDecision decision;
+    decision.result = resultOf(refusal);
+    decision.refusal = refusal;
+    if (refusal != PollRefusal::Full && refusal != PollRefusal::Leaving)
+        return decision;
+    for (const auto &[node, child] : m_children)
+        decision.redirects.push_back(child.controlAddress);
+    return decision;
+}
+
+PollDecision RelayState::accept(const PollRequest &request, MonotonicTime now)
+{
+    PollDecision decision;
+    decision.result = PollResult::Attached;
+    const auto [entry, inserted] = m_children.try_emplace(request.node);
+    Child &child = entry->second;
+    decision.joined = inserted || child.incarnation != request.incarnation;
+    if (decision.joined)
+        child = Child();
+    child.incarnation = request.incarnation;
+    child.region = request.region;
+    child.controlAddress = request.controlAddress;
+    child.revision = request.revision;
+    child.digest = request.directoryDigest;
+    child.acknowledgement = request.acknowledgement;
+    child.lastPoll = now;
+    if (request.outcomes && request.outcomes->sequence > child.outcomeSequence) {
+        child.outcomeSequence = request.outcomes->sequence;
+        decision.takeOutcomes = true;
+    }
+    return decision;
+}
+
+ChildNeed RelayState::needOf(const NodeId &node, const RelayView &view, MonotonicTime now) const
+{
+    ChildNeed need;
+    const auto found = m_children.find(node);
+    if (found == m_children.end())
+        return need;
+    const Child &child = found->second;
+    need.revisions = child.revision < view.revision;
+    need.path = child.pathSent != m_path;
+    if (!child.endpointsSent)
+        need.fullEndpoints = child.region != m_region || child.digest != view.directoryDigest;
+    else if (*child.endpointsSent < view.endpointCursor)
+        need.endpointsAfter = child.endpointsSent;
+    else if (child.region == m_region && now - child.lastRepair >= repairInterval)
+        need.fullEndpoints = child.digest != view.directoryDigest;
+    for (const RolloutRecord &record : view.rollouts) {
+        if (std::find(child.rolloutsSent.begin(), child.rolloutsSent.end(), record) == child.rolloutsSent.end())
+            need.rollouts.push_back(record);
+    }
+    return need;
+}
+
+void RelayState::onAnswered(const NodeId &node, const RelayView &view, const ChildNeed &need, MonotonicTime now)
+{
+    const auto found = m_children.find(node);
+    if (found == m_children.end())
+        return;
+    Child &child = found->second;
+    child.endpointsSent = view.endpointCursor;
+    child.rolloutsSent = view.rollouts;
+    child.pathSent = m_path;
+    if (need.fullEndpoints)
+        child.lastRepair = now;
+}
+
+std::vector<LostChild> RelayState::expire(MonotonicTime now)
+{
+    std::vector<LostChild> lost;
+    for (auto child = m_children.begin(); child != m_children.end();) {
+        if (now - child->second.lastPoll < childTimeout) {
+            ++child;
+            continue;
+        }
+        lost.push_back({child->first, child->second.incarnation, child->second.controlAddress});
+        child = m_children.erase(child);
+    }
+    return lost;
+}
+
+AcknowledgementSum RelayState::acknowledgement(RevisionNumber own) const
+{
+    AcknowledgementSum sum{own, NodeCount(1)};
+    for (const auto &[node, child] : m_children) {
+        sum.lowest = std::min(sum.lowest, child.acknowledgement.lowest);
+        sum.nodes = NodeCount(sum.nodes.value() + child.acknowledgement.nodes.value());
+    }
+    return sum;
+}
+
+std::vector<NodeId> RelayState::children() const
+{
+    std::vector<NodeId> nodes;
+    for (const auto &[node, child] : m_children)
+        nodes.push_back(node);
+    return nodes;
+}
+
+} // namespace dandeliondock
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -72,6 +72,10 @@
                             || settings.logLevel == "error";
     errors.require(knownLevel, "log_level", "give debug, info, warn or error");
     errors.require(settings.fanOut <= maxFanOut, "fan_out", "give 1 to 64");
+    const bool polling = message.distribution() == "polling";
+    settings.distribution = polling ? DistributionMode::Polling : DistributionMode::Tree;
+    errors.require(polling || message.distribution().empty() || message.distribution() == "tree", "distribution",
+                   "give tree or polling");
 }
 
 } // namespace
