--- a/include/dandeliondock/distribution/poll.h
+++ b/include/dandeliondock/distribution/poll.h
@@ -79,6 +79,7 @@
     DeploymentName deployment;
     NodeId node;
     RevisionNumber revision;
+    RegionName region;
 
     bool operator==(const SnapshotRequest &) const = default;
 };
--- /dev/null
+++ b/include/dandeliondock/node/control_hooks.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <dandeliondock/config/config_state.h>
+#include <dandeliondock/core/log_event.h>
+#include <dandeliondock/core/metrics.h>
+#include <dandeliondock/core/random_source.h>
+#include <dandeliondock/core/time_source.h>
+#include <dandeliondock/distribution/poll.h>
+#include <dandeliondock/distribution/relay_state.h>
+#include <dandeliondock/http/client.h>
+#include <dandeliondock/store/store_hooks.h>
+
+#include <functional>
+#include <optional>
+#include <vector>
+
+namespace dandeliondock {
+
+/// \brief How much of the directory a receiver gets: all of it in the own region, a summary across the metered link.
+enum class EndpointScope { Full, Summary };
+
+/// \brief Endpoint records that changed, up to a position.
+struct EndpointChanges
+{
+    std::vector<Endpoint> records;
+    ChangeCursor cursor;
+};
+
+/// \brief What the control threads need of the other modules.
+///
+/// \remark Every hook must be set and callable from any thread. A hook must not call RelayHub::notify() while it holds
+/// a lock that another hook takes.
+struct ControlHooks
+{
+    std::function<ConfigSnapshot()> config;
+    std::function<absl::Status(const Revision &)> applyRevision;
+    std::function<void(ConfigState)> mergeSnapshot;
+
+    std::function<DirectoryDigest()> directoryDigest;
+    std::function<ChangeCursor()> endpointCursor;
+    std::function<EndpointChanges(ChangeCursor, EndpointScope)> endpointChanges;
+    std::function<std::vector<Endpoint>(EndpointScope)> allEndpoints;
+    std::function<bool(const std::vector<Endpoint> &)> mergeEndpoints; ///< true when something changed
+    std::function<std::vector<Address>()> controlAddresses;            ///< of nodes in the own region
+    std::function<void(const LostChild &)> childLost;
+
+    std::function<std::vector<RolloutRecord>()> rollouts;
+    std::function<bool(const std::vector<RolloutRecord> &)> mergeRollouts; ///< true when something changed
+
+    std::function<std::optional<OutcomeBatch>()> outcomesToSend; ///< the same batch until outcomesTaken()
+    std::function<void(SequenceNumber)> outcomesTaken;
+    std::function<void(const OutcomeBatch &)> takeOutcomes; ///< a child's batch, once
+
+    std::function<void()> paused; ///< this process did not run for more than pauseLimit
+
+    StoreHooks store;
+    std::function<SendResult(const Address &, const HttpRequest &, const SendOptions &)> send;
+    TimeSource time;
+    std::function<RandomSource()> random; ///< a source for the calling thread
+    LogSink log;
+    Metrics *metrics = nullptr; ///< outlives the threads
+};
+
+/// \brief Hooks of a node without endpoints, rollouts and outcomes: those members do nothing; the others stay empty.
+[[nodiscard]] ControlHooks inertHooks();
+
+/// \brief What a node says of itself and its limits.
+struct ControlIdentity
+{
+    DeploymentName deployment;
+    NodeId node;
+    Incarnation incarnation;
+    RegionName region;
+    DataCentreName dataCentre;
+    RegionName storeRegion;
+    Address controlAddress;
+    std::vector<Address> peers;
+    std::size_t fanOut = defaultFanOut;
+    Milliseconds hold{1'500};
+};
+
+} // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/node/lease_keeper.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <dandeliondock/distribution/lease_duty.h>
+#include <dandeliondock/node/relay_hub.h>
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace dandeliondock {
+
+/// \brief The thread that claims and renews this node's lease and, as the root, reads new revisions from the store.
+///
+/// \remark Every method is thread-safe.
+class LeaseKeeper
+{
+public:
+    /// \brief Starts the thread.
+    /// \pre \c hub is not null.
+    explicit LeaseKeeper(std::shared_ptr<RelayHub> hub);
+    ~LeaseKeeper();
+
+    LeaseKeeper(const LeaseKeeper &) = delete;
+    LeaseKeeper &operator=(const LeaseKeeper &) = delete;
+
+    /// \brief Has the lease rows read soon, for a node that found no parent.
+    void readSoon();
+
+    /// \brief Releases the lease and stops; returns within the store's time limit.
+    void stop();
+
+    /// \brief Keys of the leases held now.
+    [[nodiscard]] std::vector<RowKey> held();
+
+private:
+    void run();
+    void step();
+    void readRows();
+    void write(const DutyStep &step);
+    void readHead();
+    void publish();
+    void release();
+    void waitForNext();
+
+    std::shared_ptr<RelayHub> m_hub;
+    LeaseDuty m_duty; ///< belongs to the thread
+    MonotonicTime m_nextStep;
+    MonotonicTime m_nextHead;
+    std::vector<RowKey> m_lastHeld;
+    std::mutex m_mutex;
+    std::condition_variable m_wake;
+    bool m_readRequested = false;
+    bool m_stopRequested = false;
+    std::thread m_thread;
+};
+
+/// \brief Reads the revisions after \c held from the store, at most a page of them.
+[[nodiscard]] absl::StatusOr<std::vector<Revision>> readRevisionsAfter(const StoreHooks &store, RevisionNumber held);
+
+} // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/node/relay_hub.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <dandeliondock/distribution/relay_state.h>
+#include <dandeliondock/distribution/revision_log.h>
+#include <dandeliondock/node/control_hooks.h>
+
+#include <condition_variable>
+#include <cstdint>
+#include <mutex>
+
+namespace dandeliondock {
+
+/// \brief Lease holders and the own leases, as the lease keeper last knew them.
+struct LeaseKnowledge
+{
+    std::vector<Address> superiors;
+    bool holder = false;
+    bool root = false;
+    bool top = false; ///< begins a path without a parent
+};
+
+/// \brief What the control threads of one node share: the relay state, the revision log and the place in the tree.
+///
+/// \remark Every method is thread-safe. Hooks are called without the lock.
+class RelayHub
+{
+public:
+    RelayHub(ControlIdentity identity, ControlHooks hooks);
+
+    /// \brief Answers a child's poll; blocks until there is something for it or its hold ends.
+    [[nodiscard]] PollAnswer serve(const PollRequest &request);
+
+    /// \brief Wakes the polls held: configuration, endpoints or rollout records changed.
+    void notify();
+
+    /// \brief Puts revisions in force and into the log, in order; the first refused one ends it.
+    absl::Status apply(const std::vector<Revision> &revisions);
+
+    void mergeSnapshot(ConfigState state);
+
+    void setParent(std::vector<NodeId> path, Address address);
+    void setLeases(LeaseKnowledge leases);
+    void setTreeAcknowledgement(AcknowledgementSum sum);
+
+    /// \brief Children are sent away from now on.
+    void leave();
+
+    /// \brief Drops children that stopped polling and reports them.
+    void expireChildren();
+
+    /// \brief Marks that this node holds what its parent, or the store, held when it joined.
+    void setReady();
+
+    [[nodiscard]] bool ready() const;
+    [[nodiscard]] LeaseKnowledge leases() const;
+    [[nodiscard]] Address parent() const;
+    [[nodiscard]] std::vector<NodeId> path() const;
+    [[nodiscard]] std::size_t children() const;
+    [[nodiscard]] AcknowledgementSum acknowledgement() const;
+
+    /// \brief The sum over the whole tree, as far as it is known here.
+    [[nodiscard]] AcknowledgementSum treeAcknowledgement() const;
+
+    [[nodiscard]] const ControlIdentity &identity() const noexcept { return m_identity; }
+
+    [[nodiscard]] const ControlHooks &hooks() const noexcept { return m_hooks; }
+
+    /// \brief Counts an event by reason and writes its line.
+    void report(LogLevel level, absl::string_view event, absl::string_view counter, absl::string_view reason) const;
+
+private:
+    [[nodiscard]] RelayView view() const;
+    [[nodiscard]] ChildNeed awaitNeed(const PollRequest &request, RelayView &seen);
+    void fill(const PollRequest &request, const ChildNeed &need, const RelayView &seen, PollAnswer &answer);
+    void mergeFromChild(const PollRequest &request, bool takeOutcomes);
+    void updatePath();
+
+    ControlIdentity m_identity;
+    ControlHooks m_hooks;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::uint64_t m_generation = 0;
+    RelayState m_relay;
+    RevisionLog m_log;
+    std::vector<NodeId> m_parentPath;
+    Address m_parent;
+    LeaseKnowledge m_leases;
+    AcknowledgementSum m_treeAcknowledgement;
+    bool m_ready = false;
+};
+
+} // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/node/uplink.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include <dandeliondock/distribution/parent_selection.h>
+#include <dandeliondock/node/lease_keeper.h>
+#include <dandeliondock/node/relay_hub.h>
+
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+namespace dandeliondock {
+
+/// \brief The thread that long-polls the parent, merges what arrives and finds another parent when it is lost.
+///
+/// \remark Every method is thread-safe.
+class Uplink
+{
+public:
+    /// \brief Starts the thread.
+    /// \pre The arguments are not null.
+    Uplink(std::shared_ptr<RelayHub> hub, std::shared_ptr<LeaseKeeper> keeper);
+    ~Uplink();
+
+    Uplink(const Uplink &) = delete;
+    Uplink &operator=(const Uplink &) = delete;
+
+    /// \brief Tells the parent that this node leaves and stops; returns within a poll's time limit.
+    void stop();
+
+private:
+    void run();
+    void wait(MonotonicTime until);
+    void poll(const ParentCandidate &candidate);
+    void takeAnswer(const PollRequest &request, const PollAnswer &answer);
+    void merge(const PollRequest &request, const PollAnswer &answer);
+    void fetchSnapshot(const Address &parent);
+    void sayGoodbye();
+    [[nodiscard]] PollRequest buildRequest(bool attached);
+    [[nodiscard]] absl::StatusOr<PollAnswer> exchange(const Address &to, const PollRequest &request,
+                                                      Milliseconds limit);
+    [[nodiscard]] bool stopRequested();
+
+    std::shared_ptr<RelayHub> m_hub;
+    std::shared_ptr<LeaseKeeper> m_keeper;
+    RandomSource m_random;
+    ParentSelection m_selection;
+    std::optional<ChangeCursor> m_endpointsSent;
+    ChangeCursor m_endpointsPending;
+    std::vector<RolloutRecord> m_rolloutsSent;
+    bool m_sendFull = true;
+    bool m_wasHolder = false;
+    bool m_snapshotWanted = false;
+    MonotonicTime m_nextSnapshot;
+    RevisionNumber m_joinRevision;
+    std::mutex m_mutex;
+    std::condition_variable m_stopping;
+    bool m_stopRequested = false;
+    std::thread m_thread;
+};
+
+} // namespace dandeliondock
--- a/src/codec/control_codec.cpp
+++ b/src/codec/control_codec.cpp
@@ -431,6 +431,7 @@
     message.set_deployment(request.deployment.value());
     message.set_node(request.node.value());
     message.set_revision(request.revision.value());
+    message.set_region(request.region.value());
     return message.SerializeAsString();
 }
 
@@ -444,7 +445,7 @@
     if (message->node().empty())
         return invalid("snapshot request: node is missing");
     return SnapshotRequest{DeploymentName(message->deployment()), NodeId(message->node()),
-                           RevisionNumber(message->revision())};
+                           RevisionNumber(message->revision()), RegionName(message->region())};
 }
 
 absl::StatusOr<std::string> encodeSnapshot(const ConfigState &state)
--- a/src/distribution/relay_lease.cpp
+++ b/src/distribution/relay_lease.cpp
@@ -85,6 +85,8 @@
 
 void RelayLease::onWrite(LeaseWrite result, MonotonicTime started, MonotonicTime now)
 {
+    if (!m_attemptStarted)
+        return;
     if (result == LeaseWrite::Committed) {
         // The table does not return the row's new version, so that the next renewal begins with a read.
         m_row.record = m_attempt.record;
@@ -111,6 +113,8 @@
     row.record.holder = NodeId();
     row.record.controlAddress = Address();
     m_heldUntil.reset();
+    m_attemptStarted.reset();
+    m_fresh = false;
     return row;
 }
 
--- /dev/null
+++ b/src/node/lease_keeper.cpp
@@ -0,0 +1,223 @@
+#include <dandeliondock/node/lease_keeper.h>
+
+#include <dandeliondock/codec/bytes.h>
+#include <dandeliondock/codec/config_codec.h>
+#include <dandeliondock/codec/control_codec.h>
+#include <dandeliondock/core/error.h>
+#include <dandeliondock/node/ticket_service.h>
+#include <dandeliondock/store/rows.h>
+
+#include <algorithm>
+
+namespace dandeliondock {
+
+namespace {
+
+constexpr Milliseconds headInterval{250};
+constexpr Milliseconds longestWait{1'000};
+constexpr std::size_t revisionPage = 256;
+
+LeaseWrite toLeaseWrite(const absl::StatusOr<CommitResult> &result)
+{
+    if (result.ok())
+        return result->committed ? LeaseWrite::Committed : LeaseWrite::Refused;
+    return errorKind(result.status()) == ErrorKind::StoreUnavailable ? LeaseWrite::Unavailable : LeaseWrite::Unknown;
+}
+
+absl::StatusOr<std::vector<LeaseRow>> decodeRows(const std::vector<TableRow> &rows)
+{
+    std::vector<LeaseRow> leases;
+    for (const TableRow &row : rows) {
+        absl::StatusOr<LeaseRecord> record = decodeLease(row.value, row.key);
+        if (!record.ok())
+            return record.status();
+        leases.push_back({*std::move(record), row.version});
+    }
+    return leases;
+}
+
+} // namespace
+
+absl::StatusOr<std::vector<Revision>> readRevisionsAfter(const StoreHooks &store, RevisionNumber held)
+{
+    std::vector<Revision> revisions;
+    const absl::StatusOr<RevisionNumber> head = readHead(store);
+    if (!head.ok())
+        return head.status();
+    if (*head <= held)
+        return revisions;
+    const auto rows = store.scan({revisionPrefix, revisionKey(RevisionNumber(held.value() + 1)).value(), revisionPage});
+    if (!rows.ok())
+        return rows.status();
+    for (const TableRow &row : *rows) {
+        const auto message = parseBytes<wire::Revision>(row.value, ErrorKind::InvalidRow, row.key.value());
+        if (!message.ok())
+            return message.status();
+        absl::StatusOr<Revision> revision = decodeRevision(*message);
+        if (!revision.ok())
+            return revision.status();
+        revisions.push_back(*std::move(revision));
+    }
+    return revisions;
+}
+
+LeaseKeeper::LeaseKeeper(std::shared_ptr<RelayHub> hub)
+    : m_hub(std::move(hub)),
+      m_duty(leaseScopes(m_hub->identity().region, m_hub->identity().dataCentre, m_hub->identity().storeRegion),
+             m_hub->identity().node, m_hub->identity().controlAddress, m_hub->hooks().random())
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+LeaseKeeper::~LeaseKeeper()
+{
+    stop();
+}
+
+void LeaseKeeper::run()
+{
+    std::unique_lock lock(m_mutex);
+    while (!m_stopRequested) {
+        const bool readNow = std::exchange(m_readRequested, false);
+        lock.unlock();
+        if (readNow)
+            readRows();
+        step();
+        publish();
+        if (m_duty.holdsRoot(m_hub->hooks().time.monotonic()))
+            readHead();
+        waitForNext();
+        lock.lock();
+    }
+    lock.unlock();
+    release();
+}
+
+void LeaseKeeper::waitForNext()
+{
+    const MonotonicTime now = m_hub->hooks().time.monotonic();
+    MonotonicTime until = std::min<MonotonicTime>(m_nextStep, now + longestWait);
+    if (m_duty.holdsRoot(now))
+        until = std::min(until, m_nextHead);
+    std::unique_lock lock(m_mutex);
+    if (until > now)
+        m_wake.wait_for(lock, until - now, [this] { return m_stopRequested || m_readRequested; });
+}
+
+void LeaseKeeper::step()
+{
+    const MonotonicTime now = m_hub->hooks().time.monotonic();
+    std::optional<Address> parent = m_hub->parent();
+    if (parent->value().empty())
+        parent.reset();
+    const DutyStep step = m_duty.next(now, m_hub->hooks().time.wall(), m_duty.watches(parent, now));
+    m_nextStep = step.action == DutyAction::Wait ? step.until : now;
+    if (step.action == DutyAction::ReadAll)
+        readRows();
+    if (step.action == DutyAction::Write)
+        write(step);
+}
+
+void LeaseKeeper::readRows()
+{
+    std::vector<RowKey> keys;
+    for (const LeaseScope &scope : m_duty.scopes())
+        keys.push_back(scope.key);
+    m_hub->hooks().metrics->counter("dandeliondock_lease_reads_total").add();
+    const auto rows = m_hub->hooks().store.read(keys);
+    const auto leases = rows.ok() ? decodeRows(*rows) : rows.status();
+    const MonotonicTime now = m_hub->hooks().time.monotonic();
+    if (leases.ok()) {
+        m_duty.onRead(*leases, now);
+        return;
+    }
+    m_hub->report(LogLevel::Warn, "lease.read_failed", "dandeliondock_lease_errors_total",
+                  errorKindName(errorKind(leases.status())));
+    m_duty.onReadFailed(now);
+}
+
+void LeaseKeeper::write(const DutyStep &step)
+{
+    const RowKey &key = m_duty.scopes()[step.scope].key;
+    const MonotonicTime started = m_hub->hooks().time.monotonic();
+    const auto result =
+            m_hub->hooks().store.commit({{{key, step.write.version}}, {{key, encodeLease(step.write.record)}}});
+    const LeaseWrite outcome = toLeaseWrite(result);
+    m_duty.onWrite(step.scope, outcome, started, m_hub->hooks().time.monotonic());
+    if (outcome != LeaseWrite::Committed)
+        m_hub->report(LogLevel::Warn, "lease.write_failed", "dandeliondock_lease_errors_total",
+                      result.ok() ? "condition_failed" : errorKindName(errorKind(result.status())));
+}
+
+std::vector<RowKey> LeaseKeeper::held()
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_lastHeld;
+}
+
+void LeaseKeeper::publish()
+{
+    const MonotonicTime now = m_hub->hooks().time.monotonic();
+    const std::optional<std::size_t> index = m_duty.held(now);
+    std::vector<RowKey> keys;
+    if (index)
+        keys.push_back(m_duty.scopes()[*index].key);
+    m_hub->setLeases(
+            {m_duty.superiors(now), index.has_value(), m_duty.holdsRoot(now), index.has_value() || m_duty.interim()});
+    const std::scoped_lock lock(m_mutex);
+    if (keys == m_lastHeld)
+        return;
+    for (const RowKey &key : m_lastHeld)
+        LogEvent(LogLevel::Warn, "lease.ended").field("lease", key).write(m_hub->hooks().log);
+    for (const RowKey &key : keys)
+        LogEvent(LogLevel::Info, "lease.taken").field("lease", key).write(m_hub->hooks().log);
+    m_lastHeld = std::move(keys);
+}
+
+void LeaseKeeper::readHead()
+{
+    const MonotonicTime now = m_hub->hooks().time.monotonic();
+    if (now < m_nextHead)
+        return;
+    m_nextHead = now + headInterval;
+    const auto revisions = readRevisionsAfter(m_hub->hooks().store, m_hub->hooks().config()->revision());
+    if (!revisions.ok()) {
+        m_hub->report(LogLevel::Warn, "store.poll_failed", "dandeliondock_store_errors_total",
+                      errorKindName(errorKind(revisions.status())));
+        return;
+    }
+    if (m_hub->apply(*revisions).ok() && revisions->size() < revisionPage)
+        m_hub->setReady();
+}
+
+void LeaseKeeper::release()
+{
+    if (!m_duty.held(m_hub->hooks().time.monotonic()))
+        return;
+    readRows();
+    const std::optional<DutyStep> step = m_duty.release(m_hub->hooks().time.monotonic());
+    if (step)
+        write(*step);
+}
+
+void LeaseKeeper::readSoon()
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_readRequested = true;
+    }
+    m_wake.notify_all();
+}
+
+void LeaseKeeper::stop()
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_stopRequested = true;
+    }
+    m_wake.notify_all();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+} // namespace dandeliondock
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -7,7 +7,11 @@
 #include <dandeliondock/core/metrics.h>
 #include <dandeliondock/http/client.h>
 #include <dandeliondock/http/server.h>
+#include <dandeliondock/node/control_listener.h>
+#include <dandeliondock/node/lease_keeper.h>
+#include <dandeliondock/node/relay_hub.h>
 #include <dandeliondock/node/ticket_service.h>
+#include <dandeliondock/node/uplink.h>
 #include <dandeliondock/store/http_store.h>
 
 #include <absl/strings/match.h>
@@ -106,6 +110,70 @@
     std::condition_variable stopping;
     bool stopRequested = false;
     std::thread storeThread;
+    std::shared_ptr<RelayHub> hub;
+    std::unique_ptr<ControlListener> controlListener;
+    std::shared_ptr<LeaseKeeper> leaseKeeper;
+    std::unique_ptr<Uplink> uplink;
+
+    ControlHooks controlHooks()
+    {
+        ControlHooks hooks = inertHooks();
+        hooks.config = [this] { return config.current(); };
+        hooks.applyRevision = [this](const Revision &revision) { return config.apply(revision); };
+        hooks.mergeSnapshot = [this](ConfigState state) { config.mergeSnapshot(std::move(state)); };
+        hooks.store = store;
+        hooks.send = [this](const Address &to, const HttpRequest &request, const SendOptions &options) {
+            return client->send(to, request, options);
+        };
+        hooks.time = time;
+        hooks.random = systemRandom;
+        hooks.log = log;
+        hooks.metrics = &metrics;
+        return hooks;
+    }
+
+    ControlIdentity controlIdentity() const
+    {
+        ControlIdentity identity;
+        identity.deployment = settings.deployment;
+        identity.node = settings.node;
+        identity.incarnation = Incarnation(static_cast<std::uint64_t>(time.wall().time_since_epoch().count()));
+        identity.region = settings.region;
+        identity.dataCentre = settings.dataCentre;
+        identity.storeRegion = settings.storeRegion;
+        identity.controlAddress = Address(absl::StrCat(settings.nodes.address, ":", settings.nodes.port));
+        identity.peers = settings.peers;
+        identity.fanOut = settings.fanOut;
+        identity.hold = settings.pollHold;
+        return identity;
+    }
+
+    absl::Status startDistribution()
+    {
+        if (settings.distribution == DistributionMode::Polling) {
+            storeThread = std::thread([this] { pollStore(); });
+            return absl::OkStatus();
+        }
+        hub = std::make_shared<RelayHub>(controlIdentity(), controlHooks());
+        auto listener = ControlListenerBuilder().listen(settings.nodes.address, settings.nodes.port).hub(hub).start();
+        if (!listener.ok())
+            return listener.status();
+        controlListener = *std::move(listener);
+        leaseKeeper = std::make_shared<LeaseKeeper>(hub);
+        uplink = std::make_unique<Uplink>(hub, leaseKeeper);
+        return absl::OkStatus();
+    }
+
+    void stopDistribution()
+    {
+        if (storeThread.joinable())
+            storeThread.join();
+        if (!hub)
+            return;
+        uplink->stop();
+        controlListener->stop();
+        leaseKeeper->stop();
+    }
 
     void pollStore()
     {
@@ -206,9 +274,24 @@
         message.set_region(settings.region.value());
         message.set_data_centre(settings.dataCentre.value());
         message.set_revision(config.current()->revision().value());
+        if (hub)
+            fillPlace(message);
         return message;
     }
 
+    void fillPlace(wire::NodeStatus &message) const
+    {
+        message.set_ready(hub->ready());
+        for (const NodeId &node : hub->path())
+            message.add_path(node.value());
+        message.set_children(static_cast<std::uint32_t>(hub->children()));
+        for (const RowKey &key : leaseKeeper->held())
+            message.add_leases(key.value());
+        const AcknowledgementSum sum = hub->treeAcknowledgement();
+        message.mutable_acknowledgement()->set_lowest_revision(sum.lowest.value());
+        message.mutable_acknowledgement()->set_nodes(sum.nodes.value());
+    }
+
     HttpResponse metricsPage() const
     {
         HttpResponse response;
@@ -233,6 +316,8 @@
     impl->log = std::move(log);
     impl->store = httpStore(impl->client, impl->settings.store, storeTimeout);
     impl->tickets = std::make_unique<TicketService>(impl->store, impl->time);
+    if (absl::Status status = impl->startDistribution(); !status.ok())
+        return status;
     auto callers = HttpServerBuilder()
                            .listen(impl->settings.callers.address, impl->settings.callers.port)
                            .maxBody(impl->settings.maxBody)
@@ -248,7 +333,6 @@
     if (!operators.ok())
         return operators.status();
     impl->operators = *std::move(operators);
-    impl->storeThread = std::thread([self] { self->pollStore(); });
     LogEvent(LogLevel::Info, "node.started")
             .field("node", impl->settings.node)
             .field("callers_port", impl->callers->port())
@@ -271,7 +355,7 @@
     m_impl->callers->stop();
     m_impl->operators->quiesce();
     m_impl->operators->stop();
-    m_impl->storeThread.join();
+    m_impl->stopDistribution();
     LogEvent(LogLevel::Info, "node.stopped").field("drained", idle).write(m_impl->log);
 }
 
--- /dev/null
+++ b/src/node/relay_hub.cpp
@@ -0,0 +1,295 @@
+#include <dandeliondock/node/relay_hub.h>
+
+#include <dandeliondock/core/error.h>
+
+#include <algorithm>
+
+namespace dandeliondock {
+
+namespace {
+
+constexpr std::size_t revisionLogCapacity = 256;
+constexpr std::size_t revisionsInAnswer = 64;
+constexpr Milliseconds noPathRetry{250};
+constexpr Milliseconds longestHold{10'000};
+
+absl::string_view refusalName(PollRefusal refusal)
+{
+    switch (refusal) {
+    case PollRefusal::None:
+        return "none";
+    case PollRefusal::WrongDeployment:
+        return "wrong_deployment";
+    case PollRefusal::NoPath:
+        return "no_path";
+    case PollRefusal::Loop:
+        return "loop";
+    case PollRefusal::Full:
+        return "full";
+    case PollRefusal::Leaving:
+        return "leaving";
+    case PollRefusal::StaleIncarnation:
+        return "stale_incarnation";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+RelayHub::RelayHub(ControlIdentity identity, ControlHooks hooks)
+    : m_identity(std::move(identity)), m_hooks(std::move(hooks)),
+      m_relay(m_identity.deployment, m_identity.node, m_identity.region, m_identity.fanOut), m_log(revisionLogCapacity)
+{
+}
+
+void RelayHub::report(LogLevel level, absl::string_view event, absl::string_view counter,
+                      absl::string_view reason) const
+{
+    m_hooks.metrics->counter(counter, reason).add();
+    LogEvent(level, event).field("reason", reason).write(m_hooks.log);
+}
+
+RelayView RelayHub::view() const
+{
+    return {m_hooks.config()->revision(), m_hooks.directoryDigest(), m_hooks.endpointCursor(), m_hooks.rollouts()};
+}
+
+PollAnswer RelayHub::serve(const PollRequest &request)
+{
+    PollAnswer answer;
+    PollDecision decision;
+    {
+        const std::scoped_lock lock(m_mutex);
+        decision = m_relay.onPoll(request, m_hooks.time.monotonic());
+    }
+    answer.result = decision.result;
+    answer.redirects = std::move(decision.redirects);
+    if (decision.result == PollResult::NoPath)
+        answer.retryAfter = noPathRetry;
+    if (decision.refusal != PollRefusal::None) {
+        report(LogLevel::Debug, "control.poll_refused", "dandeliondock_polls_refused_total",
+               refusalName(decision.refusal));
+        return answer;
+    }
+    if (decision.joined)
+        LogEvent(LogLevel::Info, "control.child_joined").field("node", request.node).write(m_hooks.log);
+    mergeFromChild(request, decision.takeOutcomes);
+    if (request.outcomes)
+        answer.outcomeSequence = request.outcomes->sequence;
+    if (request.leaving)
+        return answer;
+    RelayView seen;
+    const ChildNeed need = awaitNeed(request, seen);
+    fill(request, need, seen, answer);
+    return answer;
+}
+
+void RelayHub::mergeFromChild(const PollRequest &request, bool takeOutcomes)
+{
+    if (takeOutcomes)
+        m_hooks.takeOutcomes(*request.outcomes);
+    const bool endpoints = !request.endpoints.empty() && m_hooks.mergeEndpoints(request.endpoints);
+    const bool rollouts = !request.rollouts.empty() && m_hooks.mergeRollouts(request.rollouts);
+    if (endpoints || rollouts)
+        notify();
+}
+
+ChildNeed RelayHub::awaitNeed(const PollRequest &request, RelayView &seen)
+{
+    const MonotonicTime end = m_hooks.time.monotonic() + std::min(request.hold, longestHold);
+    std::unique_lock lock(m_mutex);
+    while (true) {
+        const std::uint64_t generation = m_generation;
+        lock.unlock();
+        seen = view();
+        const MonotonicTime now = m_hooks.time.monotonic();
+        lock.lock();
+        ChildNeed need = m_relay.needOf(request.node, seen, now);
+        if (need.any() || now >= end || m_relay.leaving())
+            return need;
+        m_changed.wait_for(lock, end - now, [&] { return m_generation != generation; });
+    }
+}
+
+void RelayHub::fill(const PollRequest &request, const ChildNeed &need, const RelayView &seen, PollAnswer &answer)
+{
+    const EndpointScope scope = request.region == m_identity.region ? EndpointScope::Full : EndpointScope::Summary;
+    if (need.fullEndpoints)
+        answer.endpoints = m_hooks.allEndpoints(scope);
+    else if (need.endpointsAfter)
+        answer.endpoints = m_hooks.endpointChanges(*need.endpointsAfter, scope).records;
+    answer.rollouts = need.rollouts;
+    answer.revision = seen.revision;
+    answer.directoryDigest = seen.directoryDigest;
+    answer.acknowledgement = treeAcknowledgement();
+    const std::scoped_lock lock(m_mutex);
+    if (m_relay.leaving())
+        answer.result = PollResult::Leaving;
+    RevisionDelta delta = m_log.after(request.revision, revisionsInAnswer);
+    answer.revisions = std::move(delta.revisions);
+    answer.snapshotNeeded = delta.snapshotNeeded;
+    answer.path = m_relay.path();
+    answer.grandparent = m_parent;
+    m_relay.onAnswered(request.node, seen, need, m_hooks.time.monotonic());
+}
+
+void RelayHub::notify()
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        ++m_generation;
+    }
+    m_changed.notify_all();
+}
+
+absl::Status RelayHub::apply(const std::vector<Revision> &revisions)
+{
+    absl::Status status;
+    bool changed = false;
+    for (const Revision &revision : revisions) {
+        if (revision.number <= m_hooks.config()->revision())
+            continue;
+        status = m_hooks.applyRevision(revision);
+        if (!status.ok())
+            break;
+        changed = true;
+        const std::scoped_lock lock(m_mutex);
+        m_log.add(revision);
+    }
+    if (!status.ok())
+        LogEvent(LogLevel::Error, "config.refused").error(status).write(m_hooks.log);
+    if (changed) {
+        LogEvent(LogLevel::Info, "config.applied").field("revision", m_hooks.config()->revision()).write(m_hooks.log);
+        notify();
+    }
+    return status;
+}
+
+void RelayHub::mergeSnapshot(ConfigState state)
+{
+    const RevisionNumber revision = state.revision();
+    m_hooks.mergeSnapshot(std::move(state));
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_log.restart(revision);
+    }
+    LogEvent(LogLevel::Info, "config.snapshot_applied").field("revision", revision).write(m_hooks.log);
+    notify();
+}
+
+void RelayHub::updatePath()
+{
+    m_relay.setPath(ownPath(m_identity.node, m_parentPath, m_leases.top));
+    ++m_generation;
+}
+
+void RelayHub::setParent(std::vector<NodeId> path, Address address)
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (path == m_parentPath && address == m_parent)
+            return;
+        m_parentPath = std::move(path);
+        m_parent = std::move(address);
+        updatePath();
+    }
+    m_changed.notify_all();
+}
+
+void RelayHub::setLeases(LeaseKnowledge leases)
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        const bool moved = leases.top != m_leases.top;
+        m_leases = std::move(leases);
+        if (!moved)
+            return;
+        updatePath();
+    }
+    m_changed.notify_all();
+}
+
+void RelayHub::setTreeAcknowledgement(AcknowledgementSum sum)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_treeAcknowledgement = sum;
+}
+
+void RelayHub::leave()
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_relay.setLeaving();
+        ++m_generation;
+    }
+    m_changed.notify_all();
+}
+
+void RelayHub::expireChildren()
+{
+    std::vector<LostChild> lost;
+    {
+        const std::scoped_lock lock(m_mutex);
+        lost = m_relay.expire(m_hooks.time.monotonic());
+    }
+    for (const LostChild &child : lost) {
+        m_hooks.metrics->counter("dandeliondock_children_lost_total").add();
+        LogEvent(LogLevel::Warn, "control.child_lost").field("node", child.node).write(m_hooks.log);
+        m_hooks.childLost(child);
+    }
+    m_hooks.metrics->gauge("dandeliondock_children").set(static_cast<std::int64_t>(children()));
+}
+
+void RelayHub::setReady()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_ready = true;
+}
+
+bool RelayHub::ready() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_ready;
+}
+
+LeaseKnowledge RelayHub::leases() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_leases;
+}
+
+Address RelayHub::parent() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_parent;
+}
+
+std::vector<NodeId> RelayHub::path() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_relay.path();
+}
+
+std::size_t RelayHub::children() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_relay.children().size();
+}
+
+AcknowledgementSum RelayHub::acknowledgement() const
+{
+    // The revision is read before the children's sums, so that it can only be lower than the one held now.
+    const RevisionNumber own = m_hooks.config()->revision();
+    const std::scoped_lock lock(m_mutex);
+    return m_relay.acknowledgement(own);
+}
+
+AcknowledgementSum RelayHub::treeAcknowledgement() const
+{
+    if (leases().root)
+        return acknowledgement();
+    const std::scoped_lock lock(m_mutex);
+    return m_treeAcknowledgement;
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/node/uplink.cpp
@@ -0,0 +1,264 @@
+#include <dandeliondock/node/uplink.h>
+
+#include <dandeliondock/codec/control_codec.h>
+#include <dandeliondock/core/error.h>
+
+#include <absl/strings/numbers.h>
+
+#include <algorithm>
+
+namespace dandeliondock {
+
+namespace {
+
+// A poll that takes this much longer than its hold is on a silent connection.
+constexpr Milliseconds pollMargin{500};
+constexpr Milliseconds snapshotLimit{5'000};
+constexpr Milliseconds rootCheck{250};
+constexpr Milliseconds goodbyeLimit{500};
+
+absl::string_view outcomeName(AttachOutcome outcome)
+{
+    switch (outcome) {
+    case AttachOutcome::Attached:
+        return "attached";
+    case AttachOutcome::Refused:
+        return "refused";
+    case AttachOutcome::Redirected:
+        return "redirected";
+    case AttachOutcome::Loop:
+        return "loop";
+    case AttachOutcome::PathLost:
+        return "path_lost";
+    case AttachOutcome::WrongDeployment:
+        return "wrong_deployment";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+Uplink::Uplink(std::shared_ptr<RelayHub> hub, std::shared_ptr<LeaseKeeper> keeper)
+    : m_hub(std::move(hub)), m_keeper(std::move(keeper)), m_random(m_hub->hooks().random()),
+      m_selection(m_hub->identity().node, m_hub->identity().controlAddress, m_random)
+{
+    m_thread = std::thread([this] { run(); });
+}
+
+Uplink::~Uplink()
+{
+    stop();
+}
+
+bool Uplink::stopRequested()
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_stopRequested;
+}
+
+void Uplink::run()
+{
+    while (!stopRequested()) {
+        const LeaseKnowledge leases = m_hub->leases();
+        if (leases.root || (leases.holder && !m_wasHolder)) {
+            m_selection.detach();
+            m_hub->setParent({}, Address());
+        }
+        m_wasHolder = leases.holder;
+        const MonotonicTime now = m_hub->hooks().time.monotonic();
+        if (leases.root) {
+            wait(now + rootCheck);
+            continue;
+        }
+        const KnownAddresses known{leases.superiors, m_hub->identity().peers, m_hub->hooks().controlAddresses(),
+                                   leases.holder};
+        const SelectionStep step = m_selection.next(known, now);
+        if (step.action == SelectionAction::Poll)
+            poll(step.candidate);
+        // Without a pause the parent would answer each poll at once until the snapshot is there.
+        if (step.action == SelectionAction::Poll && m_snapshotWanted)
+            wait(m_nextSnapshot);
+        if (step.action == SelectionAction::AskStore)
+            m_keeper->readSoon();
+        if (step.action == SelectionAction::Wait)
+            wait(step.until);
+    }
+    sayGoodbye();
+}
+
+void Uplink::wait(MonotonicTime until)
+{
+    const MonotonicTime now = m_hub->hooks().time.monotonic();
+    std::unique_lock lock(m_mutex);
+    if (until > now)
+        m_stopping.wait_for(lock, until - now, [this] { return m_stopRequested; });
+}
+
+PollRequest Uplink::buildRequest(bool attached)
+{
+    const ControlIdentity &identity = m_hub->identity();
+    const ControlHooks &hooks = m_hub->hooks();
+    PollRequest request;
+    request.deployment = identity.deployment;
+    request.node = identity.node;
+    request.incarnation = identity.incarnation;
+    request.region = identity.region;
+    request.dataCentre = identity.dataCentre;
+    request.controlAddress = identity.controlAddress;
+    request.acknowledgement = m_hub->acknowledgement();
+    request.revision = hooks.config()->revision();
+    request.directoryDigest = hooks.directoryDigest();
+    request.outcomes = hooks.outcomesToSend();
+    // A candidate that may refuse gets no records, which would be lost with the refusal.
+    if (!attached)
+        return request;
+    request.hold = identity.hold;
+    const EndpointChanges changes =
+            hooks.endpointChanges(m_endpointsSent.value_or(ChangeCursor()), EndpointScope::Full);
+    m_endpointsPending = changes.cursor;
+    request.fullEndpoints = m_sendFull;
+    request.endpoints = m_sendFull ? hooks.allEndpoints(EndpointScope::Full) : changes.records;
+    for (const RolloutRecord &record : hooks.rollouts()) {
+        if (std::find(m_rolloutsSent.begin(), m_rolloutsSent.end(), record) == m_rolloutsSent.end())
+            request.rollouts.push_back(record);
+    }
+    return request;
+}
+
+absl::StatusOr<PollAnswer> Uplink::exchange(const Address &to, const PollRequest &request, Milliseconds limit)
+{
+    HttpRequest message;
+    message.method = "POST";
+    message.target = "/control/poll";
+    message.body = encodePollRequest(request);
+    SendOptions options;
+    options.timeout = limit;
+    Metrics &metrics = *m_hub->hooks().metrics;
+    metrics.counter("dandeliondock_control_bytes_total", "to_parent").add(message.body.size());
+    const SendResult result = m_hub->hooks().send(to, message, options);
+    if (!result.response.ok())
+        return result.response.status();
+    metrics.counter("dandeliondock_control_bytes_total", "from_parent").add(result.response->body.size());
+    if (result.response->status != 200)
+        return makeError(ErrorKind::InvalidMessage, result.response->body);
+    return decodePollAnswer(result.response->body);
+}
+
+void Uplink::poll(const ParentCandidate &candidate)
+{
+    const bool attached = m_selection.attached();
+    const PollRequest request = buildRequest(attached);
+    const absl::StatusOr<PollAnswer> answer = exchange(candidate.address, request, request.hold + pollMargin);
+    if (!answer.ok()) {
+        m_hub->hooks()
+                .metrics->counter("dandeliondock_poll_failures_total", errorKindName(errorKind(answer.status())))
+                .add();
+        LogEvent(attached ? LogLevel::Warn : LogLevel::Debug, "uplink.poll_failed")
+                .field("parent", candidate.address)
+                .error(answer.status())
+                .write(m_hub->hooks().log);
+        m_selection.onFailure();
+        m_hub->setParent({}, Address());
+        return;
+    }
+    const AttachOutcome outcome = m_selection.onAnswer(*answer, m_hub->hooks().time.monotonic());
+    if (outcome != AttachOutcome::Attached) {
+        m_hub->report(LogLevel::Debug, "uplink.not_attached", "dandeliondock_attach_retries_total",
+                      outcomeName(outcome));
+        m_hub->setParent({}, Address());
+        return;
+    }
+    if (!attached) {
+        LogEvent(LogLevel::Info, "uplink.attached").field("parent", candidate.address).write(m_hub->hooks().log);
+        m_hub->hooks().metrics->counter("dandeliondock_attachments_total").add();
+        m_joinRevision = answer->revision;
+        m_endpointsSent.reset();
+        m_rolloutsSent.clear();
+        m_sendFull = true;
+    }
+    m_hub->setParent(m_selection.parentPath(), candidate.address);
+    merge(request, *answer);
+    if (attached)
+        takeAnswer(request, *answer);
+}
+
+void Uplink::takeAnswer(const PollRequest &request, const PollAnswer &answer)
+{
+    m_endpointsSent = m_endpointsPending;
+    m_rolloutsSent.insert(m_rolloutsSent.end(), request.rollouts.begin(), request.rollouts.end());
+    // After merging the parent's records, a difference means that the parent lacks some of this node's.
+    m_sendFull = !answer.endpoints.empty() && m_hub->hooks().directoryDigest() != answer.directoryDigest
+                 && !request.fullEndpoints;
+}
+
+void Uplink::merge(const PollRequest &request, const PollAnswer &answer)
+{
+    const ControlHooks &hooks = m_hub->hooks();
+    if (answer.acknowledgement)
+        m_hub->setTreeAcknowledgement(*answer.acknowledgement);
+    if (request.outcomes && answer.outcomeSequence == request.outcomes->sequence)
+        hooks.outcomesTaken(answer.outcomeSequence);
+    const bool endpoints = !answer.endpoints.empty() && hooks.mergeEndpoints(answer.endpoints);
+    const bool rollouts = !answer.rollouts.empty() && hooks.mergeRollouts(answer.rollouts);
+    if (endpoints || rollouts)
+        m_hub->notify();
+    if (!m_hub->apply(answer.revisions).ok())
+        m_snapshotWanted = true;
+    m_snapshotWanted = m_snapshotWanted || answer.snapshotNeeded;
+    if (m_snapshotWanted && hooks.time.monotonic() >= m_nextSnapshot)
+        fetchSnapshot(m_selection.parent()->address);
+    if (hooks.config()->revision() >= m_joinRevision)
+        m_hub->setReady();
+}
+
+void Uplink::fetchSnapshot(const Address &parent)
+{
+    const ControlHooks &hooks = m_hub->hooks();
+    HttpRequest message;
+    message.method = "POST";
+    message.target = "/control/snapshot";
+    message.body = encodeSnapshotRequest({m_hub->identity().deployment, m_hub->identity().node,
+                                          hooks.config()->revision(), m_hub->identity().region});
+    SendOptions options;
+    options.timeout = snapshotLimit;
+    const SendResult result = hooks.send(parent, message, options);
+    if (result.response.ok() && result.response->status == 200) {
+        absl::StatusOr<ConfigState> state = decodeSnapshot(result.response->body);
+        if (state.ok()) {
+            m_snapshotWanted = false;
+            return m_hub->mergeSnapshot(*std::move(state));
+        }
+    }
+    Milliseconds hint = backoffCap;
+    std::uint32_t hintMs = 0;
+    if (result.response.ok()
+        && absl::SimpleAtoi(result.response->headers.first("Retry-After-Ms").value_or(""), &hintMs))
+        hint = std::min(hint, Milliseconds(hintMs));
+    m_nextSnapshot = hooks.time.monotonic() + hint;
+    m_hub->report(LogLevel::Warn, "uplink.snapshot_failed", "dandeliondock_snapshot_retries_total",
+                  result.response.ok() ? "refused" : errorKindName(errorKind(result.response.status())));
+}
+
+void Uplink::sayGoodbye()
+{
+    if (!m_selection.attached())
+        return;
+    PollRequest request = buildRequest(true);
+    request.leaving = true;
+    request.hold = Milliseconds(0);
+    const auto answer = exchange(m_selection.parent()->address, request, goodbyeLimit);
+    LogEvent(LogLevel::Info, "uplink.left").field("answered", answer.ok()).write(m_hub->hooks().log);
+}
+
+void Uplink::stop()
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_stopRequested = true;
+    }
+    m_stopping.notify_all();
+    if (m_thread.joinable())
+        m_thread.join();
+}
+
+} // namespace dandeliondock
