--- /dev/null
+++ b/tests/distribution/relay_lease_test.cpp
@@ -0,0 +1,102 @@
+#include <dandeliondock/distribution/relay_lease.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace dandeliondock {
+namespace {
+
+constexpr MonotonicTime start{Seconds(100)};
+
+RelayLease leaseOf(const char *node, std::uint64_t seed = 1)
+{
+    return RelayLease(NodeId(node), Address(node), seededRandom(seed));
+}
+
+// Claims the absent row at start; the row that the table then holds.
+LeaseRow claimAt(RelayLease &lease, MonotonicTime now)
+{
+    lease.onRead(LeaseRow(), now);
+    const LeaseStep step = lease.next(now, WallTime());
+    REQUIRE(step.action == LeaseAction::Write);
+    return {step.write.record, RowVersion(7)};
+}
+
+} // namespace
+
+// Guards against a holder that carries on its duty after a pause that outlasted its term.
+TEST_CASE("a holder paused past its term has lost the lease when it wakes", "[distribution]")
+{
+    RelayLease lease = leaseOf("n1");
+    claimAt(lease, start);
+    SECTION("paused after the answer")
+    {
+        lease.onWrite(LeaseWrite::Committed, start, start);
+        CHECK(lease.held(start + leaseTerm - Milliseconds(1)));
+        CHECK_FALSE(lease.held(start + leaseTerm));
+    }
+    SECTION("paused between the write and its answer")
+    {
+        lease.onWrite(LeaseWrite::Committed, start, start + leaseTerm);
+        CHECK_FALSE(lease.held(start + leaseTerm));
+        CHECK_FALSE(lease.release(start + leaseTerm).has_value());
+    }
+}
+
+// Guards against a claim that loses its answer and is then neither used nor given up.
+TEST_CASE("a claim with a lost answer is settled by reading the row", "[distribution]")
+{
+    RelayLease lease = leaseOf("n1");
+    const LeaseRow row = claimAt(lease, start);
+    lease.onWrite(LeaseWrite::Unknown, start, start + Milliseconds(100));
+    CHECK_FALSE(lease.held(start + Milliseconds(100)));
+    SECTION("it took effect")
+    {
+        lease.onRead(row, start + Milliseconds(200));
+        CHECK(lease.held(start + Milliseconds(200)));
+        CHECK_FALSE(lease.held(start + leaseTerm));
+    }
+    SECTION("it did not")
+    {
+        lease.onRead(LeaseRow(), start + Milliseconds(200));
+        CHECK_FALSE(lease.held(start + Milliseconds(200)));
+    }
+}
+
+// Guards against two holders under one fence, which a fenced write could not tell apart.
+TEST_CASE("every new holder has a higher fence and renewals keep it", "[distribution]")
+{
+    RelayLease first = leaseOf("n1");
+    LeaseRow row = claimAt(first, start);
+    first.onWrite(LeaseWrite::Committed, start, start);
+    first.onRead(row, start + leaseRenewal);
+    const LeaseStep renewal = first.next(start + leaseRenewal, WallTime());
+    REQUIRE(renewal.action == LeaseAction::Write);
+    CHECK(renewal.write.record.fence == row.record.fence);
+    CHECK(renewal.write.version == row.version);
+
+    RelayLease second = leaseOf("n2");
+    second.onRead(row, start);
+    CHECK(second.next(start + leaseTerm, WallTime()).action != LeaseAction::Write);
+    const MonotonicTime later = start + leaseTerm + Milliseconds(500);
+    second.onRead(row, later);
+    const LeaseStep claim = second.next(later, WallTime());
+    REQUIRE(claim.action == LeaseAction::Write);
+    CHECK(claim.write.record.fence > row.record.fence);
+}
+
+// Guards against renewals in step and against renewals later than planned.
+TEST_CASE("renewals are spread over a quarter of their interval", "[distribution]")
+{
+    rc::prop("the next step is due between 1.5 s and 2 s after the write", [](std::uint64_t seed) {
+        RelayLease lease = leaseOf("n1", seed);
+        claimAt(lease, start);
+        lease.onWrite(LeaseWrite::Committed, start, start);
+        const LeaseStep step = lease.next(start, WallTime());
+        RC_ASSERT(step.action == LeaseAction::Wait);
+        RC_ASSERT(step.until >= start + Milliseconds(1'500));
+        RC_ASSERT(step.until <= start + leaseRenewal);
+    });
+}
+
+} // namespace dandeliondock
