--- a/include/dandeliondock/node/ticket_service.h
+++ b/include/dandeliondock/node/ticket_service.h
@@ -2,51 +2,57 @@
 
 #include <dandeliondock/config/config_store.h>
 #include <dandeliondock/config/ticket.h>
-#include <dandeliondock/core/random_source.h>
 #include <dandeliondock/core/time_source.h>
+#include <dandeliondock/store/state_reader.h>
 #include <dandeliondock/store/store_hooks.h>
+#include <dandeliondock/tickets/filing.h>
 
 #include <absl/status/statusor.h>
 
+#include <cstddef>
+#include <functional>
+#include <vector>
+
 namespace dandeliondock {
 
-/// \brief An accepted ticket.
-struct FiledTicket
-{
-    RevisionNumber revision;
-    bool repeated = false;
-};
+/// \brief Hook that blocks the calling thread for a random time between 0 and its argument. Callable from any thread.
+using JitterHook = std::function<void(Milliseconds)>;
+
+/// \brief A jitter hook with the random source and the timers of the operating system. Thread-safe.
+[[nodiscard]] JitterHook systemJitter();
 
-/// \brief Accepts tickets into the platform's table.
+/// \brief Accepts tickets into the platform's table; carries out the decisions of Filing.
 ///
 /// \remark Every method is thread-safe; the calling thread does the work.
 class TicketService
 {
 public:
-    TicketService(StoreHooks store, TimeSource time);
+    TicketService(StoreHooks store, TimeSource time, JitterHook jitter = systemJitter());
 
     /// \brief Files a ticket by one conditional transaction.
     /// \return OutcomeUnknown when the answer of the store was lost and could not be settled by reading.
     [[nodiscard]] absl::StatusOr<FiledTicket> file(const Ticket &ticket);
 
     /// \brief The accepted ticket of a number.
+    /// \return NotFound when it was not accepted.
     [[nodiscard]] absl::StatusOr<Revision> accepted(TicketNumber number);
 
+    /// \brief Accepted tickets in the order of their numbers, \c limit at most, beginning with \c from.
+    [[nodiscard]] absl::StatusOr<std::vector<Revision>> list(TicketNumber from, std::size_t limit);
+
     /// \brief The configuration at the table's head.
     [[nodiscard]] absl::StatusOr<ConfigSnapshot> stateAtHead(RevisionNumber head);
 
 private:
-    [[nodiscard]] absl::StatusOr<std::optional<FiledTicket>> tryOnce(const Ticket &ticket);
+    [[nodiscard]] FilingEvent perform(const ReadFilingRows &action);
+    [[nodiscard]] FilingEvent perform(const LoadFilingState &action);
+    [[nodiscard]] FilingEvent perform(const CommitFiling &action);
+    [[nodiscard]] FilingEvent perform(const WaitFiling &action);
 
     StoreHooks m_store;
     TimeSource m_time;
+    JitterHook m_jitter;
     ConfigStore m_cache;
 };
 
-/// \brief Reads the revisions after the one in force, up to \c head, into \c config.
-[[nodiscard]] absl::Status readRevisions(const StoreHooks &store, RevisionNumber head, ConfigStore &config);
-
-/// \brief Reads the number of the latest revision.
-[[nodiscard]] absl::StatusOr<RevisionNumber> readHead(const StoreHooks &store);
-
 } // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/store/state_reader.h
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <dandeliondock/config/config_store.h>
+#include <dandeliondock/store/row_types.h>
+#include <dandeliondock/store/store_hooks.h>
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+namespace dandeliondock {
+
+/// \brief Reads the row `head`. Thread-safe.
+[[nodiscard]] absl::StatusOr<VersionedHead> readVersionedHead(const StoreHooks &store);
+
+/// \brief Reads the number of the latest revision. Thread-safe.
+[[nodiscard]] absl::StatusOr<RevisionNumber> readHead(const StoreHooks &store);
+
+/// \brief Brings \c config to revision \c head from the snapshot and the revisions after it. Thread-safe.
+///
+/// \remark A configuration that is far behind, or whose next revision's row was removed, starts again from the latest
+/// snapshot. A configuration past \c head stays as it is.
+/// \return InvalidRow naming the row or the object that is missing or malformed.
+[[nodiscard]] absl::Status readRevisions(const StoreHooks &store, RevisionNumber head, ConfigStore &config);
+
+} // namespace dandeliondock
--- a/include/dandeliondock/tickets/acceptance.h
+++ b/include/dandeliondock/tickets/acceptance.h
@@ -27,9 +27,16 @@
 
 /// \brief Decides whether a ticket may be accepted on top of a head. Thread-safe.
 ///
-/// \pre \c view.state is at \c view.headRevision.
+/// \pre \c view.state is at \c view.headRevision, or \c view.sameNumber is set.
 /// \return TicketNumberUsed, TicketSuperseded, InvalidTicket or UnresolvedReference when it may not.
 [[nodiscard]] absl::StatusOr<AcceptancePlan> planAcceptance(const AcceptanceView &view, const Ticket &ticket,
                                                             WallTime now);
 
+/// \brief Checks what needs no knowledge of the table: number, author, resources by themselves, no key twice. Thread-safe.
+/// \return InvalidTicket with the reason when a check fails.
+[[nodiscard]] absl::Status validateForm(const Ticket &ticket);
+
+/// \brief The error for a ticket whose number is taken by other content. Thread-safe.
+[[nodiscard]] absl::Status numberUsedError(const Revision &accepted);
+
 } // namespace dandeliondock
--- a/src/node/ticket_service.cpp
+++ b/src/node/ticket_service.cpp
@@ -1,144 +1,108 @@
 #include <dandeliondock/node/ticket_service.h>
 
-#include <dandeliondock/codec/bytes.h>
-#include <dandeliondock/codec/config_codec.h>
+#include <dandeliondock/codec/row_codec.h>
 #include <dandeliondock/core/error.h>
+#include <dandeliondock/core/random_source.h>
 #include <dandeliondock/store/rows.h>
-#include <dandeliondock/tickets/acceptance.h>
 
 #include <absl/strings/str_cat.h>
 
-#include <store.pb.h>
+#include <thread>
 
 namespace dandeliondock {
 
 namespace {
 
-constexpr int maxTries = 8;
-constexpr std::size_t scanLimit = 256;
+Transaction encodeCommit(const CommitFiling &action)
+{
+    const RowKey ticket = ticketKey(action.revision.ticket.number);
+    Transaction transaction;
+    transaction.conditions = {{headKey(), action.headVersion}, {ticket, RowVersion{}}};
+    transaction.writes = {{headKey(), encodeHeadRow(action.head)},
+                          {ticket, encodeTicketRow(action.revision)},
+                          {revisionKey(action.revision.number), encodeRevisionRow(action.revision)}};
+    return transaction;
+}
 
-absl::StatusOr<RevisionNumber> decodeHead(const TableRow &row)
+absl::StatusOr<FilingRowsRead> decodeFilingRows(const std::vector<TableRow> &rows)
 {
-    if (row.version == RowVersion{})
-        return RevisionNumber{};
-    const auto head = parseBytes<wire::HeadRow>(row.value, ErrorKind::InvalidRow, "row head");
+    FilingRowsRead event;
+    const absl::StatusOr<VersionedHead> head = decodeHeadRow(rows.at(0));
     if (!head.ok())
         return head.status();
-    return RevisionNumber(head->revision());
+    event.head = *head;
+    if (rows.at(1).version == RowVersion{})
+        return event;
+    absl::StatusOr<Revision> accepted = decodeTicketRow(rows.at(1));
+    if (!accepted.ok())
+        return accepted.status();
+    event.sameNumber = *std::move(accepted);
+    return event;
 }
 
-absl::StatusOr<Revision> decodeTicketRow(const TableRow &row)
+} // namespace
+
+JitterHook systemJitter()
 {
-    const auto message = parseBytes<wire::TicketRow>(row.value, ErrorKind::InvalidRow, row.key.value());
-    if (!message.ok())
-        return message.status();
-    absl::StatusOr<Ticket> ticket = decodeTicket(message->ticket());
-    if (!ticket.ok())
-        return ticket.status();
-    return Revision{RevisionNumber(message->revision()), *std::move(ticket),
-                    WallTime(Milliseconds(message->accepted_unix_ms()))};
+    return [](Milliseconds atMost) {
+        const auto bound = static_cast<std::uint64_t>(atMost.count()) + 1;
+        std::this_thread::sleep_for(Milliseconds(uniformBelow(systemRandom(), bound)));
+    };
 }
 
-Transaction encodeAcceptance(const Revision &revision, RowVersion headVersion)
+TicketService::TicketService(StoreHooks store, TimeSource time, JitterHook jitter)
+    : m_store(std::move(store)), m_time(std::move(time)), m_jitter(std::move(jitter))
 {
-    wire::HeadRow head;
-    head.set_revision(revision.number.value());
-    head.set_last_ticket(revision.ticket.number.value());
-    wire::TicketRow ticket;
-    *ticket.mutable_ticket() = encodeTicket(revision.ticket);
-    ticket.set_revision(revision.number.value());
-    ticket.set_accepted_unix_ms(revision.acceptedAt.time_since_epoch().count());
-    Transaction transaction;
-    transaction.conditions = {{headKey(), headVersion}, {ticketKey(revision.ticket.number), RowVersion{}}};
-    transaction.writes = {{headKey(), head.SerializeAsString()},
-                          {ticketKey(revision.ticket.number), ticket.SerializeAsString()},
-                          {revisionKey(revision.number), encodeRevision(revision).SerializeAsString()}};
-    return transaction;
 }
 
-} // namespace
+absl::StatusOr<FiledTicket> TicketService::file(const Ticket &ticket)
+{
+    Filing filing(ticket);
+    FilingAction action = filing.start();
+    while (!std::holds_alternative<AnswerFiling>(action)) {
+        const FilingEvent event = std::visit(
+                [this](const auto &item) -> FilingEvent {
+                    if constexpr (std::is_same_v<std::decay_t<decltype(item)>, AnswerFiling>)
+                        return FilingWaited{};
+                    else
+                        return perform(item);
+                },
+                action);
+        action = filing.on(event, m_time.wall());
+    }
+    return std::get<AnswerFiling>(action).answer;
+}
 
-absl::StatusOr<RevisionNumber> readHead(const StoreHooks &store)
+FilingEvent TicketService::perform(const ReadFilingRows &action)
 {
-    const absl::StatusOr<std::vector<TableRow>> rows = store.read({headKey()});
+    const auto rows = m_store.read({headKey(), ticketKey(action.number)});
     if (!rows.ok())
-        return rows.status();
-    return decodeHead(rows->front());
+        return FilingReadFailed{rows.status()};
+    absl::StatusOr<FilingRowsRead> event = decodeFilingRows(*rows);
+    if (!event.ok())
+        return FilingReadFailed{event.status()};
+    return *std::move(event);
 }
 
-absl::Status readRevisions(const StoreHooks &store, RevisionNumber head, ConfigStore &config)
+FilingEvent TicketService::perform(const LoadFilingState &action)
 {
-    while (config.current()->revision() < head) {
-        const RevisionNumber next(config.current()->revision().value() + 1);
-        const auto rows = store.scan({revisionPrefix, revisionKey(next).value(), scanLimit});
-        if (!rows.ok())
-            return rows.status();
-        if (rows->empty())
-            return makeError(ErrorKind::InvalidRow, absl::StrCat("the table has no row ", revisionKey(next).value()));
-        for (const TableRow &row : *rows) {
-            const auto message = parseBytes<wire::Revision>(row.value, ErrorKind::InvalidRow, row.key.value());
-            if (!message.ok())
-                return message.status();
-            const absl::StatusOr<Revision> revision = decodeRevision(*message);
-            if (!revision.ok())
-                return revision.status();
-            if (absl::Status status = config.apply(*revision); !status.ok())
-                return status;
-        }
-    }
-    return absl::OkStatus();
+    return FilingStateLoaded{stateAtHead(action.revision)};
 }
 
-TicketService::TicketService(StoreHooks store, TimeSource time) : m_store(std::move(store)), m_time(std::move(time)) {}
-
-absl::StatusOr<FiledTicket> TicketService::file(const Ticket &ticket)
+FilingEvent TicketService::perform(const CommitFiling &action)
 {
-    for (int tries = 0; tries < maxTries; ++tries) {
-        const absl::StatusOr<std::optional<FiledTicket>> filed = tryOnce(ticket);
-        if (!filed.ok())
-            return filed.status();
-        if (*filed)
-            return **filed;
-    }
-    return makeError(ErrorKind::HeadContended, "other tickets were accepted first at every try");
+    const absl::StatusOr<CommitResult> result = m_store.commit(encodeCommit(action));
+    if (result.ok())
+        return result->committed ? FilingEvent(FilingCommitted{}) : FilingEvent(FilingConditionFailed{});
+    if (errorKind(result.status()) == ErrorKind::StoreUnavailable)
+        return FilingCommitUnavailable{result.status()};
+    return FilingCommitUnknown{result.status()};
 }
 
-absl::StatusOr<std::optional<FiledTicket>> TicketService::tryOnce(const Ticket &ticket)
+FilingEvent TicketService::perform(const WaitFiling &action)
 {
-    const auto rows = m_store.read({headKey(), ticketKey(ticket.number)});
-    if (!rows.ok())
-        return rows.status();
-    const absl::StatusOr<RevisionNumber> head = decodeHead(rows->at(0));
-    if (!head.ok())
-        return head.status();
-    AcceptanceView view{*head, nullptr, std::nullopt};
-    if (rows->at(1).version != RowVersion{}) {
-        absl::StatusOr<Revision> same = decodeTicketRow(rows->at(1));
-        if (!same.ok())
-            return same.status();
-        view.sameNumber = *std::move(same);
-    }
-    const absl::StatusOr<ConfigSnapshot> state = stateAtHead(*head);
-    if (!state.ok())
-        return state.status();
-    view.state = *state;
-    const absl::StatusOr<AcceptancePlan> plan = planAcceptance(view, ticket, m_time.wall());
-    if (!plan.ok())
-        return plan.status();
-    if (plan->repeated)
-        return FiledTicket{plan->revision.number, true};
-    const absl::StatusOr<CommitResult> result = m_store.commit(encodeAcceptance(plan->revision, rows->at(0).version));
-    if (errorKind(result.status()) == ErrorKind::OutcomeUnknown) {
-        const absl::StatusOr<Revision> settled = accepted(ticket.number);
-        if (settled.ok() && settled->ticket == ticket)
-            return FiledTicket{settled->number, false};
-        return result.status();
-    }
-    if (!result.ok())
-        return result.status();
-    if (!result->committed)
-        return std::optional<FiledTicket>();
-    return FiledTicket{plan->revision.number, false};
+    m_jitter(action.atMost);
+    return FilingWaited{};
 }
 
 absl::StatusOr<Revision> TicketService::accepted(TicketNumber number)
@@ -151,6 +115,21 @@
     return decodeTicketRow(rows->front());
 }
 
+absl::StatusOr<std::vector<Revision>> TicketService::list(TicketNumber from, std::size_t limit)
+{
+    const auto rows = m_store.scan({ticketPrefix, ticketKey(from).value(), limit});
+    if (!rows.ok())
+        return rows.status();
+    std::vector<Revision> tickets;
+    for (const TableRow &row : *rows) {
+        absl::StatusOr<Revision> accepted = decodeTicketRow(row);
+        if (!accepted.ok())
+            return accepted.status();
+        tickets.push_back(*std::move(accepted));
+    }
+    return tickets;
+}
+
 absl::StatusOr<ConfigSnapshot> TicketService::stateAtHead(RevisionNumber head)
 {
     if (absl::Status status = readRevisions(m_store, head, m_cache); !status.ok())
--- /dev/null
+++ b/src/store/snapshots.cpp
@@ -0,0 +1,100 @@
+#include <dandeliondock/store/snapshots.h>
+
+#include <dandeliondock/codec/bytes.h>
+#include <dandeliondock/codec/compression.h>
+#include <dandeliondock/codec/config_codec.h>
+#include <dandeliondock/codec/row_codec.h>
+#include <dandeliondock/core/error.h>
+#include <dandeliondock/store/rows.h>
+#include <dandeliondock/store/state_reader.h>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <config.pb.h>
+
+namespace dandeliondock {
+
+namespace {
+
+constexpr ByteCount maxSnapshot{256U << 20U};
+// Rows that one transaction removes; rows left over go with a later snapshot.
+constexpr std::size_t removalLimit = 256;
+
+absl::Status invalidObject(RevisionNumber revision, absl::string_view reason)
+{
+    return makeError(ErrorKind::InvalidRow, absl::StrCat("object ", snapshotName(revision), ": ", reason));
+}
+
+absl::StatusOr<std::vector<RowWrite>> removalsUpTo(const StoreHooks &store, RevisionNumber last)
+{
+    const auto rows = store.scan({revisionPrefix, {}, removalLimit});
+    if (!rows.ok())
+        return rows.status();
+    std::vector<RowWrite> writes;
+    for (const TableRow &row : *rows) {
+        if (row.key > revisionKey(last))
+            break;
+        writes.push_back({row.key, std::nullopt});
+    }
+    return writes;
+}
+
+} // namespace
+
+std::string snapshotName(RevisionNumber revision)
+{
+    return absl::StrFormat("snapshot/%020d", revision.value());
+}
+
+bool snapshotDue(const HeadRow &head)
+{
+    return head.revision.value() >= head.snapshotRevision.value() + snapshotIntervalRevisions;
+}
+
+absl::StatusOr<ConfigState> readSnapshot(const StoreHooks &store, RevisionNumber revision)
+{
+    const absl::StatusOr<std::string> object = store.object(snapshotName(revision));
+    if (errorKind(object.status()) == ErrorKind::NotFound)
+        return invalidObject(revision, "it is absent");
+    if (!object.ok())
+        return object.status();
+    const absl::StatusOr<std::string> bytes = decompressBytes(*object, maxSnapshot);
+    if (!bytes.ok())
+        return invalidObject(revision, bytes.status().message());
+    const auto message = parseBytes<wire::ConfigState>(*bytes, ErrorKind::InvalidRow, snapshotName(revision));
+    if (!message.ok())
+        return message.status();
+    absl::StatusOr<ConfigState> state = decodeState(*message);
+    if (!state.ok())
+        return invalidObject(revision, state.status().message());
+    if (state->revision() != revision)
+        return invalidObject(revision, absl::StrCat("it holds revision ", state->revision().value()));
+    return state;
+}
+
+absl::Status writeSnapshot(const StoreHooks &store, const ConfigState &state)
+{
+    const absl::StatusOr<VersionedHead> latest = readVersionedHead(store);
+    if (!latest.ok())
+        return latest.status();
+    if (latest->head.snapshotRevision >= state.revision() || state.revision() > latest->head.revision)
+        return absl::OkStatus();
+    const std::string content = compressBytes(encodeState(state).SerializeAsString());
+    if (absl::Status status = store.putObject(snapshotName(state.revision()), content); !status.ok())
+        return status;
+    absl::StatusOr<std::vector<RowWrite>> writes = removalsUpTo(store, latest->head.snapshotRevision);
+    if (!writes.ok())
+        return writes.status();
+    HeadRow head = latest->head;
+    head.snapshotRevision = state.revision();
+    writes->push_back({headKey(), encodeHeadRow(head)});
+    const absl::StatusOr<CommitResult> result = store.commit({{{headKey(), latest->version}}, *std::move(writes)});
+    if (!result.ok())
+        return result.status();
+    if (!result->committed)
+        return makeError(ErrorKind::HeadContended, "another ticket was accepted meanwhile");
+    return absl::OkStatus();
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/store/state_reader.cpp
@@ -0,0 +1,97 @@
+#include <dandeliondock/store/state_reader.h>
+
+#include <dandeliondock/codec/row_codec.h>
+#include <dandeliondock/core/error.h>
+#include <dandeliondock/store/rows.h>
+#include <dandeliondock/store/snapshots.h>
+
+#include <absl/strings/str_cat.h>
+
+namespace dandeliondock {
+
+namespace {
+
+constexpr std::size_t scanLimit = 256;
+
+RevisionNumber nextOf(const ConfigStore &config)
+{
+    return RevisionNumber(config.current()->revision().value() + 1);
+}
+
+// Returns NotFound when the table has no row for the next revision.
+absl::Status applyScan(const StoreHooks &store, RevisionNumber head, ConfigStore &config)
+{
+    const RowKey nextKey = revisionKey(nextOf(config));
+    const auto rows = store.scan({revisionPrefix, nextKey.value(), scanLimit});
+    if (!rows.ok())
+        return rows.status();
+    if (rows->empty() || rows->front().key != nextKey)
+        return makeError(ErrorKind::NotFound, absl::StrCat("the table has no row ", nextKey.value()));
+    for (const TableRow &row : *rows) {
+        const absl::StatusOr<Revision> revision = decodeRevisionRow(row);
+        if (!revision.ok())
+            return revision.status();
+        if (revision->number > head)
+            return absl::OkStatus();
+        if (absl::Status status = config.apply(*revision); !status.ok())
+            return status;
+    }
+    return absl::OkStatus();
+}
+
+// Merges the latest snapshot when it is later than the state held.
+absl::Status mergeLatestSnapshot(const StoreHooks &store, ConfigStore &config)
+{
+    const absl::StatusOr<VersionedHead> latest = readVersionedHead(store);
+    if (!latest.ok())
+        return latest.status();
+    const RevisionNumber snapshot = latest->head.snapshotRevision;
+    if (snapshot <= config.current()->revision())
+        return absl::OkStatus();
+    absl::StatusOr<ConfigState> state = readSnapshot(store, snapshot);
+    if (!state.ok())
+        return state.status();
+    config.mergeSnapshot(*std::move(state));
+    return absl::OkStatus();
+}
+
+} // namespace
+
+absl::StatusOr<VersionedHead> readVersionedHead(const StoreHooks &store)
+{
+    const absl::StatusOr<std::vector<TableRow>> rows = store.read({headKey()});
+    if (!rows.ok())
+        return rows.status();
+    return decodeHeadRow(rows->front());
+}
+
+absl::StatusOr<RevisionNumber> readHead(const StoreHooks &store)
+{
+    const absl::StatusOr<VersionedHead> latest = readVersionedHead(store);
+    if (!latest.ok())
+        return latest.status();
+    return latest->head.revision;
+}
+
+absl::Status readRevisions(const StoreHooks &store, RevisionNumber head, ConfigStore &config)
+{
+    if (head.value() > config.current()->revision().value() + snapshotIntervalRevisions) {
+        if (absl::Status status = mergeLatestSnapshot(store, config); !status.ok())
+            return status;
+    }
+    while (config.current()->revision() < head) {
+        const absl::Status status = applyScan(store, head, config);
+        if (status.ok())
+            continue;
+        if (errorKind(status) != ErrorKind::NotFound)
+            return status;
+        const RevisionNumber before = config.current()->revision();
+        if (absl::Status merged = mergeLatestSnapshot(store, config); !merged.ok())
+            return merged;
+        if (config.current()->revision() == before)
+            return makeError(ErrorKind::InvalidRow, status.message());
+    }
+    return absl::OkStatus();
+}
+
+} // namespace dandeliondock
--- a/src/tickets/acceptance.cpp
+++ b/src/tickets/acceptance.cpp
@@ -4,6 +4,8 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <set>
+
 namespace dandeliondock {
 
 namespace {
@@ -14,13 +16,25 @@
         const TicketNumber last = state.lastTicket(key);
         if (last > ticket.number) {
             return makeError(ErrorKind::TicketSuperseded,
-                             absl::StrCat(describe(key), " was already set by ticket ", last.value()));
+                             absl::StrCat(describe(key), " is superseded by ticket ", last.value()));
         }
     }
     return absl::OkStatus();
 }
 
-absl::Status checkForm(const Ticket &ticket)
+absl::Status checkKeys(const Ticket &ticket)
+{
+    std::set<ResourceKey> seen;
+    for (const ResourceKey &key : touchedKeys(ticket)) {
+        if (!seen.insert(key).second)
+            return makeError(ErrorKind::InvalidTicket, absl::StrCat(describe(key), " stands twice in the ticket"));
+    }
+    return absl::OkStatus();
+}
+
+} // namespace
+
+absl::Status validateForm(const Ticket &ticket)
 {
     if (ticket.number == TicketNumber{})
         return makeError(ErrorKind::InvalidTicket, "number must be greater than 0");
@@ -28,21 +42,29 @@
         return makeError(ErrorKind::InvalidTicket, "author must be given");
     if (ticket.resources.empty() && ticket.removals.empty())
         return makeError(ErrorKind::InvalidTicket, "the ticket touches no resource");
-    return absl::OkStatus();
+    for (const Resource &resource : ticket.resources) {
+        if (absl::Status status = validateResource(resource); !status.ok())
+            return status;
+    }
+    return checkKeys(ticket);
 }
 
-} // namespace
+absl::Status numberUsedError(const Revision &accepted)
+{
+    return makeError(ErrorKind::TicketNumberUsed,
+                     absl::StrCat("ticket number ", accepted.ticket.number.value(), " is used: ",
+                                  accepted.ticket.author.value(), " filed it with other content, accepted in revision ",
+                                  accepted.number.value()));
+}
 
 absl::StatusOr<AcceptancePlan> planAcceptance(const AcceptanceView &view, const Ticket &ticket, WallTime now)
 {
-    if (absl::Status status = checkForm(ticket); !status.ok())
+    if (absl::Status status = validateForm(ticket); !status.ok())
         return status;
     if (view.sameNumber) {
         if (view.sameNumber->ticket == ticket)
             return AcceptancePlan{*view.sameNumber, true};
-        return makeError(ErrorKind::TicketNumberUsed,
-                         absl::StrCat("ticket ", ticket.number.value(), " was accepted with other content in revision ",
-                                      view.sameNumber->number.value()));
+        return numberUsedError(*view.sameNumber);
     }
     if (absl::Status status = checkSuperseded(*view.state, ticket); !status.ok())
         return status;
--- /dev/null
+++ b/src/tickets/filing.cpp
@@ -0,0 +1,160 @@
+#include <dandeliondock/tickets/filing.h>
+
+#include <dandeliondock/core/error.h>
+#include <dandeliondock/tickets/acceptance.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace dandeliondock {
+
+namespace {
+
+constexpr int maxPlans = 8;
+constexpr int maxReads = 4;
+constexpr int maxSettlingReads = 8;
+constexpr Milliseconds firstWait{50};
+constexpr Milliseconds longestWait{1'000};
+
+Milliseconds waitAfter(int tries)
+{
+    return std::min(longestWait, firstWait * (1 << std::min(tries, 6)));
+}
+
+} // namespace
+
+Filing::Filing(Ticket ticket) : m_ticket(std::move(ticket)) {}
+
+FilingAction Filing::start()
+{
+    if (absl::Status status = validateForm(m_ticket); !status.ok())
+        return AnswerFiling{status};
+    return ReadFilingRows{m_ticket.number};
+}
+
+FilingAction Filing::on(const FilingEvent &event, WallTime now)
+{
+    return std::visit([this, now](const auto &item) { return next(item, now); }, event);
+}
+
+FilingAction Filing::next(const FilingRowsRead &event, WallTime now)
+{
+    if (m_step == Step::Settling)
+        return settle(event);
+    m_reads = 0;
+    m_head = event.head;
+    if (!event.sameNumber)
+        return LoadFilingState{m_head.head.revision};
+    const absl::StatusOr<AcceptancePlan> plan = planAcceptance({{}, nullptr, event.sameNumber}, m_ticket, now);
+    if (!plan.ok())
+        return AnswerFiling{plan.status()};
+    return AnswerFiling{FiledTicket{plan->revision.number, true}};
+}
+
+FilingAction Filing::next(const FilingReadFailed &event, WallTime /*now*/)
+{
+    ++m_reads;
+    const bool retry = errorKind(event.status) == ErrorKind::StoreUnavailable;
+    if (m_step == Step::Settling)
+        return retry && m_reads < maxSettlingReads ? readAgain() : outcomeUnknown();
+    return retry && m_reads < maxReads ? readAgain() : notAccepted(event.status);
+}
+
+FilingAction Filing::next(const FilingStateLoaded &event, WallTime now)
+{
+    if (!event.state.ok() && errorKind(event.state.status()) != ErrorKind::HeadContended)
+        return notAccepted(event.state.status());
+    if (!event.state.ok() || (*event.state)->revision() != m_head.head.revision)
+        return planAgain();
+    const absl::StatusOr<AcceptancePlan> plan =
+            planAcceptance({m_head.head.revision, *event.state, std::nullopt}, m_ticket, now);
+    if (!plan.ok())
+        return AnswerFiling{plan.status()};
+    m_committing = plan->revision.number;
+    HeadRow head = m_head.head;
+    head.revision = plan->revision.number;
+    head.lastTicket = m_ticket.number;
+    return CommitFiling{plan->revision, head, m_head.version};
+}
+
+FilingAction Filing::next(const FilingCommitted & /*event*/, WallTime /*now*/)
+{
+    return AnswerFiling{FiledTicket{m_committing, false}};
+}
+
+FilingAction Filing::next(const FilingConditionFailed & /*event*/, WallTime /*now*/)
+{
+    return planAgain();
+}
+
+FilingAction Filing::next(const FilingCommitUnavailable &event, WallTime /*now*/)
+{
+    return notAccepted(event.status);
+}
+
+FilingAction Filing::next(const FilingCommitUnknown & /*event*/, WallTime /*now*/)
+{
+    m_step = Step::Settling;
+    m_reads = 0;
+    m_headMoved = false;
+    return ReadFilingRows{m_ticket.number};
+}
+
+FilingAction Filing::next(const FilingWaited & /*event*/, WallTime /*now*/)
+{
+    return ReadFilingRows{m_ticket.number};
+}
+
+FilingAction Filing::settle(const FilingRowsRead &event)
+{
+    if (event.sameNumber && event.sameNumber->ticket == m_ticket)
+        return AnswerFiling{FiledTicket{event.sameNumber->number, false}};
+    if (event.sameNumber)
+        return AnswerFiling{numberUsedError(*event.sameNumber)};
+    // The two rows need not be read at one moment, so that only a read begun after `head` was seen to have moved proves
+    // the absence of the ticket's row.
+    if (m_headMoved) {
+        m_step = Step::Reading;
+        return planAgain();
+    }
+    m_headMoved = event.head.version != m_head.version;
+    ++m_reads;
+    if (m_headMoved)
+        return ReadFilingRows{m_ticket.number};
+    return m_reads < maxSettlingReads ? readAgain() : outcomeUnknown();
+}
+
+FilingAction Filing::planAgain()
+{
+    ++m_plans;
+    m_reads = 0;
+    if (m_plans < maxPlans)
+        return WaitFiling{waitAfter(m_plans)};
+    return AnswerFiling{makeError(ErrorKind::HeadContended,
+                                  absl::StrCat("ticket ", m_ticket.number.value(), " was not accepted: in ", maxPlans,
+                                               " tries another ticket was accepted first, ticket ",
+                                               m_head.head.lastTicket.value(), " among them"))};
+}
+
+FilingAction Filing::readAgain()
+{
+    return WaitFiling{waitAfter(m_reads)};
+}
+
+FilingAction Filing::notAccepted(const absl::Status &status) const
+{
+    const ErrorKind kind = errorKind(status) == ErrorKind::NotFound ? ErrorKind::Internal : errorKind(status);
+    return AnswerFiling{makeError(kind, absl::StrCat("ticket ", m_ticket.number.value(),
+                                                     " was not accepted by this filing: ", status.message()))};
+}
+
+FilingAction Filing::outcomeUnknown() const
+{
+    return AnswerFiling{makeError(ErrorKind::OutcomeUnknown,
+                                  absl::StrCat("the outcome of ticket ", m_ticket.number.value(),
+                                               " is unknown: the store's answer was lost; ask with show ",
+                                               m_ticket.number.value()))};
+}
+
+} // namespace dandeliondock
