Move the operators' listener into its own class and give the stand-in faults

The node answered operators itself and compared the key with an early exit; the class answers through hooks and compares in constant time, and shows and lists tickets with their status. The stand-in refuses, delays, loses answers and limits rates by flags and at run time, and counts calls. The HTTP adapter took an empty answer to a commit for a condition that did not hold, which would have let a written ticket be called not accepted; such an answer is now an unknown outcome, and rows that were not asked for are refused.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,12 +1,11 @@
 #include <dandeliondock/node/node.h>
 
-#include <dandeliondock/codec/bytes.h>
-#include <dandeliondock/codec/config_codec.h>
 #include <dandeliondock/config/config_store.h>
 #include <dandeliondock/core/error.h>
 #include <dandeliondock/core/metrics.h>
 #include <dandeliondock/http/client.h>
 #include <dandeliondock/http/server.h>
+#include <dandeliondock/node/operator_api.h>
 #include <dandeliondock/node/ticket_service.h>
 #include <dandeliondock/store/http_store.h>
 
@@ -14,7 +13,6 @@
 #include <absl/strings/str_cat.h>
 
 #include <status.pb.h>
-#include <tickets.pb.h>
 
 #include <condition_variable>
 #include <mutex>
@@ -26,55 +24,8 @@
 
 constexpr Milliseconds storeTimeout{2'000};
 constexpr Milliseconds storePollInterval{250};
-constexpr const char *operatorKeyHeader = "X-Operator-Key";
 constexpr const char *outcomeHeader = "X-Dandeliondock-Outcome";
 
-int httpStatus(ErrorKind kind)
-{
-    switch (kind) {
-    case ErrorKind::InvalidTicket:
-    case ErrorKind::InvalidMessage:
-        return 400;
-    case ErrorKind::NotAuthorised:
-        return 401;
-    case ErrorKind::NotFound:
-        return 404;
-    case ErrorKind::TicketNumberUsed:
-    case ErrorKind::TicketSuperseded:
-    case ErrorKind::UnresolvedReference:
-    case ErrorKind::HeadContended:
-        return 409;
-    case ErrorKind::OutcomeUnknown:
-    case ErrorKind::MayHaveRun:
-    case ErrorKind::Truncated:
-        return 502;
-    case ErrorKind::DeadlineExceeded:
-        return 504;
-    default:
-        return 503;
-    }
-}
-
-HttpResponse refusal(const absl::Status &status)
-{
-    wire::Refusal message;
-    message.set_kind(std::string(errorKindName(errorKind(status))));
-    message.set_message(std::string(status.message()));
-    HttpResponse response;
-    response.status = httpStatus(errorKind(status));
-    response.headers.add("Content-Type", "application/json");
-    response.body = printJson(message);
-    return response;
-}
-
-HttpResponse jsonResponse(const google::protobuf::Message &message)
-{
-    HttpResponse response;
-    response.headers.add("Content-Type", "application/json");
-    response.body = printJson(message);
-    return response;
-}
-
 const Route *matchRoute(const ConfigState &state, absl::string_view path)
 {
     const Route *best = nullptr;
@@ -100,6 +51,7 @@
     ConfigStore config;
     StoreHooks store;
     std::unique_ptr<TicketService> tickets;
+    std::unique_ptr<OperatorApi> operatorApi;
     std::unique_ptr<HttpServer> callers;
     std::unique_ptr<HttpServer> operators;
     std::mutex mutex;
@@ -155,47 +107,27 @@
     {
         const ErrorKind kind = errorKind(status);
         metrics.counter("dandeliondock_refusals_total", errorKindName(kind)).add();
-        HttpResponse response = refusal(status);
+        HttpResponse response = refusalResponse(status);
         const bool mayHaveRun =
                 kind == ErrorKind::MayHaveRun || kind == ErrorKind::DeadlineExceeded || kind == ErrorKind::Truncated;
         response.headers.add(outcomeHeader, mayHaveRun ? "may-have-run" : "not-run");
         return response;
     }
 
-    HttpResponse serveOperator(const HttpRequest &request)
-    {
-        if (request.headers.first(operatorKeyHeader) != absl::string_view(settings.operatorKey))
-            return refusal(makeError(ErrorKind::NotAuthorised, "the operators' key is missing or wrong"));
-        if (request.target == "/tickets" && request.method == "POST")
-            return fileTicket(request.body);
-        if (request.target == "/status")
-            return jsonResponse(status());
-        if (request.target == "/metrics")
-            return metricsPage();
-        return refusal(makeError(ErrorKind::NotFound, request.target));
-    }
-
-    HttpResponse fileTicket(const std::string &body)
+    OperatorHooks operatorHooks()
     {
-        wire::Ticket message;
-        if (absl::Status status = parseJson(body, ErrorKind::InvalidTicket, "ticket", message); !status.ok())
-            return refusal(status);
-        const absl::StatusOr<Ticket> ticket = decodeTicket(message);
-        if (!ticket.ok())
-            return refusal(ticket.status());
-        const absl::StatusOr<FiledTicket> filed = tickets->file(*ticket);
-        if (!filed.ok())
-            return refusal(filed.status());
-        wire::TicketFiled answer;
-        answer.set_number(ticket->number.value());
-        answer.set_revision(filed->revision.value());
-        answer.set_repeated(filed->repeated);
-        LogEvent(LogLevel::Info, "ticket.accepted")
-                .field("ticket", ticket->number)
-                .field("revision", filed->revision)
-                .field("author", ticket->author)
-                .write(log);
-        return jsonResponse(answer);
+        OperatorHooks hooks;
+        hooks.file = [this](const Ticket &ticket) { return tickets->file(ticket); };
+        hooks.accepted = [this](TicketNumber number) { return tickets->accepted(number); };
+        hooks.list = [this](TicketNumber from, std::size_t limit) { return tickets->list(from, limit); };
+        hooks.statusView = [this] {
+            return TicketStatusView{{config.current()->revision(), 1}, {}, true, time.wall()};
+        };
+        hooks.status = [this] { return status(); };
+        hooks.metricsPage = [this] { return metrics.page(); };
+        hooks.keyMatches = [this](absl::string_view key) { return equalInConstantTime(key, settings.operatorKey); };
+        hooks.log = log;
+        return hooks;
     }
 
     wire::NodeStatus status()
@@ -208,14 +140,6 @@
         message.set_revision(config.current()->revision().value());
         return message;
     }
-
-    HttpResponse metricsPage() const
-    {
-        HttpResponse response;
-        response.headers.add("Content-Type", "text/plain; version=0.0.4");
-        response.body = metrics.page();
-        return response;
-    }
 };
 
 Node::Node(std::unique_ptr<Impl> impl) : m_impl(std::move(impl)) {}
@@ -233,6 +157,7 @@
     impl->log = std::move(log);
     impl->store = httpStore(impl->client, impl->settings.store, storeTimeout);
     impl->tickets = std::make_unique<TicketService>(impl->store, impl->time);
+    impl->operatorApi = std::make_unique<OperatorApi>(impl->operatorHooks());
     auto callers = HttpServerBuilder()
                            .listen(impl->settings.callers.address, impl->settings.callers.port)
                            .maxBody(impl->settings.maxBody)
@@ -243,7 +168,7 @@
     impl->callers = *std::move(callers);
     auto operators = HttpServerBuilder()
                              .listen(impl->settings.operators.address, impl->settings.operators.port)
-                             .handler([self](const HttpRequest &request) { return self->serveOperator(request); })
+                             .handler([self](const HttpRequest &request) { return self->operatorApi->serve(request); })
                              .start();
     if (!operators.ok())
         return operators.status();
--- a/src/store/http_store.cpp
+++ b/src/store/http_store.cpp
@@ -3,10 +3,13 @@
 #include <dandeliondock/codec/bytes.h>
 #include <dandeliondock/core/error.h>
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 
 #include <store.pb.h>
 
+#include <algorithm>
+
 namespace dandeliondock {
 
 namespace {
@@ -39,13 +42,18 @@
 {
     if (!result.response.ok())
         return unavailable(result.response.status().message());
-    if (result.response->status == 404)
-        return makeError(ErrorKind::NotFound, "the store has no such object");
     if (result.response->status != 200)
         return unavailable(absl::StrCat("the store answered ", result.response->status));
     return result.response->body;
 }
 
+absl::StatusOr<std::string> objectBody(const SendResult &result)
+{
+    if (result.response.ok() && result.response->status == 404)
+        return makeError(ErrorKind::NotFound, "the store has no such object");
+    return readBody(result);
+}
+
 // A write whose answer was lost may have taken effect.
 absl::StatusOr<std::string> writeBody(const SendResult &result)
 {
@@ -73,6 +81,42 @@
     return rows;
 }
 
+absl::Status invalidAnswer(absl::string_view reason)
+{
+    return makeError(ErrorKind::InvalidRow, absl::StrCat("the store's answer: ", reason));
+}
+
+absl::Status checkRead(const std::vector<TableRow> &rows, const std::vector<RowKey> &keys)
+{
+    if (rows.size() != keys.size())
+        return invalidAnswer(absl::StrCat(rows.size(), " rows instead of ", keys.size()));
+    for (std::size_t i = 0; i < rows.size(); ++i) {
+        if (rows[i].key != keys[i])
+            return invalidAnswer(absl::StrCat("row ", rows[i].key.value(), " in the place of ", keys[i].value()));
+        if (rows[i].version == RowVersion{} && !rows[i].value.empty())
+            return invalidAnswer(absl::StrCat("row ", rows[i].key.value(), " has a value but no version"));
+    }
+    return absl::OkStatus();
+}
+
+absl::Status checkScan(const std::vector<TableRow> &rows, const ScanRange &range)
+{
+    if (rows.size() > range.limit)
+        return invalidAnswer(absl::StrCat(rows.size(), " rows, more than the limit ", range.limit));
+    const TableRow *previous = nullptr;
+    for (const TableRow &row : rows) {
+        const std::string &key = row.key.value();
+        if (!absl::StartsWith(key, range.prefix) || key < range.from)
+            return invalidAnswer(absl::StrCat("row ", key, " is outside the range"));
+        if (row.version == RowVersion{})
+            return invalidAnswer(absl::StrCat("row ", key, " has no version"));
+        if (previous != nullptr && previous->key >= row.key)
+            return invalidAnswer(absl::StrCat("row ", key, " is out of order"));
+        previous = &row;
+    }
+    return absl::OkStatus();
+}
+
 absl::StatusOr<std::vector<TableRow>> readRows(const Connection &connection, const std::vector<RowKey> &keys)
 {
     wire::ReadRequest request;
@@ -80,8 +124,10 @@
         request.add_keys(key.value());
     absl::StatusOr<std::vector<TableRow>> rows =
             decodeRows(readBody(connection.call("POST", "/table/read", request.SerializeAsString())));
-    if (rows.ok() && rows->size() != keys.size())
-        return makeError(ErrorKind::InvalidRow, "the store returned another number of rows than asked for");
+    if (!rows.ok())
+        return rows;
+    if (absl::Status status = checkRead(*rows, keys); !status.ok())
+        return status;
     return rows;
 }
 
@@ -91,7 +137,13 @@
     request.set_prefix(range.prefix);
     request.set_from(range.from);
     request.set_limit(static_cast<std::uint32_t>(range.limit));
-    return decodeRows(readBody(connection.call("POST", "/table/scan", request.SerializeAsString())));
+    absl::StatusOr<std::vector<TableRow>> rows =
+            decodeRows(readBody(connection.call("POST", "/table/scan", request.SerializeAsString())));
+    if (!rows.ok())
+        return rows;
+    if (absl::Status status = checkScan(*rows, range); !status.ok())
+        return status;
+    return rows;
 }
 
 wire::CommitRequest encodeTransaction(const Transaction &transaction)
@@ -111,6 +163,15 @@
     return request;
 }
 
+// An empty or cut answer parses as "not committed, no key" and must not pass for a condition that failed.
+bool isPlausible(const wire::CommitAnswer &answer, const Transaction &transaction)
+{
+    if (answer.committed())
+        return answer.failed_key().empty();
+    return std::any_of(transaction.conditions.begin(), transaction.conditions.end(),
+                       [&](const RowCondition &condition) { return condition.key.value() == answer.failed_key(); });
+}
+
 absl::StatusOr<CommitResult> commitRows(const Connection &connection, const Transaction &transaction)
 {
     const std::string body = encodeTransaction(transaction).SerializeAsString();
@@ -120,6 +181,8 @@
     const auto answer = parseBytes<wire::CommitAnswer>(*answerBody, ErrorKind::OutcomeUnknown, "the store's answer");
     if (!answer.ok())
         return answer.status();
+    if (!isPlausible(*answer, transaction))
+        return makeError(ErrorKind::OutcomeUnknown, "the store's answer names neither success nor a failed condition");
     return CommitResult{answer->committed(), RowKey(answer->failed_key())};
 }
 
@@ -136,7 +199,7 @@
         return writeBody(connection.call("PUT", absl::StrCat("/objects/", name), content)).status();
     };
     hooks.object = [connection](const std::string &name) {
-        return readBody(connection.call("GET", absl::StrCat("/objects/", name), {}));
+        return objectBody(connection.call("GET", absl::StrCat("/objects/", name), {}));
     };
     return hooks;
 }
--- /dev/null
+++ b/tests/standins/fault_plan.cpp
@@ -0,0 +1,138 @@
+#include "fault_plan.h"
+
+#include <dandeliondock/core/error.h>
+
+#include <thread>
+
+namespace dandeliondock::standins {
+
+namespace {
+
+absl::Status fateError(CallFate fate)
+{
+    switch (fate) {
+    case CallFate::Refuse:
+        return makeError(ErrorKind::StoreUnavailable, "the stand-in refused the call");
+    case CallFate::LimitRate:
+        return makeError(ErrorKind::StoreUnavailable, "the stand-in's rate limit was reached");
+    case CallFate::LoseAnswer:
+    case CallFate::LoseRequest:
+        return makeError(ErrorKind::OutcomeUnknown, "the stand-in lost the answer");
+    case CallFate::Serve:
+        break;
+    }
+    return absl::OkStatus();
+}
+
+CallFate begin(FaultPlan &plan, CallKind kind)
+{
+    const Milliseconds delay = plan.faults().delay;
+    if (delay > Milliseconds(0))
+        std::this_thread::sleep_for(delay);
+    return plan.decide(kind);
+}
+
+template <typename Call>
+auto readThrough(FaultPlan &plan, Call call) -> decltype(call())
+{
+    const CallFate fate = begin(plan, CallKind::Read);
+    if (fate != CallFate::Serve)
+        return fateError(fate);
+    return call();
+}
+
+template <typename Call>
+auto writeThrough(FaultPlan &plan, Call call) -> decltype(call())
+{
+    const CallFate fate = begin(plan, CallKind::Write);
+    if (fate == CallFate::Serve)
+        return call();
+    if (fate == CallFate::LoseAnswer)
+        (void)call();
+    return fateError(fate);
+}
+
+} // namespace
+
+FaultPlan::FaultPlan(TimeSource time, RandomSource random) : m_time(std::move(time)), m_random(std::move(random)) {}
+
+void FaultPlan::set(const StoreFaults &faults)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_faults = faults;
+}
+
+StoreFaults FaultPlan::faults() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_faults;
+}
+
+CallCounts FaultPlan::counts() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_counts;
+}
+
+CallFate FaultPlan::decide(CallKind kind)
+{
+    const std::scoped_lock lock(m_mutex);
+    ++(kind == CallKind::Read ? m_counts.reads : m_counts.writes);
+    const bool limited = overRate(kind);
+    if (limited || m_faults.outage || draw(m_faults.refusals)) {
+        ++m_counts.refused;
+        return limited ? CallFate::LimitRate : CallFate::Refuse;
+    }
+    if (kind == CallKind::Read)
+        return CallFate::Serve;
+    const bool loseAnswer = draw(m_faults.lostAnswers);
+    if (!loseAnswer && !draw(m_faults.lostRequests))
+        return CallFate::Serve;
+    ++m_counts.lost;
+    return loseAnswer ? CallFate::LoseAnswer : CallFate::LoseRequest;
+}
+
+bool FaultPlan::overRate(CallKind kind)
+{
+    const std::int64_t second =
+            std::chrono::duration_cast<Seconds>(m_time.monotonic().time_since_epoch()).count();
+    if (second != m_second) {
+        m_second = second;
+        m_readsThisSecond = 0;
+        m_writesThisSecond = 0;
+    }
+    std::uint32_t &calls = kind == CallKind::Read ? m_readsThisSecond : m_writesThisSecond;
+    const std::uint32_t limit = kind == CallKind::Read ? m_faults.readsPerSecond : m_faults.writesPerSecond;
+    if (limit != 0 && calls >= limit)
+        return true;
+    ++calls;
+    return false;
+}
+
+bool FaultPlan::draw(Share share)
+{
+    return share > noShare && uniformBelow(m_random, fullShare.value()) < share.value();
+}
+
+StoreHooks faultyStore(StoreHooks inner, std::shared_ptr<FaultPlan> plan)
+{
+    StoreHooks hooks;
+    hooks.read = [inner, plan](const std::vector<RowKey> &keys) {
+        return readThrough(*plan, [&] { return inner.read(keys); });
+    };
+    hooks.scan = [inner, plan](const ScanRange &range) {
+        return readThrough(*plan, [&] { return inner.scan(range); });
+    };
+    hooks.commit = [inner, plan](const Transaction &transaction) {
+        return writeThrough(*plan, [&] { return inner.commit(transaction); });
+    };
+    hooks.putObject = [inner, plan](const std::string &name, const std::string &content) {
+        return writeThrough(*plan, [&] { return inner.putObject(name, content); });
+    };
+    hooks.object = [inner, plan](const std::string &name) {
+        return readThrough(*plan, [&] { return inner.object(name); });
+    };
+    return hooks;
+}
+
+} // namespace dandeliondock::standins
--- a/tests/standins/platform_server.cpp
+++ b/tests/standins/platform_server.cpp
@@ -5,8 +5,11 @@
 #include <absl/strings/match.h>
 #include <absl/strings/strip.h>
 
+#include <standin.pb.h>
 #include <store.pb.h>
 
+#include <thread>
+
 namespace dandeliondock::standins {
 
 namespace {
@@ -73,16 +76,46 @@
     return answer(200, message.SerializeAsString());
 }
 
+HttpResponse setFaults(FaultPlan &plan, const std::string &body)
+{
+    wire::StandinFaults message;
+    if (absl::Status status = parseJson(body, ErrorKind::InvalidMessage, "faults", message); !status.ok())
+        return answer(400, std::string(status.message()));
+    plan.set({message.outage(), Milliseconds(message.delay_ms()), Share(message.lost_answers()),
+              Share(message.lost_requests()), Share(message.refusals()), message.reads_per_second(),
+              message.writes_per_second()});
+    return answer(200);
+}
+
+HttpResponse printCounts(const FaultPlan &plan)
+{
+    const CallCounts counts = plan.counts();
+    wire::StandinCounts message;
+    message.set_reads(counts.reads);
+    message.set_writes(counts.writes);
+    message.set_refused(counts.refused);
+    message.set_lost(counts.lost);
+    return answer(200, printJson(message));
+}
+
+CallKind kindOf(const HttpRequest &request)
+{
+    const bool write = request.target == "/table/commit" || request.method == "PUT";
+    return write ? CallKind::Write : CallKind::Read;
+}
+
 } // namespace
 
-absl::StatusOr<std::unique_ptr<PlatformServer>> PlatformServer::start(const std::string &address, std::uint16_t port)
+absl::StatusOr<std::unique_ptr<PlatformServer>> PlatformServer::start(const std::string &address, std::uint16_t port,
+                                                                      std::uint64_t seed)
 {
     auto platform = std::make_unique<PlatformServer>();
+    platform->m_faults = std::make_shared<FaultPlan>(systemTime(), seededRandom(seed));
     PlatformServer *self = platform.get();
     auto server = HttpServerBuilder()
                           .listen(address, port)
                           .maxBody(maxBody)
-                          .handler([self](const HttpRequest &request) { return self->serve(request); })
+                          .handler([self](const HttpRequest &request) { return self->serveFaulty(request); })
                           .start();
     if (!server.ok())
         return server.status();
@@ -90,6 +123,38 @@
     return platform;
 }
 
+HttpResponse PlatformServer::serveFaulty(const HttpRequest &request)
+{
+    if (absl::StartsWith(request.target, "/standin/"))
+        return serveControl(request);
+    const Milliseconds delay = m_faults->faults().delay;
+    if (delay > Milliseconds(0))
+        std::this_thread::sleep_for(delay);
+    switch (m_faults->decide(kindOf(request))) {
+    case CallFate::Refuse:
+        return answer(503);
+    case CallFate::LimitRate:
+        return answer(429);
+    case CallFate::LoseRequest:
+        return answer(504);
+    case CallFate::LoseAnswer:
+        (void)serve(request);
+        return answer(504);
+    case CallFate::Serve:
+        break;
+    }
+    return serve(request);
+}
+
+HttpResponse PlatformServer::serveControl(const HttpRequest &request)
+{
+    if (request.target == "/standin/faults" && request.method == "POST")
+        return setFaults(*m_faults, request.body);
+    if (request.target == "/standin/counts" && request.method == "GET")
+        return printCounts(*m_faults);
+    return answer(404);
+}
+
 HttpResponse PlatformServer::serve(const HttpRequest &request)
 {
     if (request.target == "/table/read")
