Report every error of a settings file at once

The reader stopped at the first unknown key or wrong type, because protobuf's JSON parser does. The text is now parsed into a generic JSON value by the same library and walked against the schema's descriptor, which needs no further package; a second JSON library was ruled out.

--- /dev/null
+++ b/src/settings/json_reader.cpp
@@ -0,0 +1,160 @@
+#include <dandeliondock/settings/json_reader.h>
+
+#include <dandeliondock/codec/bytes.h>
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+
+#include <google/protobuf/descriptor.h>
+#include <google/protobuf/struct.pb.h>
+
+#include <cmath>
+#include <limits>
+#include <vector>
+
+namespace dandeliondock {
+
+namespace {
+
+using google::protobuf::Descriptor;
+using google::protobuf::FieldDescriptor;
+using google::protobuf::Message;
+using google::protobuf::Struct;
+using google::protobuf::Value;
+
+// The highest integer up to which a JSON number, read as a double, is exact.
+constexpr double maxExactInteger = 9007199254740991.0;
+constexpr std::size_t maxShownValue = 80;
+
+std::string printValue(const Value &value)
+{
+    if (value.kind_case() == Value::kNumberValue)
+        return absl::StrCat(value.number_value());
+    std::string text = printJson(value);
+    if (text.size() > maxShownValue)
+        text = text.substr(0, maxShownValue) + "...";
+    return text;
+}
+
+std::string fieldNames(const Descriptor &type)
+{
+    std::vector<std::string> names;
+    for (int i = 0; i < type.field_count(); ++i)
+        names.push_back(type.field(i)->name());
+    return absl::StrJoin(names, ", ");
+}
+
+double maxOf(const FieldDescriptor &field)
+{
+    if (field.cpp_type() == FieldDescriptor::CPPTYPE_UINT32)
+        return static_cast<double>(std::numeric_limits<std::uint32_t>::max());
+    return maxExactInteger;
+}
+
+class Reader
+{
+public:
+    explicit Reader(SettingsErrors &errors) : m_errors(errors) {}
+
+    void readObject(const Struct &object, const std::string &prefix, Message &message)
+    {
+        for (const auto &[name, value] : object.fields()) {
+            const std::string key = prefix + name;
+            m_given.insert(key);
+            const FieldDescriptor *field = message.GetDescriptor()->FindFieldByName(name);
+            if (field == nullptr)
+                reject(key, value, absl::StrCat("unknown key; use one of ", fieldNames(*message.GetDescriptor())));
+            else if (field->is_repeated())
+                readList(value, key, *field, message);
+            else
+                readField(value, key, *field, message);
+        }
+    }
+
+    [[nodiscard]] GivenKeys given() const { return m_given; }
+
+private:
+    void reject(const std::string &key, const Value &value, absl::string_view remedy)
+    {
+        // A value under an unknown key or of a wrong type may be a misplaced secret.
+        const bool secret = key.find("key") != std::string::npos;
+        m_errors.add(key, secret ? "(hidden)" : printValue(value), remedy);
+    }
+
+    void readField(const Value &value, const std::string &key, const FieldDescriptor &field, Message &message)
+    {
+        switch (field.cpp_type()) {
+        case FieldDescriptor::CPPTYPE_MESSAGE:
+            return readMessage(value, key, field, message);
+        case FieldDescriptor::CPPTYPE_STRING:
+            return readString(value, key, field, message);
+        case FieldDescriptor::CPPTYPE_UINT32:
+        case FieldDescriptor::CPPTYPE_UINT64:
+            return readNumber(value, key, field, message);
+        default:
+            return reject(key, value, "this type of key is not supported");
+        }
+    }
+
+    void readMessage(const Value &value, const std::string &key, const FieldDescriptor &field, Message &message)
+    {
+        if (value.kind_case() != Value::kStructValue)
+            return reject(key, value, "give an object in braces");
+        Message *child = message.GetReflection()->MutableMessage(&message, &field);
+        readObject(value.struct_value(), key + ".", *child);
+    }
+
+    void readString(const Value &value, const std::string &key, const FieldDescriptor &field, Message &message)
+    {
+        if (value.kind_case() != Value::kStringValue)
+            return reject(key, value, "give a text in quotes");
+        message.GetReflection()->SetString(&message, &field, value.string_value());
+    }
+
+    void readNumber(const Value &value, const std::string &key, const FieldDescriptor &field, Message &message)
+    {
+        const double number = value.number_value();
+        const bool whole = value.kind_case() == Value::kNumberValue && number >= 0 && number <= maxOf(field)
+                           && number == std::floor(number);
+        if (!whole)
+            return reject(key, value, "give a whole number of 0 or more, without quotes");
+        if (field.cpp_type() == FieldDescriptor::CPPTYPE_UINT32)
+            message.GetReflection()->SetUInt32(&message, &field, static_cast<std::uint32_t>(number));
+        else
+            message.GetReflection()->SetUInt64(&message, &field, static_cast<std::uint64_t>(number));
+    }
+
+    // Lists in settings hold texts only.
+    void readList(const Value &value, const std::string &key, const FieldDescriptor &field, Message &message)
+    {
+        if (value.kind_case() != Value::kListValue)
+            return reject(key, value, "give a list in brackets");
+        int index = 0;
+        for (const Value &item : value.list_value().values()) {
+            const std::string itemKey = absl::StrCat(key, "[", index++, "]");
+            if (item.kind_case() != Value::kStringValue)
+                reject(itemKey, item, "give a text in quotes");
+            else
+                message.GetReflection()->AddString(&message, &field, item.string_value());
+        }
+    }
+
+    SettingsErrors &m_errors;
+    GivenKeys m_given;
+};
+
+} // namespace
+
+GivenKeys readSettingsJson(const std::string &json, Message &message, SettingsErrors &errors)
+{
+    Struct object;
+    if (absl::Status status = parseJson(json, ErrorKind::InvalidSettings, "JSON", object); !status.ok()) {
+        errors.add("(file)", "no JSON object", status.message());
+        return {};
+    }
+    Reader reader(errors);
+    reader.readObject(object, "", message);
+    return reader.given();
+}
+
+} // namespace dandeliondock
