Give operators commands to file, check, show, list and wait

The command could only file, and a bad command line ended with the exit code of a refused request, because gflags ends the process itself.

--- a/include/dandeliondock/codec/row_codec.h
+++ b/include/dandeliondock/codec/row_codec.h
@@ -10,8 +10,8 @@
 
 namespace dandeliondock {
 
-// Conversions between the content of rows and their bytes. All functions are thread-safe; the decoders return InvalidRow
-// naming the row's key for everything that is not the encoding of a valid value.
+// Conversions between the content of rows and their bytes. All functions are thread-safe; the decoders return
+// InvalidRow naming the row's key for everything that is not the encoding of a valid value.
 
 [[nodiscard]] std::string encodeHeadRow(const HeadRow &head);
 [[nodiscard]] std::string encodeTicketRow(const Revision &accepted);
--- a/include/dandeliondock/core/error.h
+++ b/include/dandeliondock/core/error.h
@@ -40,6 +40,9 @@
 /// \brief Name of a kind in snake case, as logs and counters carry it. Thread-safe.
 [[nodiscard]] absl::string_view errorKindName(ErrorKind kind) noexcept;
 
+/// \brief The kind of a name that errorKindName() gave; Internal for any other text. Thread-safe.
+[[nodiscard]] ErrorKind errorKindNamed(absl::string_view name) noexcept;
+
 /// \brief What the reader of an error of this kind should do. Thread-safe.
 [[nodiscard]] absl::string_view errorRemedy(ErrorKind kind) noexcept;
 
--- a/include/dandeliondock/store/snapshots.h
+++ b/include/dandeliondock/store/snapshots.h
@@ -27,9 +27,9 @@
 
 /// \brief Writes a snapshot, records it in `head` and removes the revision rows up to the previous snapshot.
 ///
-/// \remark Thread-safe. Repeating it after any error is harmless: the object's content follows from the revision and the
-/// table changes in one conditional transaction.
-/// \return HeadContended when `head` changed; the caller tries again at its next turn.
+/// \remark Thread-safe. Repeating it after any error is harmless: the object's content follows from the revision and
+/// the table changes in one conditional transaction. \return HeadContended when `head` changed; the caller tries again
+/// at its next turn.
 [[nodiscard]] absl::Status writeSnapshot(const StoreHooks &store, const ConfigState &state);
 
 } // namespace dandeliondock
--- a/include/dandeliondock/tickets/acceptance.h
+++ b/include/dandeliondock/tickets/acceptance.h
@@ -32,8 +32,8 @@
 [[nodiscard]] absl::StatusOr<AcceptancePlan> planAcceptance(const AcceptanceView &view, const Ticket &ticket,
                                                             WallTime now);
 
-/// \brief Checks what needs no knowledge of the table: number, author, resources by themselves, no key twice. Thread-safe.
-/// \return InvalidTicket with the reason when a check fails.
+/// \brief Checks what needs no knowledge of the table: number, author, resources by themselves, no key twice.
+/// Thread-safe. \return InvalidTicket with the reason when a check fails.
 [[nodiscard]] absl::Status validateForm(const Ticket &ticket);
 
 /// \brief The error for a ticket whose number is taken by other content. Thread-safe.
--- a/programs/node.cpp
+++ b/programs/node.cpp
@@ -1,3 +1,5 @@
+#include "command_line.h"
+
 #include <dandeliondock/node/node.h>
 
 #include <gflags/gflags.h>
@@ -9,10 +11,6 @@
 
 namespace {
 
-constexpr int exitDone = 0;
-constexpr int exitFailed = 1;
-constexpr int exitUsage = 2;
-
 int waitForStopSignal(const sigset_t &signals)
 {
     int signal = 0;
@@ -34,10 +32,9 @@
 
 int main(int argc, char **argv)
 {
-    gflags::SetUsageMessage("runs beside a target: dandeliondock-node --settings FILE");
-    gflags::SetVersionString(DANDELIONDOCK_VERSION);
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
     using namespace dandeliondock;
+    using namespace dandeliondock::programs;
+    parseFlags(argc, argv, "runs beside a target: dandeliondock-node --settings FILE");
     const absl::StatusOr<std::string> text = readFile(FLAGS_settings);
     const absl::StatusOr<NodeSettings> settings = text.ok() ? parseNodeSettings(*text) : text.status();
     if (!settings.ok()) {
--- a/programs/ticket.cpp
+++ b/programs/ticket.cpp
@@ -1,57 +1,167 @@
+#include "operator_flags.h"
+
 #include <dandeliondock/codec/bytes.h>
-#include <dandeliondock/http/client.h>
-#include <dandeliondock/settings/node_settings.h>
+#include <dandeliondock/codec/ticket_codec.h>
+#include <dandeliondock/node/operator_text.h>
+#include <dandeliondock/tickets/acceptance.h>
 
-#include <gflags/gflags.h>
+#include <absl/strings/numbers.h>
 
-#include <iostream>
+#include <chrono>
+#include <thread>
 
-DEFINE_string(node, "127.0.0.1:9003", "IP:port of a node's operators' listener");
-DEFINE_string(key_file, "", "path of a file with the operators' key");
-DEFINE_uint32(timeout_ms, 5'000, "time limit of one request in milliseconds");
+DEFINE_string(until, "in_force", "what wait waits for: in_force or completed");
+DEFINE_uint32(wait_ms, 600'000, "time limit of wait in milliseconds");
+DEFINE_uint64(from, 1, "first ticket number that list shows");
+DEFINE_uint32(limit, 100, "number of tickets that list shows at most");
 
 namespace {
 
-constexpr int exitDone = 0;
-constexpr int exitFailed = 1;
-constexpr int exitUsage = 2;
+using namespace dandeliondock;
+using namespace dandeliondock::programs;
+
+constexpr const char *program = "dandeliondock-ticket";
+constexpr const char *usage = "files change tickets and shows what became of them:\n"
+                              "  dandeliondock-ticket file FILE\n"
+                              "  dandeliondock-ticket check FILE\n"
+                              "  dandeliondock-ticket show NUMBER\n"
+                              "  dandeliondock-ticket list [--from NUMBER] [--limit COUNT]\n"
+                              "  dandeliondock-ticket wait NUMBER [--until in_force|completed] [--wait_ms TIME]";
+constexpr Milliseconds askInterval{500};
 
-int fileTicket(const std::string &path)
+int usageError(absl::string_view detail)
 {
-    using namespace dandeliondock;
-    const absl::StatusOr<std::string> ticket = readFile(path);
-    const absl::StatusOr<std::string> key = readFile(FLAGS_key_file);
-    if (!ticket.ok() || !key.ok()) {
-        std::cerr << "dandeliondock-ticket: " << (ticket.ok() ? key : ticket).status().message() << "\n";
-        return exitUsage;
-    }
-    HttpClient client;
-    HttpRequest request;
-    request.method = "POST";
-    request.target = "/tickets";
-    request.headers.add("X-Operator-Key", key->substr(0, key->find_last_not_of("\r\n") + 1));
-    request.body = *ticket;
-    SendOptions options;
-    options.timeout = Milliseconds(FLAGS_timeout_ms);
-    const SendResult result = client.send(Address(FLAGS_node), request, options);
-    if (!result.response.ok()) {
-        std::cerr << "dandeliondock-ticket: " << result.response.status().message() << "\n";
-        return exitFailed;
+    std::cerr << program << ": " << detail << "\n" << usage << "\n";
+    return exitUsage;
+}
+
+void print(const google::protobuf::Message &message, const std::string &text)
+{
+    std::cout << (FLAGS_output == "json" ? printJson(message) : text);
+}
+
+int fileTicket(const OperatorClient &client, const std::string &json)
+{
+    const absl::StatusOr<wire::TicketFiled> filed = client.file(json);
+    if (!filed.ok())
+        return fail(program, filed.status());
+    print(*filed, absl::StrCat("ticket ", filed->number(), filed->repeated() ? " was accepted before" : " is accepted",
+                               " as revision ", filed->revision(), "\n"));
+    return exitDone;
+}
+
+int checkTicket(const std::string &json)
+{
+    const absl::StatusOr<Ticket> ticket = parseTicket(json);
+    const absl::Status status = ticket.ok() ? validateForm(*ticket) : ticket.status();
+    if (!status.ok())
+        return fail(program, status);
+    wire::TicketFiled answer;
+    answer.set_number(ticket->number.value());
+    std::string text = absl::StrCat("ticket ", ticket->number.value(), " is well formed; it touches\n");
+    for (const ResourceKey &key : touchedKeys(*ticket))
+        absl::StrAppend(&text, "  ", describe(key), "\n");
+    absl::StrAppend(&text, "references to resources outside the ticket are checked when it is filed\n");
+    print(answer, text);
+    return exitDone;
+}
+
+int showTicket(const OperatorClient &client, TicketNumber number)
+{
+    const absl::StatusOr<wire::TicketStatus> status = client.show(number);
+    if (!status.ok())
+        return fail(program, status.status());
+    print(*status, describeTicket(*status));
+    return exitDone;
+}
+
+int listTickets(const OperatorClient &client)
+{
+    const absl::StatusOr<wire::TicketList> list = client.list(TicketNumber(FLAGS_from), FLAGS_limit);
+    if (!list.ok())
+        return fail(program, list.status());
+    print(*list, describeTickets(*list));
+    return exitDone;
+}
+
+bool isReached(const wire::TicketStatus &status)
+{
+    return FLAGS_until == "completed" ? isCompleted(status) : isInForce(status);
+}
+
+// A node or a store that does not answer may come back before the time is up.
+bool isTransient(ErrorKind kind)
+{
+    return kind != ErrorKind::NotFound && kind != ErrorKind::NotAuthorised && kind != ErrorKind::InvalidMessage;
+}
+
+int waitForTicket(const OperatorClient &client, TicketNumber number)
+{
+    const auto end = std::chrono::steady_clock::now() + Milliseconds(FLAGS_wait_ms);
+    while (true) {
+        const absl::StatusOr<wire::TicketStatus> status = client.show(number);
+        if (!status.ok() && !isTransient(errorKind(status.status())))
+            return fail(program, status.status());
+        const bool rolledBack = status.ok() && status->state() == wire::TicketStatus::STATE_ROLLED_BACK;
+        const bool over = std::chrono::steady_clock::now() + askInterval > end;
+        if (status.ok() && (rolledBack || over || isReached(*status)))
+            print(*status, describeTicket(*status));
+        if (rolledBack)
+            return exitRolledBack;
+        if (status.ok() && isReached(*status))
+            return exitDone;
+        if (over) {
+            std::cerr << program << ": the time is up; "
+                      << (status.ok() ? "the ticket has not come so far yet" : status.status().message()) << "\n";
+            return exitTimedOut;
+        }
+        std::this_thread::sleep_for(askInterval);
     }
-    std::cout << result.response->body << "\n";
-    return result.response->status == 200 ? exitDone : exitFailed;
+}
+
+int runWithFile(const std::string &command, const std::string &path)
+{
+    const absl::StatusOr<std::string> json = readFile(path);
+    if (!json.ok())
+        return usageError(json.status().message());
+    if (command == "check")
+        return checkTicket(*json);
+    const absl::StatusOr<OperatorClient> client = operatorClient();
+    return client.ok() ? fileTicket(*client, *json) : usageError(client.status().message());
+}
+
+int runWithNumber(const std::string &command, const std::string &text)
+{
+    std::uint64_t number = 0;
+    if (!absl::SimpleAtoi(text, &number) || number == 0)
+        return usageError("the ticket's number must be greater than 0");
+    const absl::StatusOr<OperatorClient> client = operatorClient();
+    if (!client.ok())
+        return usageError(client.status().message());
+    if (command == "show")
+        return showTicket(*client, TicketNumber(number));
+    return waitForTicket(*client, TicketNumber(number));
+}
+
+int runList()
+{
+    const absl::StatusOr<OperatorClient> client = operatorClient();
+    return client.ok() ? listTickets(*client) : usageError(client.status().message());
 }
 
 } // namespace
 
 int main(int argc, char **argv)
 {
-    gflags::SetUsageMessage("files change tickets: dandeliondock-ticket file TICKET.json");
-    gflags::SetVersionString(DANDELIONDOCK_VERSION);
-    gflags::ParseCommandLineFlags(&argc, &argv, true);
-    if (argc != 3 || std::string(argv[1]) != "file") {
-        std::cerr << "dandeliondock-ticket: usage: dandeliondock-ticket file TICKET.json\n";
-        return exitUsage;
-    }
-    return fileTicket(argv[2]);
+    parseFlags(argc, argv, usage);
+    const std::string command = argc > 1 ? argv[1] : "";
+    if (FLAGS_until != "in_force" && FLAGS_until != "completed")
+        return usageError("--until must be in_force or completed");
+    if ((command == "file" || command == "check") && argc == 3)
+        return runWithFile(command, argv[2]);
+    if ((command == "show" || command == "wait") && argc == 3)
+        return runWithNumber(command, argv[2]);
+    if (command == "list" && argc == 2)
+        return runList();
+    return usageError("unknown command");
 }
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -89,6 +89,15 @@
     return entryOf(kind).name;
 }
 
+ErrorKind errorKindNamed(absl::string_view name) noexcept
+{
+    for (const KindEntry &entry : kindTable) {
+        if (entry.name == name)
+            return entry.kind;
+    }
+    return ErrorKind::Internal;
+}
+
 absl::string_view errorRemedy(ErrorKind kind) noexcept
 {
     return entryOf(kind).remedy;
@@ -109,12 +118,7 @@
     const absl::optional<absl::Cord> payload = status.GetPayload(kindPayload);
     if (!payload)
         return ErrorKind::Internal;
-    const std::string name(*payload);
-    for (const KindEntry &entry : kindTable) {
-        if (entry.name == name)
-            return entry.kind;
-    }
-    return ErrorKind::Internal;
+    return errorKindNamed(std::string(*payload));
 }
 
 } // namespace dandeliondock
--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -169,11 +169,10 @@
         m_settings.pollHold = Milliseconds(readLimit("poll_hold_ms", m_message.poll_hold_ms(),
                                                      static_cast<std::uint64_t>(defaults.pollHold.count()),
                                                      minPollHoldMs, maxPollHoldMs));
-        m_settings.maxBody = ByteCount(readLimit("max_body_bytes", m_message.max_body_bytes(),
-                                                 defaults.maxBody.value(), 1, maxBodyBytes));
-        m_settings.drain =
-                Milliseconds(readLimit("drain_ms", m_message.drain_ms(),
-                                       static_cast<std::uint64_t>(defaults.drain.count()), 1, maxDrainMs));
+        m_settings.maxBody = ByteCount(
+                readLimit("max_body_bytes", m_message.max_body_bytes(), defaults.maxBody.value(), 1, maxBodyBytes));
+        m_settings.drain = Milliseconds(readLimit("drain_ms", m_message.drain_ms(),
+                                                  static_cast<std::uint64_t>(defaults.drain.count()), 1, maxDrainMs));
         if (m_given.count("log_level") > 0)
             m_settings.logLevel = m_message.log_level();
         const std::string &level = m_settings.logLevel;
--- a/src/tickets/acceptance.cpp
+++ b/src/tickets/acceptance.cpp
@@ -52,9 +52,9 @@
 absl::Status numberUsedError(const Revision &accepted)
 {
     return makeError(ErrorKind::TicketNumberUsed,
-                     absl::StrCat("ticket number ", accepted.ticket.number.value(), " is used: ",
-                                  accepted.ticket.author.value(), " filed it with other content, accepted in revision ",
-                                  accepted.number.value()));
+                     absl::StrCat("ticket number ", accepted.ticket.number.value(),
+                                  " is used: ", accepted.ticket.author.value(),
+                                  " filed it with other content, accepted in revision ", accepted.number.value()));
 }
 
 absl::StatusOr<AcceptancePlan> planAcceptance(const AcceptanceView &view, const Ticket &ticket, WallTime now)
--- a/tests/settings/node_settings_test.cpp
+++ b/tests/settings/node_settings_test.cpp
@@ -78,9 +78,9 @@
     CHECK(absl::StrContains(errorOf(changed("[\"127.0.0.2:9002\"]", "[\"127.0.0.2:9002\", \"127.0.0.2:9002\"]")),
                             "peers[1]"));
     CHECK(absl::StrContains(errorOf(changed("\"slots\": 20", "\"slots\": 0")), "target.slots = 0"));
-    CHECK(absl::StrContains(errorOf(changed(R"("address": "127.0.0.1", "port": 9002)",
-                                            R"("address": "0.0.0.0", "port": 9001)")),
-                            "nodes.port = 9001"));
+    CHECK(absl::StrContains(
+            errorOf(changed(R"("address": "127.0.0.1", "port": 9002)", R"("address": "0.0.0.0", "port": 9001)")),
+            "nodes.port = 9001"));
 }
 
 // Guards against a settings file that crashes the reader or yields an error of another kind.
--- a/tests/standins/fault_plan.cpp
+++ b/tests/standins/fault_plan.cpp
@@ -94,8 +94,7 @@
 
 bool FaultPlan::overRate(CallKind kind)
 {
-    const std::int64_t second =
-            std::chrono::duration_cast<Seconds>(m_time.monotonic().time_since_epoch()).count();
+    const std::int64_t second = std::chrono::duration_cast<Seconds>(m_time.monotonic().time_since_epoch()).count();
     if (second != m_second) {
         m_second = second;
         m_readsThisSecond = 0;
--- a/tests/standins/platform_main.cpp
+++ b/tests/standins/platform_main.cpp
@@ -21,13 +21,8 @@
 dandeliondock::standins::StoreFaults faultsFromFlags()
 {
     using namespace dandeliondock;
-    return {FLAGS_outage,
-            Milliseconds(FLAGS_delay_ms),
-            Share(FLAGS_lost_answers),
-            Share(FLAGS_lost_requests),
-            Share(FLAGS_refusals),
-            FLAGS_reads_per_second,
-            FLAGS_writes_per_second};
+    return {FLAGS_outage,          Milliseconds(FLAGS_delay_ms), Share(FLAGS_lost_answers), Share(FLAGS_lost_requests),
+            Share(FLAGS_refusals), FLAGS_reads_per_second,       FLAGS_writes_per_second};
 }
 
 } // namespace
