--- a/include/dandeliondock/node/ticket_service.h
+++ b/include/dandeliondock/node/ticket_service.h
@@ -3,6 +3,7 @@
 #include <dandeliondock/config/config_store.h>
 #include <dandeliondock/config/ticket.h>
 #include <dandeliondock/core/time_source.h>
+#include <dandeliondock/node/filing_driver.h>
 #include <dandeliondock/store/state_reader.h>
 #include <dandeliondock/store/store_hooks.h>
 #include <dandeliondock/tickets/filing.h>
@@ -10,18 +11,14 @@
 #include <absl/status/statusor.h>
 
 #include <cstddef>
-#include <functional>
 #include <vector>
 
 namespace dandeliondock {
 
-/// \brief Hook that blocks the calling thread for a random time between 0 and its argument. Callable from any thread.
-using JitterHook = std::function<void(Milliseconds)>;
-
 /// \brief A jitter hook with the random source and the timers of the operating system. Thread-safe.
 [[nodiscard]] JitterHook systemJitter();
 
-/// \brief Accepts tickets into the platform's table; carries out the decisions of Filing.
+/// \brief Accepts tickets into the platform's table; runs a Filing to its answer.
 ///
 /// \remark Every method is thread-safe; the calling thread does the work.
 class TicketService
@@ -44,11 +41,6 @@
     [[nodiscard]] absl::StatusOr<ConfigSnapshot> stateAtHead(RevisionNumber head);
 
 private:
-    [[nodiscard]] FilingEvent perform(const ReadFilingRows &action);
-    [[nodiscard]] FilingEvent perform(const LoadFilingState &action);
-    [[nodiscard]] FilingEvent perform(const CommitFiling &action);
-    [[nodiscard]] FilingEvent perform(const WaitFiling &action);
-
     StoreHooks m_store;
     TimeSource m_time;
     JitterHook m_jitter;
--- /dev/null
+++ b/src/node/filing_driver.cpp
@@ -0,0 +1,98 @@
+#include <dandeliondock/node/filing_driver.h>
+
+#include <dandeliondock/codec/row_codec.h>
+#include <dandeliondock/core/error.h>
+#include <dandeliondock/store/rows.h>
+#include <dandeliondock/store/state_reader.h>
+
+namespace dandeliondock {
+
+namespace {
+
+Transaction encodeCommit(const CommitFiling &action)
+{
+    const RowKey ticket = ticketKey(action.revision.ticket.number);
+    Transaction transaction;
+    transaction.conditions = {{headKey(), action.headVersion}, {ticket, RowVersion{}}};
+    transaction.writes = {{headKey(), encodeHeadRow(action.head)},
+                          {ticket, encodeTicketRow(action.revision)},
+                          {revisionKey(action.revision.number), encodeRevisionRow(action.revision)}};
+    return transaction;
+}
+
+absl::StatusOr<FilingRowsRead> decodeFilingRows(const std::vector<TableRow> &rows)
+{
+    FilingRowsRead event;
+    const absl::StatusOr<VersionedHead> head = decodeHeadRow(rows.at(0));
+    if (!head.ok())
+        return head.status();
+    event.head = *head;
+    if (rows.at(1).version == RowVersion{})
+        return event;
+    absl::StatusOr<Revision> accepted = decodeTicketRow(rows.at(1));
+    if (!accepted.ok())
+        return accepted.status();
+    event.sameNumber = *std::move(accepted);
+    return event;
+}
+
+} // namespace
+
+FilingDriver::FilingDriver(const StoreHooks &store, ConfigStore &cache, const JitterHook &jitter)
+    : m_store(store), m_cache(cache), m_jitter(jitter)
+{
+}
+
+FilingEvent FilingDriver::perform(const FilingAction &action) const
+{
+    return std::visit([this](const auto &item) { return carryOut(item); }, action);
+}
+
+FilingEvent FilingDriver::carryOut(const ReadFilingRows &action) const
+{
+    const auto rows = m_store.read({headKey(), ticketKey(action.number)});
+    if (!rows.ok())
+        return FilingReadFailed{rows.status()};
+    absl::StatusOr<FilingRowsRead> event = decodeFilingRows(*rows);
+    if (!event.ok())
+        return FilingReadFailed{event.status()};
+    return *std::move(event);
+}
+
+FilingEvent FilingDriver::carryOut(const LoadFilingState &action) const
+{
+    return FilingStateLoaded{stateAt(m_store, action.revision, m_cache)};
+}
+
+FilingEvent FilingDriver::carryOut(const CommitFiling &action) const
+{
+    const absl::StatusOr<CommitResult> result = m_store.commit(encodeCommit(action));
+    if (result.ok())
+        return result->committed ? FilingEvent(FilingCommitted{}) : FilingEvent(FilingConditionFailed{});
+    if (errorKind(result.status()) == ErrorKind::StoreUnavailable)
+        return FilingCommitUnavailable{result.status()};
+    return FilingCommitUnknown{result.status()};
+}
+
+FilingEvent FilingDriver::carryOut(const WaitFiling &action) const
+{
+    m_jitter(action.atMost);
+    return FilingWaited{};
+}
+
+FilingEvent FilingDriver::carryOut(const AnswerFiling & /*action*/) const
+{
+    return FilingWaited{};
+}
+
+absl::StatusOr<ConfigSnapshot> stateAt(const StoreHooks &store, RevisionNumber head, ConfigStore &cache)
+{
+    if (absl::Status status = readRevisions(store, head, cache); !status.ok())
+        return status;
+    const ConfigSnapshot state = cache.current();
+    if (state->revision() != head)
+        return makeError(ErrorKind::HeadContended, "another ticket was accepted meanwhile");
+    return state;
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/tests/store/snapshots_test.cpp
@@ -0,0 +1,98 @@
+#include "standins/memory_table.h"
+
+#include <dandeliondock/core/error.h>
+#include <dandeliondock/node/ticket_service.h>
+#include <dandeliondock/store/rows.h>
+#include <dandeliondock/store/snapshots.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+namespace dandeliondock {
+namespace {
+
+using standins::MemoryTable;
+
+Ticket ticketOf(std::uint64_t number)
+{
+    Ticket ticket;
+    ticket.number = TicketNumber(number);
+    ticket.author = AuthorName("ada");
+    Service service;
+    service.name = ServiceName("service-" + std::to_string(number % 7));
+    service.version = VersionName("v" + std::to_string(number));
+    ticket.resources = {Version{service.name, service.version}, service};
+    return ticket;
+}
+
+// Files tickets and lets the root write its snapshots.
+void fileTickets(MemoryTable &table, std::uint64_t count)
+{
+    TicketService service(table.hooks(), systemTime(), [](Milliseconds) {});
+    ConfigStore root;
+    for (std::uint64_t number = 1; number <= count; ++number) {
+        REQUIRE(service.file(ticketOf(number)).ok());
+        const VersionedHead head = *readVersionedHead(table.hooks());
+        REQUIRE(readRevisions(table.hooks(), head.head.revision, root).ok());
+        if (snapshotDue(head.head))
+            REQUIRE(writeSnapshot(table.hooks(), *root.current()).ok());
+    }
+}
+
+} // namespace
+
+// Guards against a state that depends on whether it was read from a snapshot or from every revision.
+TEST_CASE("a reader at any revision reaches the state at the head", "[store]")
+{
+    constexpr std::uint64_t count = 200;
+    MemoryTable table;
+    ConfigStore whole;
+    std::vector<ConfigSnapshot> history{whole.current()};
+    TicketService service(table.hooks(), systemTime(), [](Milliseconds) {});
+    for (std::uint64_t number = 1; number <= count; ++number) {
+        REQUIRE(whole.apply({RevisionNumber(number), ticketOf(number), WallTime{}}).ok());
+        history.push_back(whole.current());
+    }
+    fileTickets(table, count);
+    rc::prop("from any earlier revision", [&] {
+        ConfigStore reader;
+        reader.mergeSnapshot(*history[*rc::gen::inRange<std::size_t>(0, count + 1)]);
+        RC_ASSERT(readRevisions(table.hooks(), RevisionNumber(count), reader).ok());
+        RC_ASSERT(*reader.current() == *whole.current());
+    });
+}
+
+// Guards against revision rows that pile up, and against the removal of rows that a reader of the previous snapshot
+// still needs.
+TEST_CASE("revision rows up to the previous snapshot are removed", "[store]")
+{
+    MemoryTable table;
+    fileTickets(table, 3 * snapshotIntervalRevisions);
+    const VersionedHead head = *readVersionedHead(table.hooks());
+    CHECK(head.head.snapshotRevision == RevisionNumber(3 * snapshotIntervalRevisions));
+    const auto rows = *table.hooks().scan({revisionPrefix, {}, 1'000});
+    REQUIRE(rows.size() == snapshotIntervalRevisions);
+    CHECK(rows.front().key == revisionKey(RevisionNumber(2 * snapshotIntervalRevisions + 1)));
+}
+
+// Guards against a missing or damaged snapshot that is taken for an empty state.
+TEST_CASE("a missing or damaged snapshot is an error that names the object", "[store]")
+{
+    MemoryTable table;
+    fileTickets(table, 2 * snapshotIntervalRevisions);
+    const std::string name = snapshotName(RevisionNumber(2 * snapshotIntervalRevisions));
+    const std::string content = *table.object(name);
+    rc::prop("some bytes replaced or cut", [&] {
+        std::string bytes = content;
+        bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] ^= *rc::gen::inRange<char>(1, 127);
+        bytes.resize(*rc::gen::inRange<std::size_t>(0, bytes.size() + 1));
+        table.putObject(name, bytes);
+        ConfigStore reader;
+        const absl::Status status = readRevisions(table.hooks(), RevisionNumber(2 * snapshotIntervalRevisions), reader);
+        RC_ASSERT(errorKind(status) == ErrorKind::InvalidRow);
+        RC_ASSERT(status.message().find(name) != absl::string_view::npos);
+        RC_ASSERT(reader.current()->revision() == RevisionNumber{});
+    });
+}
+
+} // namespace dandeliondock
