--- a/include/dandeliondock/dandeliondock.h
+++ b/include/dandeliondock/dandeliondock.h
@@ -1,6 +1,8 @@
 #pragma once
 
 // Umbrella include of the public headers.
+#include <dandeliondock/codec/compression.h>
+#include <dandeliondock/codec/row_codec.h>
 #include <dandeliondock/config/config_state.h>
 #include <dandeliondock/config/config_store.h>
 #include <dandeliondock/config/resources.h>
@@ -18,8 +20,16 @@
 #include <dandeliondock/http/client.h>
 #include <dandeliondock/http/message.h>
 #include <dandeliondock/http/server.h>
+#include <dandeliondock/node/filing_driver.h>
 #include <dandeliondock/node/node.h>
+#include <dandeliondock/node/ticket_service.h>
+#include <dandeliondock/settings/ip_address.h>
 #include <dandeliondock/settings/node_settings.h>
 #include <dandeliondock/store/http_store.h>
+#include <dandeliondock/store/row_types.h>
+#include <dandeliondock/store/snapshots.h>
+#include <dandeliondock/store/state_reader.h>
 #include <dandeliondock/store/store_hooks.h>
 #include <dandeliondock/tickets/acceptance.h>
+#include <dandeliondock/tickets/filing.h>
+#include <dandeliondock/tickets/ticket_status.h>
--- a/src/settings/json_reader.cpp
+++ b/src/settings/json_reader.cpp
@@ -39,6 +39,7 @@
 std::string fieldNames(const Descriptor &type)
 {
     std::vector<std::string> names;
+    names.reserve(static_cast<std::size_t>(type.field_count()));
     for (int i = 0; i < type.field_count(); ++i)
         names.push_back(type.field(i)->name());
     return absl::StrJoin(names, ", ");
--- a/src/store/state_reader.cpp
+++ b/src/store/state_reader.cpp
@@ -80,7 +80,7 @@
             return status;
     }
     while (config.current()->revision() < head) {
-        const absl::Status status = applyScan(store, head, config);
+        absl::Status status = applyScan(store, head, config);
         if (status.ok())
             continue;
         if (errorKind(status) != ErrorKind::NotFound)
