Add routing: match, version, subset, selection, limits and queue

Cause: the request path needs a target for each request that is near, warm, within its limit, of the version in the split and not leaving, and a refusal that is true when there is none.

Ruled out: one lock for the whole router (services would wait for each other); a bound on ejection over the whole service (one caller's subset could be ejected whole); waking waiters to compete for a slot (later arrivals would overtake critical work); dividing load by the slow-start weight (idle targets compare as always or never).

Change: RouteTable, VersionChooser, rendezvous order and subsets, LocalityPlan, KnownLoad, SlowStart, OutlierEjection, ConcurrencyLimit, ClassQueue, ServicePool, ServiceGate and Router with counters; bench/routing and docs/routing.md.

Checked by breaking it, each caught by the tests named for the property: records that leave but stay selectable (in pool and router both; with one intact the other covers), drain marks ignored, no probe with a stale view, ejection of more than half, ejected targets picked, surplus not readmitted, a shed that ejects, a limit above the slots, no displacement of a lower class, no slow start, all targets for a small share, a version without a share, a rollback during a wait, several trials at once, scores that ignore the target, prefixes that end within a segment.

Conclusion: the selection rules hold over random sequences of events. Not measured: the cost of a directory change.

--- a/include/dandeliondock/membership/view_freshness.h
+++ b/include/dandeliondock/membership/view_freshness.h
@@ -23,7 +23,7 @@
     /// \brief Whether the last contact is too long ago; true before the first.
     [[nodiscard]] bool isStale(MonotonicTime now) const noexcept
     {
-        return !m_lastContact || now - *m_lastContact >= viewLife;
+        return m_lastContact == MonotonicTime::min() || now - m_lastContact >= viewLife;
     }
 
     /// \brief Whether a target that was last proved at \c proof needs a probe before it is used.
@@ -33,7 +33,7 @@
     }
 
 private:
-    std::optional<MonotonicTime> m_lastContact;
+    MonotonicTime m_lastContact = MonotonicTime::min(); ///< one word, so that an atomic of this type takes no lock
 };
 
 } // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/routing/pool_target.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <dandeliondock/membership/endpoint.h>
+#include <dandeliondock/routing/concurrency_limit.h>
+#include <dandeliondock/routing/known_load.h>
+#include <dandeliondock/routing/locality_plan.h>
+#include <dandeliondock/routing/outlier_ejection.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+namespace dandeliondock {
+
+/// \brief What a caller knows of one target.
+///
+/// \remark Belongs to a ServicePool, which guards it.
+struct PoolTarget
+{
+    PoolTarget(Endpoint record, LocalityTier distance, ConcurrencyLimit startLimit, MonotonicTime now)
+        : endpoint(std::move(record)), tier(distance), limit(startLimit), servingSince(now)
+    {
+    }
+
+    [[nodiscard]] bool isBusy() const noexcept { return inFlight >= limit.value(); }
+
+    Endpoint endpoint;
+    LocalityTier tier;
+    ConcurrencyLimit limit;
+    OutlierEjection ejection;
+    KnownLoad load;
+    MonotonicTime servingSince;
+    std::optional<MonotonicTime> proof; ///< last time the target was seen to take work
+    bool isDraining = false;            ///< seen to drain although it is announced as serving
+    bool isLimitStarted = false;        ///< the limit was set from the number of callers
+    std::uint32_t inFlight = 0;
+};
+
+using PoolTargetPtr = std::shared_ptr<PoolTarget>;
+
+} // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/routing/routing_counters.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <dandeliondock/core/metrics.h>
+#include <dandeliondock/routing/locality_plan.h>
+
+#include <array>
+
+namespace dandeliondock {
+
+/// \brief Counters of routing; docs/routing.md tells what each means.
+///
+/// \remark Thread-safe. Must not outlive the registry.
+struct RoutingCounters
+{
+    explicit RoutingCounters(Metrics &metrics);
+
+    Counter &noRoute;
+    Counter &notReady;
+    Counter &noTarget;
+    Counter &overloaded;
+    Counter &displaced;
+    Counter &deadlineUnmeetable;
+    Counter &deadlinePassed;
+    Counter &queued;
+    Counter &sheds;
+    Counter &ejections;
+    Counter &probesTakeWork;
+    Counter &probesDraining;
+    Counter &probesUnreachable;
+    std::array<Counter *, localityTiers> selections; ///< by tier
+};
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/routing/class_queue.cpp
@@ -0,0 +1,87 @@
+#include <dandeliondock/routing/class_queue.h>
+
+#include <algorithm>
+
+namespace dandeliondock {
+
+namespace {
+
+std::size_t indexOf(WorkClass workClass)
+{
+    return static_cast<std::size_t>(workClass);
+}
+
+} // namespace
+
+Admission ClassQueue::offer(WaiterId id, WorkClass workClass, MonotonicTime deadline, MonotonicTime now,
+                            const QueuePace &pace)
+{
+    const auto turns = static_cast<std::int64_t>(ahead(workClass)) + 1;
+    if (now + pace.perTurn * turns + pace.perRequest > deadline)
+        return {AdmissionVerdict::TooLate, std::nullopt};
+    Admission admission;
+    if (size() >= bound(workClass)) {
+        admission.displaced = displaceBelow(workClass);
+        if (!admission.displaced)
+            return {AdmissionVerdict::Overloaded, std::nullopt};
+    }
+    m_waiters.at(indexOf(workClass)).push_back(id);
+    return admission;
+}
+
+std::vector<WaiterId> ClassQueue::order() const
+{
+    std::vector<WaiterId> waiters;
+    waiters.reserve(size());
+    for (const auto &ofClass : m_waiters)
+        waiters.insert(waiters.end(), ofClass.begin(), ofClass.end());
+    return waiters;
+}
+
+void ClassQueue::withdraw(WaiterId id)
+{
+    for (auto &ofClass : m_waiters)
+        ofClass.erase(std::remove(ofClass.begin(), ofClass.end(), id), ofClass.end());
+}
+
+std::size_t ClassQueue::ahead(WorkClass workClass) const noexcept
+{
+    std::size_t count = 0;
+    for (std::size_t index = 0; index <= indexOf(workClass); ++index)
+        count += m_waiters[index].size();
+    return count;
+}
+
+std::size_t ClassQueue::size() const noexcept
+{
+    return ahead(WorkClass::Deferrable);
+}
+
+// Work that can wait leaves room for work that cannot.
+std::size_t ClassQueue::bound(WorkClass workClass) const noexcept
+{
+    switch (workClass) {
+    case WorkClass::Critical:
+        return m_capacity;
+    case WorkClass::Interactive:
+        return m_capacity * 3 / 4;
+    case WorkClass::Deferrable:
+        return m_capacity / 2;
+    }
+    return 0;
+}
+
+std::optional<WaiterId> ClassQueue::displaceBelow(WorkClass workClass)
+{
+    for (std::size_t index = m_waiters.size() - 1; index > indexOf(workClass); --index) {
+        auto &ofClass = m_waiters.at(index);
+        if (ofClass.empty())
+            continue;
+        const WaiterId displaced = ofClass.back();
+        ofClass.pop_back();
+        return displaced;
+    }
+    return std::nullopt;
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/routing/locality_plan.cpp
@@ -0,0 +1,31 @@
+#include <dandeliondock/routing/locality_plan.h>
+
+namespace dandeliondock {
+
+namespace {
+
+// Rows by class, columns by the tier that is left.
+constexpr std::array<std::array<double, 2>, 3> thresholds{{{0.7, 0.9}, {0.8, 1.0}, {0.95, 1.0}}};
+
+} // namespace
+
+LocalityTier tierOf(const Locality &self, const Endpoint &endpoint)
+{
+    if (endpoint.region != self.region)
+        return LocalityTier::OtherRegion;
+    return endpoint.dataCentre == self.dataCentre ? LocalityTier::DataCentre : LocalityTier::Region;
+}
+
+bool isPermitted(WorkClass workClass, LocalityTier tier) noexcept
+{
+    return tier != LocalityTier::OtherRegion || workClass != WorkClass::Deferrable;
+}
+
+double spillThreshold(WorkClass workClass, LocalityTier tier) noexcept
+{
+    if (tier == LocalityTier::OtherRegion)
+        return 1.0;
+    return thresholds.at(static_cast<std::size_t>(workClass)).at(static_cast<std::size_t>(tier));
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/routing/rendezvous.cpp
@@ -0,0 +1,31 @@
+#include <dandeliondock/routing/rendezvous.h>
+
+#include <dandeliondock/core/stable_hash.h>
+
+#include <algorithm>
+
+namespace dandeliondock {
+
+namespace {
+
+constexpr std::size_t connectionsPerCaller = 2;
+
+} // namespace
+
+std::uint64_t rendezvousRank(const VersionName &version, const TargetId &target)
+{
+    return stableCombine(stableHash(version.value()), stableHash(target.value()));
+}
+
+std::uint64_t rendezvousScore(const NodeId &caller, const TargetId &target)
+{
+    return stableCombine(stableHash(caller.value()), stableHash(target.value()));
+}
+
+std::size_t subsetSize(std::size_t targets, std::size_t callers, std::size_t connectionsPerTarget)
+{
+    const std::size_t affordable = targets * connectionsPerTarget / (callers * connectionsPerCaller);
+    return std::min(targets, std::max(affordable, smallestSubset));
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/routing/service_gate.cpp
@@ -0,0 +1,178 @@
+#include <dandeliondock/routing/service_gate.h>
+
+#include <dandeliondock/core/error.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace dandeliondock {
+
+namespace {
+
+constexpr std::size_t queueCapacity = 64;
+// Keeps a far deadline within the range of the clock.
+constexpr Seconds longestWait{600};
+// A waiter for one version must not keep back waiters for another; the bound keeps the work of a release small.
+constexpr int busyWaitersPassed = 4;
+
+PickRequest pickRequest(const GateRequest &request, VersionChoice version)
+{
+    return {std::move(version), request.workClass, request.service->connectionsPerTarget, request.tried};
+}
+
+} // namespace
+
+ServiceGate::ServiceGate(PoolCaller caller, RandomSource random, TimeSource time, RoutingCounters &counters)
+    : m_time(std::move(time)), m_counters(counters), m_pool(std::move(caller), std::move(random)),
+      m_queue(queueCapacity)
+{
+}
+
+absl::StatusOr<GateClaim> ServiceGate::acquire(const GateRequest &request)
+{
+    const MonotonicTime now = m_time.monotonic();
+    if (now >= request.deadline)
+        return refuse(AdmissionVerdict::TooLate);
+    std::unique_lock lock(m_mutex);
+    GateClaim claim;
+    claim.version = chooseVersion(*request.service, request.split, m_pool.draw(fullShare.value()), request.newVersion);
+    const PickRequest wanted = pickRequest(request, claim.version);
+    const bool mustWait = m_queue.ahead(request.workClass) > 0;
+    if (!mustWait)
+        claim.pick = m_pool.pick(wanted, now);
+    if (mustWait || claim.pick.verdict == PickVerdict::Busy) {
+        absl::StatusOr<Pick> pick = wait(lock, wanted, request.deadline);
+        if (!pick.ok())
+            return pick.status();
+        claim.pick = *std::move(pick);
+        claim.waited = true;
+    }
+    if (claim.pick.verdict == PickVerdict::None)
+        return noTarget();
+    claim.endpoint = claim.pick.target->endpoint;
+    claim.proof = claim.pick.target->proof;
+    return claim;
+}
+
+void ServiceGate::release(const Pick &claim, const std::optional<AttemptOutcome> &outcome)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (outcome)
+        m_pool.finish(claim, *outcome, m_time.monotonic());
+    else
+        m_pool.abandon(claim);
+    if (outcome && outcome->result == AttemptResult::Shed)
+        m_counters.sheds.add();
+    countEjections();
+    dispatch();
+}
+
+void ServiceGate::probed(const Pick &claim, ProbeResult result)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_pool.probed(claim, result, m_time.monotonic());
+    countEjections();
+}
+
+void ServiceGate::apply(const Endpoint &record, SlotCount defaultSlots)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_pool.apply(record, defaultSlots, m_time.monotonic());
+    dispatch();
+}
+
+void ServiceGate::remove(const TargetId &target)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_pool.remove(target);
+    dispatch();
+}
+
+void ServiceGate::setCallers(std::size_t callers)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_pool.setCallers(callers);
+    dispatch();
+}
+
+absl::StatusOr<Pick> ServiceGate::wait(std::unique_lock<std::mutex> &lock, const PickRequest &request,
+                                       MonotonicTime deadline)
+{
+    const WaiterId id(m_lastWaiter.value() + 1);
+    m_lastWaiter = id;
+    if (absl::Status status = enqueue(id, request, deadline); !status.ok())
+        return status;
+    m_counters.queued.add();
+    Waiter waiter;
+    waiter.request = request;
+    m_waiters.emplace(id, &waiter);
+    dispatch();
+    waiter.wake.wait_for(lock, std::min<Microseconds>(deadline - m_time.monotonic(), longestWait),
+                         [&waiter] { return waiter.pick.has_value() || waiter.isDisplaced; });
+    m_queue.withdraw(id);
+    m_waiters.erase(id);
+    if (waiter.pick)
+        return *std::move(waiter.pick);
+    if (waiter.isDisplaced) {
+        m_counters.displaced.add();
+        return makeError(ErrorKind::Overloaded, "the request gave way to work that cannot wait");
+    }
+    m_counters.deadlinePassed.add();
+    return makeError(ErrorKind::DeadlineExceeded, "the deadline passed before a target was free; nothing was sent");
+}
+
+absl::Status ServiceGate::enqueue(WaiterId id, const PickRequest &request, MonotonicTime deadline)
+{
+    const Admission admission = m_queue.offer(id, request.workClass, deadline, m_time.monotonic(), m_pool.pace());
+    if (admission.verdict != AdmissionVerdict::Queued)
+        return refuse(admission.verdict);
+    if (!admission.displaced)
+        return absl::OkStatus();
+    Waiter &displaced = *m_waiters.at(*admission.displaced);
+    displaced.isDisplaced = true;
+    displaced.wake.notify_one();
+    return absl::OkStatus();
+}
+
+absl::Status ServiceGate::refuse(AdmissionVerdict verdict) const
+{
+    if (verdict == AdmissionVerdict::TooLate) {
+        m_counters.deadlineUnmeetable.add();
+        return makeError(ErrorKind::DeadlineExceeded, "the deadline cannot be met; nothing was sent");
+    }
+    m_counters.overloaded.add();
+    return makeError(ErrorKind::Overloaded, "every target is busy and the queue is full; nothing was sent");
+}
+
+absl::Status ServiceGate::noTarget() const
+{
+    m_counters.noTarget.add();
+    return makeError(ErrorKind::NoTarget, "no target of the chosen version takes requests");
+}
+
+void ServiceGate::dispatch()
+{
+    if (m_waiters.empty())
+        return;
+    int busy = 0;
+    for (const WaiterId id : m_queue.order()) {
+        Waiter &waiter = *m_waiters.at(id);
+        Pick pick = m_pool.pick(waiter.request, m_time.monotonic());
+        if (pick.verdict == PickVerdict::Busy) {
+            if (++busy >= busyWaitersPassed)
+                return;
+            continue;
+        }
+        m_queue.withdraw(id);
+        waiter.pick = std::move(pick);
+        waiter.wake.notify_one();
+    }
+}
+
+void ServiceGate::countEjections()
+{
+    m_counters.ejections.add(m_pool.ejections() - m_ejectionsCounted);
+    m_ejectionsCounted = m_pool.ejections();
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/tests/routing/version_chooser_test.cpp
@@ -0,0 +1,120 @@
+#include <dandeliondock/routing/rendezvous.h>
+#include <dandeliondock/routing/version_chooser.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <set>
+
+namespace dandeliondock {
+namespace {
+
+Service ledger()
+{
+    Service service;
+    service.name = ServiceName("ledger");
+    service.version = VersionName("v2");
+    return service;
+}
+
+VersionSplit splitOf(std::uint32_t share, std::uint32_t targets)
+{
+    return {TicketNumber(1), VersionName("v1"), VersionName("v2"), Share(share), Share(targets)};
+}
+
+std::vector<TargetId> subsetOf(const NodeId &caller, std::vector<TargetId> targets, std::size_t size)
+{
+    std::sort(targets.begin(), targets.end(), [&caller](const TargetId &left, const TargetId &right) {
+        return rendezvousScore(caller, left) < rendezvousScore(caller, right);
+    });
+    targets.resize(std::min(size, targets.size()));
+    return targets;
+}
+
+std::vector<TargetId> targetsUpTo(int count)
+{
+    std::vector<TargetId> targets;
+    for (int number = 0; number < count; ++number)
+        targets.emplace_back("t" + std::to_string(number));
+    return targets;
+}
+
+} // namespace
+
+// Guards against a new version that gets more requests than its share.
+TEST_CASE("the new version gets its share of the draws", "[routing]")
+{
+    rc::prop("of the 10,000 draws exactly the share goes to the new version", [] {
+        const auto share = *rc::gen::inRange(0U, 10'001U);
+        std::uint32_t taken = 0;
+        for (std::uint64_t draw = 0; draw < 10'000; ++draw) {
+            const VersionChoice choice = chooseVersion(ledger(), splitOf(share, 10'000), draw, std::nullopt);
+            RC_ASSERT(choice.isNew == (choice.version.value() == "v2"));
+            taken += choice.isNew ? 1 : 0;
+        }
+        RC_ASSERT(taken == share);
+    });
+}
+
+// Guards against retries that go on to a version that was rolled back.
+TEST_CASE("an attempt keeps its version only while that version takes requests", "[routing]")
+{
+    CHECK(chooseVersion(ledger(), splitOf(100, 1'000), 9'999, true).isNew);
+    CHECK_FALSE(chooseVersion(ledger(), splitOf(100, 1'000), 0, false).isNew);
+    CHECK_FALSE(chooseVersion(ledger(), splitOf(0, 10'000), 0, true).isNew);
+    CHECK_FALSE(chooseVersion(ledger(), splitOf(100, 0), 0, true).isNew);
+    CHECK(chooseVersion(ledger(), std::nullopt, 0, true).version.value() == "v2");
+}
+
+// Guards against a small share that reaches every target of the new version.
+TEST_CASE("a share is carried by the next whole number of targets", "[routing]")
+{
+    CHECK(targetsOfShare(Share(0), 11) == 0);
+    CHECK(targetsOfShare(Share(1), 11) == 1);
+    CHECK(targetsOfShare(Share(2'000), 5) == 1);
+    CHECK(targetsOfShare(Share(2'001), 5) == 2);
+    CHECK(targetsOfShare(fullShare, 11) == 11);
+}
+
+// Guards against a target that goes and changes the connections of callers that did not use it.
+TEST_CASE("a target that goes moves only its own share", "[routing]")
+{
+    rc::prop("a subset without the target stays, and one with it changes by one", [] {
+        const auto targets = targetsUpTo(*rc::gen::inRange(4, 40));
+        const TargetId gone = targets.at(*rc::gen::inRange<std::size_t>(0, targets.size()));
+        const NodeId caller("n" + std::to_string(*rc::gen::arbitrary<std::uint16_t>()));
+        auto rest = targets;
+        rest.erase(std::find(rest.begin(), rest.end(), gone));
+        const auto before = subsetOf(caller, targets, 3);
+        const auto after = subsetOf(caller, rest, 3);
+        for (const TargetId &kept : before)
+            RC_ASSERT(kept == gone || std::find(after.begin(), after.end(), kept) != after.end());
+    });
+}
+
+// Guards against a hash that gives some targets many more callers than others.
+TEST_CASE("subsets spread callers evenly over targets", "[routing]")
+{
+    const auto targets = targetsUpTo(11);
+    std::map<TargetId, int> callers;
+    for (int node = 0; node < 1'100; ++node) {
+        for (const TargetId &target : subsetOf(NodeId("node-" + std::to_string(node)), targets, 3))
+            ++callers[target];
+    }
+    for (const TargetId &target : targets) {
+        CHECK(callers[target] > 240); // the mean is 300
+        CHECK(callers[target] < 360);
+    }
+}
+
+// Guards against a target that gets more connections than it bears while more targets could share them.
+TEST_CASE("a subset grows with the connections that targets bear", "[routing]")
+{
+    CHECK(subsetSize(11, 1, 130) == 11);
+    CHECK(subsetSize(11, 100, 130) == 7);
+    CHECK(subsetSize(11, 25'000, 130) == smallestSubset);
+    CHECK(subsetSize(2, 25'000, 130) == 2);
+}
+
+} // namespace dandeliondock
