--- a/include/dandeliondock/forward_declarations.h
+++ b/include/dandeliondock/forward_declarations.h
@@ -3,9 +3,12 @@
 /// \brief Configuration distribution for a service mesh.
 namespace dandeliondock {
 
+class AnnouncementSource;
+class ClassQueue;
 class ConfigState;
 class ConfigStore;
 class Counter;
+class EndpointDirectory;
 class Filing;
 class FilingDriver;
 class Gauge;
@@ -19,10 +22,18 @@
 class Node;
 class OperatorApi;
 class OperatorClient;
+class RouteTable;
+class Router;
+class ServiceGate;
+class ServicePool;
+class TargetHealth;
+class TargetSession;
+class TargetWatch;
 class TicketService;
 enum class ErrorKind;
 enum class LogLevel;
 enum class WorkClass;
+struct Endpoint;
 struct FiledTicket;
 struct HeadRow;
 struct HttpRequest;
@@ -33,6 +44,7 @@
 struct Revision;
 struct RolloutRow;
 struct Route;
+struct RoutingHooks;
 struct Service;
 struct StoreHooks;
 struct Ticket;
