Add the rollout decisions: plan, records, evidence, test, guard and driver

Cause: a new version must be completed by its deadline or taken back with a small share (design 6.7). Ruled out: a plan that nodes follow by themselves; it advances without evidence when partitioned. Change: StagePlan, mergeRecords, RolloutTable, OutcomeWindow, SequentialTest, LocalGuard, RolloutDriver; a model of a rollout in tests/standins and bench/rollouts.cpp; guard_stops added to the schema's RouteOutcomes. Conclusion: the decisions take events and a time and return actions.

--- /dev/null
+++ b/bench/rollouts.cpp
@@ -0,0 +1,162 @@
+// Compares ways of rolling out a version over seeded runs of the decision modules.
+#include "standins/rollout_model.h"
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <memory>
+#include <string>
+#include <vector>
+
+DEFINE_uint32(runs, 200, "seeded runs for each way and kind of version");
+DEFINE_uint32(seed, 20261204, "first seed");
+
+namespace dandeliondock {
+namespace {
+
+using standins::ModelResult;
+using standins::ModelSettings;
+using standins::VersionKind;
+
+constexpr std::array kinds{VersionKind::Good,           VersionKind::SharedFault,    VersionKind::FailsAtOnce,
+                           VersionKind::FailsLater,     VersionKind::FailsUnderLoad, VersionKind::FailsOnOneRoute,
+                           VersionKind::Slow};
+constexpr double thresholdPart = 0.05;
+constexpr std::uint64_t thresholdAnswers = 50;
+
+/// \brief The alternative to the sequential test: the part of failures of all answers against a fixed limit.
+struct FixedThreshold
+{
+    std::uint64_t answers = 0;
+    std::uint64_t failures = 0;
+
+    [[nodiscard]] Verdict verdict() const
+    {
+        if (answers < thresholdAnswers)
+            return Verdict::Undecided;
+        return static_cast<double>(failures) > thresholdPart * static_cast<double>(answers) ? Verdict::Bad
+                                                                                              : Verdict::Good;
+    }
+};
+
+EvidenceRule thresholdRule()
+{
+    const auto test = std::make_shared<FixedThreshold>();
+    EvidenceRule rule;
+    rule.add = [test](const RouteOutcomes &outcomes) {
+        test->answers += outcomes.newVersion.requests;
+        test->failures += outcomes.newVersion.failures;
+    };
+    rule.startStage = [test] { *test = {}; };
+    rule.verdict = [test] { return test->verdict(); };
+    rule.reason = [] { return std::string("failures above the threshold"); };
+    rule.leansBad = [](const RouteName &) { return true; };
+    rule.newAnswers = [test] { return test->answers; };
+    return rule;
+}
+
+struct Way
+{
+    const char *name;
+    std::vector<Share> stageShares;
+    EvidenceRuleMaker makeRule = sequentialRule;
+    bool useGuard = true;
+    standins::ModelSpan driverFrozen;
+};
+
+/// \brief Sums of the runs of one way and one kind.
+struct Tally
+{
+    unsigned completed = 0;
+    unsigned rolledBack = 0;
+    std::vector<std::uint64_t> newRequests;
+    std::vector<std::uint64_t> faultRequests;
+    std::vector<std::uint64_t> shares;
+    std::vector<std::uint64_t> seconds;
+};
+
+Tally runKind(const Way &way, VersionKind kind)
+{
+    Tally tally;
+    for (unsigned run = 0; run < FLAGS_runs; ++run) {
+        ModelSettings settings;
+        settings.kind = kind;
+        settings.seed = FLAGS_seed + run;
+        settings.stageShares = way.stageShares;
+        settings.makeRule = way.makeRule;
+        settings.driverFrozen = way.driverFrozen;
+        settings.useGuard = way.useGuard;
+        const ModelResult result = runModel(settings);
+        const bool inTime = result.endedAt <= settings.deadlineSeconds;
+        tally.completed += result.state == RolloutState::Completed && inTime ? 1 : 0;
+        tally.rolledBack += result.state == RolloutState::RolledBack ? 1 : 0;
+        tally.newRequests.push_back(result.newRequests);
+        tally.faultRequests.push_back(result.faultRequests);
+        tally.shares.push_back(result.highestShare);
+        tally.seconds.push_back(static_cast<std::uint64_t>(result.endedAt));
+    }
+    return tally;
+}
+
+std::uint64_t quantile(std::vector<std::uint64_t> values, double part)
+{
+    std::sort(values.begin(), values.end());
+    return values[static_cast<std::size_t>(part * static_cast<double>(values.size() - 1))];
+}
+
+void print(const Way &way, VersionKind kind, const Tally &tally)
+{
+    std::printf("%-22s %-19s %9u %9u %9llu %9llu %9llu %9llu %8llu\n", way.name, standins::kindName(kind),
+                tally.completed, tally.rolledBack, (unsigned long long)quantile(tally.shares, 0.5),
+                (unsigned long long)quantile(tally.shares, 1), (unsigned long long)quantile(tally.faultRequests, 0.5),
+                (unsigned long long)quantile(tally.faultRequests, 1),
+                (unsigned long long)quantile(tally.seconds, 0.5));
+}
+
+// Feedshare weighs bad versions taken back three to one, the Bulletin Office good versions done in time.
+void printWeights(const Way &way, double goodPart, double badPart)
+{
+    std::printf("%-22s feedshare %.3f bulletin %.3f (good in time %.3f, bad taken back %.3f)\n", way.name,
+                0.25 * goodPart + 0.75 * badPart, 0.75 * goodPart + 0.25 * badPart, goodPart, badPart);
+}
+
+void runWay(const Way &way)
+{
+    unsigned good = 0;
+    unsigned bad = 0;
+    unsigned goodRuns = 0;
+    unsigned badRuns = 0;
+    for (const VersionKind kind : kinds) {
+        const Tally tally = runKind(way, kind);
+        const bool isGood = kind == VersionKind::Good || kind == VersionKind::SharedFault;
+        (isGood ? good : bad) += isGood ? tally.completed : tally.rolledBack;
+        (isGood ? goodRuns : badRuns) += FLAGS_runs;
+        print(way, kind, tally);
+    }
+    printWeights(way, static_cast<double>(good) / goodRuns, static_cast<double>(bad) / badRuns);
+}
+
+} // namespace
+} // namespace dandeliondock
+
+int main(int argc, char **argv)
+{
+    using namespace dandeliondock;
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    std::printf("command: build/bench/bench-rollouts --runs=%u --seed=%u\n", FLAGS_runs, FLAGS_seed);
+    std::printf("%-22s %-19s %9s %9s %9s %9s %9s %9s %8s\n", "way", "version", "completed", "rolledbk", "share50",
+                "shareMax", "fault50", "faultMax", "seconds");
+    const std::vector<Share> even{Share(2'000), Share(4'000), Share(6'000), Share(8'000), fullShare};
+    const std::vector<Share> page{Share(100), Share(500), Share(2'000), Share(5'000), fullShare};
+    const standins::ModelSpan frozen{100, 160};
+    runWay({"doubling+sequential", {}, sequentialRule, true, {}});
+    runWay({"even+sequential", even, sequentialRule, true, {}});
+    runWay({"1,5,20,50+sequential", page, sequentialRule, true, {}});
+    runWay({"doubling+threshold", {}, thresholdRule, true, {}});
+    runWay({"even+threshold", even, thresholdRule, true, {}});
+    runWay({"frozen, guard", {}, sequentialRule, true, frozen});
+    runWay({"frozen, no guard", {}, sequentialRule, false, frozen});
+    return 0;
+}
--- a/include/dandeliondock/rollout/outcomes.h
+++ b/include/dandeliondock/rollout/outcomes.h
@@ -30,10 +30,21 @@
     RouteName route;
     OutcomeSummary oldVersion;
     OutcomeSummary newVersion;
+    std::uint32_t guardStops = 0; ///< nodes that stopped their own share because of this route
 
     bool operator==(const RouteOutcomes &) const = default;
 };
 
+/// \brief Adds \c other to \c sum. Thread-safe on distinct objects.
+void addOutcomes(OutcomeSummary &sum, const OutcomeSummary &other);
+
+/// \brief Adds both sides and the guard stops of \c other to \c sum.
+/// \pre Both are of the same rollout and route.
+void addOutcomes(RouteOutcomes &sum, const RouteOutcomes &other);
+
+/// \brief Index of the bucket that holds a latency. Thread-safe.
+[[nodiscard]] std::size_t latencyBucket(Microseconds latency) noexcept;
+
 /// \brief Outcomes of a subtree; a batch is taken once by its sequence number.
 struct OutcomeBatch
 {
--- /dev/null
+++ b/include/dandeliondock/rollout/rollout_driver.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include <dandeliondock/core/ids.h>
+#include <dandeliondock/core/units.h>
+#include <dandeliondock/rollout/rollout_record.h>
+#include <dandeliondock/rollout/rollout_table.h>
+#include <dandeliondock/rollout/sequential_test.h>
+#include <dandeliondock/rollout/stage_plan.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dandeliondock {
+
+/// \brief Longest time between two decisions after which the driver counts as frozen; below the lease's term of 6 s.
+inline constexpr Seconds driverGap{2};
+
+/// \brief The rule that judges the evidence of one rollout; its hooks are called from the driver's thread only.
+struct EvidenceRule
+{
+    std::function<void(const RouteOutcomes &)> add;
+    std::function<void()> startStage;
+    std::function<Verdict()> verdict;
+    std::function<std::string()> reason;
+    std::function<bool(const RouteName &)> leansBad;
+    std::function<std::uint64_t()> newAnswers;
+};
+
+/// \brief A new SequentialTest behind hooks; the hooks share its ownership.
+[[nodiscard]] EvidenceRule sequentialRule();
+
+/// \brief Makes the rule for each run of the test.
+using EvidenceRuleMaker = std::function<EvidenceRule()>;
+
+/// \brief A rollout's row in the store.
+struct RolloutRow
+{
+    RolloutRecord record;
+    Fence fence; ///< of the driver that wrote it
+
+    bool operator==(const RolloutRow &) const = default;
+};
+
+/// \brief What the store said of the row.
+struct RowView
+{
+    bool storeAvailable = false;
+    std::optional<RolloutRow> row; ///< empty before the first write
+};
+
+/// \brief What a decision depends on.
+struct DriverInput
+{
+    MonotonicTime now;
+    WallTime wall;
+    std::optional<Fence> lease; ///< empty unless the lease is held and current
+    RowView view;
+    std::optional<RolloutRecord> merged; ///< what the tree knows
+    std::uint32_t newTargets = 0;
+};
+
+enum class DriverStep { Hold, Advance, Complete, RollBack };
+
+/// \brief What the driver wants done.
+struct DriverDecision
+{
+    DriverStep step = DriverStep::Hold;
+    RolloutRecord record;            ///< to be published, except after Hold
+    std::optional<RolloutRow> write; ///< to be written on condition of the row and fence that were read
+    bool publishFirst = false;       ///< the record is valid without the write; set for a rollback
+    std::string notice;              ///< why it holds, or what the operator is to be told
+
+    bool operator==(const DriverDecision &) const = default;
+};
+
+/// \brief Decides one rollout while this node holds the driver's lease.
+///
+/// \remark Belongs to one thread. It decides on the row that was read, and its writes are conditional on that row, so
+/// one that was frozen or has a rival changes nothing.
+class RolloutDriver
+{
+public:
+    explicit RolloutDriver(RolloutDefinition definition, EvidenceRuleMaker makeRule = sequentialRule);
+
+    /// \brief Takes summed outcomes of this rollout.
+    void take(const RouteOutcomes &outcomes);
+
+    [[nodiscard]] DriverDecision decide(const DriverInput &input);
+
+    [[nodiscard]] const RolloutDefinition &definition() const noexcept { return m_definition; }
+
+private:
+    [[nodiscard]] bool wasFrozen(MonotonicTime now);
+    [[nodiscard]] bool isBad() const;
+    [[nodiscard]] std::string badReason() const;
+    [[nodiscard]] DriverDecision hold(std::string notice) const;
+    [[nodiscard]] DriverDecision rollBack(const DriverInput &input, const RolloutRecord &known) const;
+    [[nodiscard]] DriverDecision writeRecord(DriverStep step, const RolloutRecord &record, Fence fence) const;
+    [[nodiscard]] DriverDecision moveOn(const DriverInput &input, const RolloutRecord &known);
+    [[nodiscard]] DriverDecision finish(const DriverInput &input, const RolloutRecord &known, const StageTimes &times);
+    void enterStage(const DriverInput &input, const RolloutRecord &known);
+
+    RolloutDefinition m_definition;
+    EvidenceRuleMaker m_makeRule;
+    EvidenceRule m_test;
+    std::optional<RouteName> m_stoppedRoute;
+    std::optional<MonotonicTime> m_lastDecision;
+    std::optional<Fence> m_lastFence;
+    std::optional<StageIndex> m_stage;
+    MonotonicTime m_entered;
+    WallTime m_enteredWall;
+};
+
+} // namespace dandeliondock
--- a/include/dandeliondock/rollout/rollout_record.h
+++ b/include/dandeliondock/rollout/rollout_record.h
@@ -25,4 +25,10 @@
     bool operator==(const RolloutRecord &) const = default;
 };
 
+/// \brief Join of two records: the higher state wins with its reason, and the higher stage wins.
+///
+/// \remark Commutative, associative and idempotent, so records may cross, repeat and arrive late. Thread-safe.
+/// \pre Both records are of the same ticket.
+[[nodiscard]] RolloutRecord mergeRecords(const RolloutRecord &left, const RolloutRecord &right);
+
 } // namespace dandeliondock
--- /dev/null
+++ b/src/rollout/outcomes.cpp
@@ -0,0 +1,37 @@
+#include <dandeliondock/rollout/outcomes.h>
+
+namespace dandeliondock {
+
+namespace {
+
+constexpr Microseconds lowestBucketEdge{250};
+
+} // namespace
+
+void addOutcomes(OutcomeSummary &sum, const OutcomeSummary &other)
+{
+    sum.requests += other.requests;
+    sum.failures += other.failures;
+    for (std::size_t index = 0; index < outcomeLatencyBuckets; ++index)
+        sum.latencyBuckets[index] += other.latencyBuckets[index];
+}
+
+void addOutcomes(RouteOutcomes &sum, const RouteOutcomes &other)
+{
+    addOutcomes(sum.oldVersion, other.oldVersion);
+    addOutcomes(sum.newVersion, other.newVersion);
+    sum.guardStops += other.guardStops;
+}
+
+std::size_t latencyBucket(Microseconds latency) noexcept
+{
+    std::size_t index = 0;
+    Microseconds edge = lowestBucketEdge;
+    while (latency >= edge && index + 1 < outcomeLatencyBuckets) {
+        edge *= 2;
+        ++index;
+    }
+    return index;
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/rollout/rollout_driver.cpp
@@ -0,0 +1,167 @@
+#include <dandeliondock/rollout/rollout_driver.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <chrono>
+#include <memory>
+
+namespace dandeliondock {
+
+EvidenceRule sequentialRule()
+{
+    const auto test = std::make_shared<SequentialTest>();
+    EvidenceRule rule;
+    rule.add = [test](const RouteOutcomes &outcomes) { test->add(outcomes); };
+    rule.startStage = [test] { test->startStage(); };
+    rule.verdict = [test] { return test->verdict(); };
+    rule.reason = [test] { return test->reason(); };
+    rule.leansBad = [test](const RouteName &route) { return test->leansBad(route); };
+    rule.newAnswers = [test] { return test->newAnswers(); };
+    return rule;
+}
+
+RolloutDriver::RolloutDriver(RolloutDefinition definition, EvidenceRuleMaker makeRule)
+    : m_definition(std::move(definition)), m_makeRule(std::move(makeRule)), m_test(m_makeRule())
+{
+}
+
+void RolloutDriver::take(const RouteOutcomes &outcomes)
+{
+    m_test.add(outcomes);
+    if (outcomes.guardStops > 0 && !m_stoppedRoute)
+        m_stoppedRoute = outcomes.route;
+}
+
+DriverDecision RolloutDriver::decide(const DriverInput &input)
+{
+    if (wasFrozen(input.now)) {
+        // What was gathered before the pause is not known to belong to the present.
+        m_test = m_makeRule();
+        m_stoppedRoute.reset();
+        m_stage.reset();
+        return hold("held: the driver was paused and reads again");
+    }
+    const std::optional<RolloutRow> &row = input.view.row;
+    if (input.lease)
+        m_lastFence = input.lease;
+    if (!m_lastFence || (row && row->fence > *m_lastFence))
+        return hold("held: another driver holds the rollout");
+    RolloutRecord known{m_definition.ticket, m_definition.service, {}, RolloutState::Running, {}};
+    if (row)
+        known = mergeRecords(known, row->record);
+    if (input.merged)
+        known = mergeRecords(known, *input.merged);
+    if (known.state == RolloutState::RolledBack || isBad())
+        return rollBack(input, known);
+    if (!input.view.storeAvailable)
+        return hold(input.wall >= m_definition.plan.deadline ? "late, held: store unavailable"
+                                                             : "held: store unavailable");
+    if (!input.lease)
+        return hold("held: the lease is not held");
+    if (known.state == RolloutState::Completed)
+        return hold("completed");
+    if (!row)
+        return writeRecord(DriverStep::Advance, known, *input.lease);
+    return moveOn(input, row->record);
+}
+
+bool RolloutDriver::wasFrozen(MonotonicTime now)
+{
+    const bool frozen = m_lastDecision && now - *m_lastDecision > driverGap;
+    m_lastDecision = now;
+    return frozen;
+}
+
+bool RolloutDriver::isBad() const
+{
+    return m_test.verdict() == Verdict::Bad || (m_stoppedRoute && m_test.leansBad(*m_stoppedRoute));
+}
+
+std::string RolloutDriver::badReason() const
+{
+    if (m_test.verdict() == Verdict::Bad)
+        return m_test.reason();
+    return absl::StrCat("route ", m_stoppedRoute->value(), ": nodes saw plain failures of the new version");
+}
+
+DriverDecision RolloutDriver::hold(std::string notice) const
+{
+    DriverDecision decision;
+    decision.notice = std::move(notice);
+    return decision;
+}
+
+DriverDecision RolloutDriver::rollBack(const DriverInput &input, const RolloutRecord &known) const
+{
+    RolloutRecord record = known;
+    if (record.state != RolloutState::RolledBack)
+        record.reason = badReason();
+    record.state = RolloutState::RolledBack;
+    DriverDecision decision;
+    decision.step = DriverStep::RollBack;
+    decision.record = record;
+    decision.publishFirst = true;
+    decision.notice = record.reason;
+    const bool isWritten = input.view.row && input.view.row->record.state == RolloutState::RolledBack;
+    if (input.lease && input.view.storeAvailable && !isWritten)
+        decision.write = RolloutRow{record, *input.lease};
+    return decision;
+}
+
+DriverDecision RolloutDriver::writeRecord(DriverStep step, const RolloutRecord &record, Fence fence) const
+{
+    DriverDecision decision;
+    decision.step = step;
+    decision.record = record;
+    decision.write = RolloutRow{record, fence};
+    return decision;
+}
+
+void RolloutDriver::enterStage(const DriverInput &input, const RolloutRecord &known)
+{
+    if (m_stage == known.stage)
+        return;
+    m_stage = known.stage;
+    m_entered = input.now;
+    m_enteredWall = input.wall;
+    m_test.startStage();
+}
+
+DriverDecision RolloutDriver::moveOn(const DriverInput &input, const RolloutRecord &known)
+{
+    enterStage(input, known);
+    if (input.newTargets == 0)
+        return hold("held: no target of the new version serves");
+    const StagePlan plan(m_definition.plan, input.newTargets);
+    const StageTimes times = plan.times(known.stage, m_enteredWall);
+    if (plan.isLast(known.stage))
+        return finish(input, known, times);
+    const auto inStage = std::chrono::duration_cast<Milliseconds>(input.now - m_entered);
+    const bool hasEvidence = m_test.verdict() == Verdict::Good && inStage >= times.earliest;
+    if (!hasEvidence && inStage < times.latest)
+        return hold("held: the stage needs more evidence");
+    RolloutRecord next = known;
+    next.stage = StageIndex(known.stage.value() + 1);
+    DriverDecision decision = writeRecord(DriverStep::Advance, next, *input.lease);
+    decision.notice = hasEvidence ? "evidence is sufficient" : "the deadline allows no longer stage";
+    return decision;
+}
+
+DriverDecision RolloutDriver::finish(const DriverInput &input, const RolloutRecord &known, const StageTimes &times)
+{
+    const auto observed = std::chrono::duration_cast<Milliseconds>(input.now - m_entered);
+    if (observed < times.earliest)
+        return hold("held: observing the whole traffic");
+    const bool hasEvidence = m_test.verdict() == Verdict::Good;
+    if (!hasEvidence && observed < times.latest)
+        return hold("held: the observation needs more evidence");
+    RolloutRecord done = known;
+    done.state = RolloutState::Completed;
+    DriverDecision decision = writeRecord(DriverStep::Complete, done, *input.lease);
+    if (!hasEvidence)
+        decision.notice = m_test.newAnswers() == 0 ? "completed at the deadline without traffic"
+                                                   : "completed at the deadline without contrary evidence";
+    return decision;
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/rollout/sequential_test.cpp
@@ -0,0 +1,185 @@
+#include <dandeliondock/rollout/sequential_test.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <cmath>
+#include <numeric>
+#include <optional>
+
+namespace dandeliondock {
+
+namespace {
+
+constexpr double failureFloor = 0.005;
+constexpr double slowFloor = 0.05; // part of answers above the 95th percentile
+constexpr double highestRate = 0.95;
+constexpr double slowQuantile = 0.95;
+constexpr std::uint64_t oldAnswersForQuantile = 20;
+
+const double rejectAt = std::log((1 - missBound) / falseAlarmBound);
+const double acceptAt = std::log(missBound / (1 - falseAlarmBound));
+
+std::uint64_t answersAbove(const OutcomeSummary &summary, std::size_t bucket)
+{
+    const auto begin = summary.latencyBuckets.begin() + static_cast<std::ptrdiff_t>(bucket) + 1;
+    return std::accumulate(begin, summary.latencyBuckets.end(), std::uint64_t{0});
+}
+
+std::uint64_t answersIn(const OutcomeSummary &summary)
+{
+    return std::accumulate(summary.latencyBuckets.begin(), summary.latencyBuckets.end(), std::uint64_t{0});
+}
+
+std::size_t quantileBucket(const OutcomeSummary &summary)
+{
+    const double wanted = slowQuantile * static_cast<double>(answersIn(summary));
+    double seen = 0;
+    for (std::size_t index = 0; index < outcomeLatencyBuckets; ++index) {
+        seen += summary.latencyBuckets[index];
+        if (seen >= wanted)
+            return index;
+    }
+    return outcomeLatencyBuckets - 1;
+}
+
+struct Proportion
+{
+    std::uint64_t hits = 0;
+    std::uint64_t trials = 0;
+};
+
+// The estimate errs upwards, so that an uncertain base does not blame the new version. A hit of the old version in
+// the round itself weighs most: it is how a fault of both sides shows. Empty when the fault is shared.
+std::optional<double> baseRate(const Proportion &total, const Proportion &round, double floor)
+{
+    const auto rate = [](const Proportion &part, double prior) {
+        return (static_cast<double>(part.hits) + prior) / (static_cast<double>(part.trials) + 1);
+    };
+    double base = std::max(floor, rate(total, 0.0));
+    if (round.hits > 0)
+        base = std::max(base, rate(round, 0.5));
+    if (base >= sharedFaultLimit)
+        return std::nullopt;
+    return base;
+}
+
+} // namespace
+
+void RatioTest::add(std::uint64_t hits, std::uint64_t trials, double base, double excess)
+{
+    if (m_logRatio >= rejectAt)
+        return;
+    const double worse = std::min(highestRate, base + std::max(excess, 2 * base));
+    const auto misses = static_cast<double>(trials - hits);
+    m_logRatio += static_cast<double>(hits) * std::log(worse / base);
+    m_logRatio += misses * std::log((1 - worse) / (1 - base));
+    m_accepted = m_accepted || m_logRatio <= acceptAt;
+    m_logRatio = std::max(m_logRatio, acceptAt);
+}
+
+void RatioTest::restart()
+{
+    m_accepted = false;
+    m_logRatio = std::max(m_logRatio, 0.0);
+}
+
+Verdict RatioTest::verdict() const noexcept
+{
+    if (m_logRatio >= rejectAt)
+        return Verdict::Bad;
+    return m_accepted && m_logRatio <= 0 ? Verdict::Good : Verdict::Undecided;
+}
+
+void SequentialTest::add(const RouteOutcomes &outcomes)
+{
+    if (outcomes.oldVersion.requests == 0 && outcomes.newVersion.requests == 0)
+        return;
+    RouteTest &test = m_routes[outcomes.route];
+    addOutcomes(test.round, outcomes);
+    m_newAnswers += outcomes.newVersion.requests;
+    const std::uint64_t oldAnswers = test.round.oldVersion.requests;
+    const std::uint64_t newAnswers = test.round.newVersion.requests;
+    const bool isPaired = oldAnswers >= roundOldAnswers && newAnswers > 0;
+    const bool isBlind = oldAnswers == 0 && newAnswers >= blindRoundAnswers;
+    if (isPaired || isBlind)
+        closeRound(test);
+}
+
+void SequentialTest::startStage()
+{
+    for (auto &[route, test] : m_routes) {
+        test.failures.restart();
+        test.slowness.restart();
+    }
+}
+
+Verdict SequentialTest::verdict() const
+{
+    bool allGood = !m_routes.empty() && m_newAnswers > 0;
+    for (const auto &[route, test] : m_routes) {
+        if (test.failures.verdict() == Verdict::Bad || test.slowness.verdict() == Verdict::Bad)
+            return Verdict::Bad;
+        const bool isGood =
+                test.failures.verdict() == Verdict::Good && test.slowness.verdict() == Verdict::Good;
+        const bool isUsed = test.newTotal.requests + test.round.newVersion.requests > 0;
+        allGood = allGood && (isGood || !isUsed);
+    }
+    return allGood ? Verdict::Good : Verdict::Undecided;
+}
+
+std::string SequentialTest::reason() const
+{
+    for (const auto &[route, test] : m_routes) {
+        if (test.failures.verdict() == Verdict::Bad) {
+            return absl::StrCat("route ", route.value(), ": the new version failed ", test.newTotal.failures, " of ",
+                                test.newTotal.requests, ", the old one ", test.oldTotal.failures, " of ",
+                                test.oldTotal.requests);
+        }
+        if (test.slowness.verdict() == Verdict::Bad) {
+            const std::size_t bucket = quantileBucket(test.oldTotal);
+            return absl::StrCat("route ", route.value(), ": ", answersAbove(test.newTotal, bucket), " of ",
+                                answersIn(test.newTotal),
+                                " answers of the new version were slower than the old one's 95th percentile");
+        }
+    }
+    return {};
+}
+
+bool SequentialTest::leansBad(const RouteName &route) const
+{
+    const auto test = m_routes.find(route);
+    return test != m_routes.end() && test->second.failures.logRatio() > 0;
+}
+
+void SequentialTest::closeRound(RouteTest &test)
+{
+    addOutcomes(test.oldTotal, test.round.oldVersion);
+    addOutcomes(test.newTotal, test.round.newVersion);
+    judgeFailures(test);
+    judgeSlowness(test);
+    test.round = {};
+}
+
+void SequentialTest::judgeFailures(RouteTest &test)
+{
+    const Proportion total{test.oldTotal.failures, test.oldTotal.requests};
+    const Proportion round{test.round.oldVersion.failures, test.round.oldVersion.requests};
+    const OutcomeSummary &fresh = test.round.newVersion;
+    if (const std::optional<double> base = baseRate(total, round, failureFloor))
+        test.failures.add(fresh.failures, fresh.requests, *base, detectableFailureExcess);
+}
+
+void SequentialTest::judgeSlowness(RouteTest &test)
+{
+    if (answersIn(test.oldTotal) < oldAnswersForQuantile)
+        return;
+    const std::size_t bucket = quantileBucket(test.oldTotal);
+    const Proportion total{answersAbove(test.oldTotal, bucket), answersIn(test.oldTotal)};
+    const Proportion round{answersAbove(test.round.oldVersion, bucket), answersIn(test.round.oldVersion)};
+    const OutcomeSummary &fresh = test.round.newVersion;
+    if (const std::optional<double> base = baseRate(total, round, slowFloor))
+        test.slowness.add(answersAbove(fresh, bucket), answersIn(fresh), *base, detectableSlowExcess);
+}
+
+} // namespace dandeliondock
