Add the rollout thread of a node

Cause: the rollout decisions need a thread that takes outcomes, records and batches and reaches the store's thread. Ruled out: store calls from this thread; one that blocks for 2 s would make the driver count as frozen at every call. Change: RolloutDuty with a builder and hooks; attempts and control events arrive over two bounded rings, the division of traffic is published as an immutable map. node.cpp is not wired yet. Conclusion: a driver without the store still rolls back through the records.

--- a/bench/rollouts.cpp
+++ b/bench/rollouts.cpp
@@ -8,6 +8,7 @@
 #include <cstdio>
 #include <functional>
 #include <memory>
+#include <numeric>
 #include <string>
 #include <vector>
 
@@ -21,8 +22,8 @@
 using standins::ModelSettings;
 using standins::VersionKind;
 
-constexpr std::array kinds{VersionKind::Good,           VersionKind::SharedFault,    VersionKind::FailsAtOnce,
-                           VersionKind::FailsLater,     VersionKind::FailsUnderLoad, VersionKind::FailsOnOneRoute,
+constexpr std::array kinds{VersionKind::Good,       VersionKind::SharedFault,    VersionKind::FailsAtOnce,
+                           VersionKind::FailsLater, VersionKind::FailsUnderLoad, VersionKind::FailsOnOneRoute,
                            VersionKind::Slow};
 constexpr double thresholdPart = 0.05;
 constexpr std::uint64_t thresholdAnswers = 50;
@@ -38,7 +39,7 @@
         if (answers < thresholdAnswers)
             return Verdict::Undecided;
         return static_cast<double>(failures) > thresholdPart * static_cast<double>(answers) ? Verdict::Bad
-                                                                                              : Verdict::Good;
+                                                                                            : Verdict::Good;
     }
 };
 
@@ -101,7 +102,7 @@
     return tally;
 }
 
-std::uint64_t quantile(std::vector<std::uint64_t> values, double part)
+unsigned long long number(std::vector<std::uint64_t> values, double part)
 {
     std::sort(values.begin(), values.end());
     return values[static_cast<std::size_t>(part * static_cast<double>(values.size() - 1))];
@@ -110,33 +111,55 @@
 void print(const Way &way, VersionKind kind, const Tally &tally)
 {
     std::printf("%-22s %-19s %9u %9u %9llu %9llu %9llu %9llu %8llu\n", way.name, standins::kindName(kind),
-                tally.completed, tally.rolledBack, (unsigned long long)quantile(tally.shares, 0.5),
-                (unsigned long long)quantile(tally.shares, 1), (unsigned long long)quantile(tally.faultRequests, 0.5),
-                (unsigned long long)quantile(tally.faultRequests, 1),
-                (unsigned long long)quantile(tally.seconds, 0.5));
+                tally.completed, tally.rolledBack, number(tally.shares, 0.5), number(tally.shares, 1),
+                number(tally.faultRequests, 0.5), number(tally.faultRequests, 1), number(tally.seconds, 0.5));
 }
 
-// Feedshare weighs bad versions taken back three to one, the Bulletin Office good versions done in time.
-void printWeights(const Way &way, double goodPart, double badPart)
+/// \brief Sums of one way over all kinds.
+struct WayTotal
 {
-    std::printf("%-22s feedshare %.3f bulletin %.3f (good in time %.3f, bad taken back %.3f)\n", way.name,
-                0.25 * goodPart + 0.75 * badPart, 0.75 * goodPart + 0.25 * badPart, goodPart, badPart);
+    unsigned goodDone = 0;
+    unsigned goodRuns = 0;
+    unsigned badBack = 0;
+    unsigned badRuns = 0;
+    std::uint64_t faultRequests = 0;
+    std::uint64_t goodSeconds = 0;
+};
+
+void add(WayTotal &total, VersionKind kind, const Tally &tally)
+{
+    if (kind == VersionKind::Good || kind == VersionKind::SharedFault) {
+        total.goodDone += tally.completed;
+        total.goodRuns += FLAGS_runs;
+        total.goodSeconds += std::accumulate(tally.seconds.begin(), tally.seconds.end(), std::uint64_t{0});
+        return;
+    }
+    total.badBack += tally.rolledBack;
+    total.badRuns += FLAGS_runs;
+    total.faultRequests += std::accumulate(tally.faultRequests.begin(), tally.faultRequests.end(), std::uint64_t{0});
+}
+
+// Feedshare weighs bad versions taken back three to one, the Bulletin Office good versions done in time. Equal weights
+// are told apart by the requests that met a fault for the first and by the time to completion for the second.
+void printWeights(const Way &way, const WayTotal &total)
+{
+    const double good = static_cast<double>(total.goodDone) / total.goodRuns;
+    const double bad = static_cast<double>(total.badBack) / total.badRuns;
+    std::printf(
+            "%-22s weights: feedshare %.3f (%.0f requests met a bad version) bulletin %.3f (%.0f s to completion)\n",
+            way.name, 0.25 * good + 0.75 * bad, static_cast<double>(total.faultRequests) / total.badRuns,
+            0.75 * good + 0.25 * bad, static_cast<double>(total.goodSeconds) / total.goodRuns);
 }
 
 void runWay(const Way &way)
 {
-    unsigned good = 0;
-    unsigned bad = 0;
-    unsigned goodRuns = 0;
-    unsigned badRuns = 0;
+    WayTotal total;
     for (const VersionKind kind : kinds) {
         const Tally tally = runKind(way, kind);
-        const bool isGood = kind == VersionKind::Good || kind == VersionKind::SharedFault;
-        (isGood ? good : bad) += isGood ? tally.completed : tally.rolledBack;
-        (isGood ? goodRuns : badRuns) += FLAGS_runs;
+        add(total, kind, tally);
         print(way, kind, tally);
     }
-    printWeights(way, static_cast<double>(good) / goodRuns, static_cast<double>(bad) / badRuns);
+    printWeights(way, total);
 }
 
 } // namespace
--- a/include/dandeliondock/rollout/local_guard.h
+++ b/include/dandeliondock/rollout/local_guard.h
@@ -13,8 +13,9 @@
 
 /// \brief Failures of the new version on one route within guardWindow that make a plain failure.
 inline constexpr std::uint32_t guardFailures = 6;
-/// \brief Answers of the old version on the same route, all without failure, that must stand beside them. With 5 of them
-/// and one failure allowed, the start of a shared fault was blamed on the new version in 8 of 100 simulated rollouts.
+/// \brief Answers of the old version on the same route, all without failure, that must stand beside them. With 5 of
+/// them and one failure allowed, the start of a shared fault was blamed on the new version in 8 of 100 simulated
+/// rollouts.
 inline constexpr std::uint32_t guardOldAnswers = 20;
 /// \brief Length of the window in which both versions are compared.
 inline constexpr Seconds guardWindow{10};
--- a/include/dandeliondock/rollout/outcome_window.h
+++ b/include/dandeliondock/rollout/outcome_window.h
@@ -51,8 +51,8 @@
     /// \brief Takes an attempt of a rollout; false when it is no evidence.
     bool record(TicketNumber rollout, const AttemptReport &report, MonotonicTime now);
 
-    /// \brief Adds a report that this node stopped its own share because of a route; repeated while the stop lasts, so that
-    /// a new driver learns of it.
+    /// \brief Adds a report that this node stopped its own share because of a route; repeated while the stop lasts, so
+    /// that a new driver learns of it.
     void recordStop(TicketNumber rollout, const RouteName &route);
 
     /// \brief Adds a child's batch unless its sequence number was taken before; true when it was added.
@@ -64,7 +64,8 @@
     /// \brief Forgets the batch that the parent has taken.
     void acknowledge(SequenceNumber sequence);
 
-    /// \brief Drops the unacknowledged batch: the former parent may have taken it, so a new one must not count it again.
+    /// \brief Drops the unacknowledged batch: the former parent may have taken it, so a new one must not count it
+    /// again.
     void parentChanged();
 
     /// \brief Takes everything held as sums, for the driver in place of sending it up.
--- a/include/dandeliondock/rollout/rollout_driver.h
+++ b/include/dandeliondock/rollout/rollout_driver.h
@@ -32,8 +32,8 @@
 /// \brief A new SequentialTest behind hooks; the hooks share its ownership.
 [[nodiscard]] EvidenceRule sequentialRule();
 
-/// \brief Time after which a node's stop counts against the version although the sums do not lean against it. Nodes that
-/// stopped send no more outcomes of the new version, so the sums alone may never decide.
+/// \brief Time after which a node's stop counts against the version although the sums do not lean against it. Nodes
+/// that stopped send no more outcomes of the new version, so the sums alone may never decide.
 inline constexpr Seconds stopPatience{30};
 
 /// \brief A rollout's row in the store.
--- a/include/dandeliondock/rollout/sequential_test.h
+++ b/include/dandeliondock/rollout/sequential_test.h
@@ -36,8 +36,8 @@
 public:
     /// \brief Adds \c hits of \c trials against \c base, judged for an excess of \c excess.
     ///
-    /// \remark Evidence against the version counts only as far as \c matched answers of the old one stand beside it, and
-    /// one round adds at most half of what a rejection needs: the start of a shared fault may fall between the few
+    /// \remark Evidence against the version counts only as far as \c matched answers of the old one stand beside it,
+    /// and one round adds at most half of what a rejection needs: the start of a shared fault may fall between the few
     /// answers of the old version.
     /// \pre 0 < \c base < 1 and \c hits <= \c trials.
     void add(std::uint64_t hits, std::uint64_t trials, std::uint64_t matched, double base, double excess);
--- /dev/null
+++ b/src/node/rollout_duty.cpp
@@ -0,0 +1,379 @@
+#include <dandeliondock/node/rollout_duty.h>
+
+#include <dandeliondock/core/bounded_ring.h>
+#include <dandeliondock/rollout/local_guard.h>
+#include <dandeliondock/rollout/rollout_table.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <atomic>
+#include <map>
+#include <thread>
+#include <utility>
+#include <variant>
+
+namespace dandeliondock {
+
+namespace {
+
+constexpr std::size_t controlCapacity = 1'024;
+
+struct ChildBatch
+{
+    ChildId child;
+    OutcomeBatch batch;
+};
+
+struct ParentChange
+{
+};
+
+using ControlEvent = std::variant<RolloutRecord, ChildBatch, SequenceNumber, ParentChange>;
+using SplitMap = std::map<ServiceName, VersionSplit>;
+
+template <typename... Handlers>
+struct Overloaded : Handlers...
+{
+    using Handlers::operator()...;
+};
+
+template <typename... Handlers>
+Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+const char *stepName(DriverStep step)
+{
+    switch (step) {
+    case DriverStep::Hold:
+        return "hold";
+    case DriverStep::Advance:
+        return "advance";
+    case DriverStep::Complete:
+        return "complete";
+    case DriverStep::RollBack:
+        return "roll_back";
+    }
+    return "unknown";
+}
+
+} // namespace
+
+struct RolloutDuty::Impl
+{
+    Impl(RolloutHooks givenHooks, Metrics &givenMetrics, std::size_t reportCapacity, Milliseconds givenInterval)
+        : hooks(std::move(givenHooks)), metrics(givenMetrics), interval(givenInterval),
+          reports(reportCapacity, WhenFull::DropOldest), control(controlCapacity, WhenFull::Reject),
+          splits(std::make_shared<const SplitMap>())
+    {
+    }
+
+    RolloutHooks hooks;
+    Metrics &metrics;
+    Milliseconds interval;
+    BoundedRing<AttemptReport> reports;
+    BoundedRing<ControlEvent> control;
+    std::atomic<std::shared_ptr<const SplitMap>> splits;
+    std::thread thread;
+
+    // Of the thread only.
+    ConfigSnapshot config;
+    RolloutTable table;
+    OutcomeWindow window;
+    LocalGuard guard;
+    std::map<TicketNumber, RouteName> stoppedRoutes;
+    std::map<TicketNumber, RolloutDriver> drivers;
+    std::map<TicketNumber, std::string> notices;
+    ChangeNumber published;
+    std::uint64_t countedDrops = 0;
+
+    void run()
+    {
+        MonotonicTime nextTick = hooks.time.monotonic();
+        while (!reports.closed()) {
+            const MonotonicTime now = hooks.time.monotonic();
+            if (now >= nextTick) {
+                tick(now);
+                nextTick = now + interval;
+            }
+            const std::optional<AttemptReport> report = reports.popFor(nextTick - std::min(now, nextTick));
+            if (report)
+                takeReport(*report);
+        }
+    }
+
+    void tick(MonotonicTime now)
+    {
+        adoptConfig();
+        drainControl();
+        repeatStops();
+        passEvidence(now);
+        publishChanges();
+        publishSplits();
+        countDrops();
+    }
+
+    void adoptConfig()
+    {
+        ConfigSnapshot current = hooks.config();
+        if (current == config)
+            return;
+        config = std::move(current);
+        table.configure(*config);
+        const auto isRunning = [this](TicketNumber ticket) { return definitionOf(ticket) != nullptr; };
+        window.keepOnly(isRunning);
+        std::erase_if(stoppedRoutes, [&](const auto &entry) {
+            if (!isRunning(entry.first))
+                guard.forget(entry.first);
+            return !isRunning(entry.first);
+        });
+        std::erase_if(drivers, [&](const auto &entry) { return !isRunning(entry.first); });
+        std::erase_if(notices, [&](const auto &entry) { return !isRunning(entry.first); });
+    }
+
+    [[nodiscard]] const RolloutDefinition *definitionOf(TicketNumber ticket) const
+    {
+        for (const auto &[service, definition] : table.definitions()) {
+            if (definition.ticket == ticket)
+                return &definition;
+        }
+        return nullptr;
+    }
+
+    void drainControl()
+    {
+        while (const std::optional<ControlEvent> event = control.popFor(Microseconds{0})) {
+            std::visit(Overloaded{[this](const RolloutRecord &record) { table.merge(record); },
+                                  [this](const ChildBatch &batch) { window.takeChild(batch.child, batch.batch); },
+                                  [this](SequenceNumber sequence) { window.acknowledge(sequence); },
+                                  [this](ParentChange) { window.parentChanged(); }},
+                       *event);
+        }
+    }
+
+    void takeReport(const AttemptReport &report)
+    {
+        const auto found = table.definitions().find(report.service);
+        if (found == table.definitions().end())
+            return;
+        const RolloutDefinition &rollout = found->second;
+        if (report.version != (report.newVersion ? rollout.newVersion : rollout.oldVersion))
+            return;
+        const MonotonicTime now = hooks.time.monotonic();
+        const bool isEvidence = window.record(rollout.ticket, report, now);
+        metrics.counter("dandeliondock_rollout_outcomes_total", isEvidence ? "evidence" : "no_evidence").add();
+        if (!isEvidence)
+            return;
+        const bool failed = evidenceOf(report.outcome) == Evidence::Failure;
+        if (const auto wish = guard.record(rollout.ticket, report.route, report.newVersion, failed, now))
+            stopOwnShare(rollout, *wish);
+    }
+
+    void stopOwnShare(const RolloutDefinition &rollout, const RollbackWish &wish)
+    {
+        const std::optional<RolloutRecord> held = table.record(rollout.service, rollout.ticket);
+        if (!held || held->state != RolloutState::Running)
+            return;
+        table.stopLocally(rollout.ticket);
+        stoppedRoutes.emplace(rollout.ticket, wish.route);
+        publishSplits();
+        metrics.counter("dandeliondock_rollout_guard_stops_total").add();
+        LogEvent(LogLevel::Warn, "rollout.share_stopped")
+                .field("ticket", rollout.ticket)
+                .field("service", rollout.service)
+                .field("reason", wish.reason)
+                .write(hooks.log);
+    }
+
+    void repeatStops()
+    {
+        for (const auto &[ticket, route] : stoppedRoutes)
+            window.recordStop(ticket, route);
+    }
+
+    void passEvidence(MonotonicTime now)
+    {
+        const std::optional<Fence> lease = hooks.lease();
+        bool drives = false;
+        for (const auto &[service, definition] : table.definitions())
+            drives = prepareDriver(definition, lease) || drives;
+        if (!drives && !lease) {
+            if (const std::optional<OutcomeBatch> batch = window.batch())
+                hooks.sendBatch(*batch);
+            return;
+        }
+        for (const RouteOutcomes &outcomes : window.takeSums()) {
+            const auto driver = drivers.find(outcomes.rollout);
+            if (driver != drivers.end())
+                driver->second.take(outcomes);
+        }
+        for (auto &[ticket, driver] : drivers)
+            drive(driver, lease, now);
+    }
+
+    // A driver outlives its lease while the store is away: it can then still roll back through the records.
+    bool prepareDriver(const RolloutDefinition &definition, std::optional<Fence> lease)
+    {
+        if (lease) {
+            drivers.try_emplace(definition.ticket, definition);
+            return true;
+        }
+        if (drivers.contains(definition.ticket) && !hooks.row(definition.ticket).storeAvailable)
+            return true;
+        drivers.erase(definition.ticket);
+        return false;
+    }
+
+    void drive(RolloutDriver &driver, std::optional<Fence> lease, MonotonicTime now)
+    {
+        const RolloutDefinition &definition = driver.definition();
+        DriverInput input;
+        input.now = now;
+        input.wall = hooks.time.wall();
+        input.lease = lease;
+        input.view = hooks.row(definition.ticket);
+        input.merged = table.record(definition.service, definition.ticket);
+        input.newTargets = hooks.targets(definition.service, definition.newVersion);
+        if (input.view.row)
+            table.merge(input.view.row->record);
+        const DriverDecision decision = driver.decide(input);
+        if (decision.publishFirst)
+            table.merge(decision.record);
+        if (decision.write)
+            hooks.write(*decision.write, input.view.row);
+        note(definition, decision);
+    }
+
+    void note(const RolloutDefinition &definition, const DriverDecision &decision)
+    {
+        const std::string text =
+                absl::StrCat(stepName(decision.step), " ", decision.record.stage.value(), " ", decision.notice);
+        std::string &last = notices[definition.ticket];
+        if (text == last)
+            return;
+        last = text;
+        metrics.counter("dandeliondock_rollout_steps_total", stepName(decision.step)).add();
+        const bool isBad = decision.step == DriverStep::RollBack;
+        LogEvent(isBad ? LogLevel::Warn : LogLevel::Info, absl::StrCat("rollout.", stepName(decision.step)))
+                .field("ticket", definition.ticket)
+                .field("service", definition.service)
+                .field("stage", decision.record.stage)
+                .field("notice", decision.notice)
+                .write(hooks.log);
+    }
+
+    void publishChanges()
+    {
+        const std::vector<RolloutRecord> changes = table.changesSince(published);
+        published = table.lastChange();
+        if (!changes.empty())
+            hooks.publish(changes);
+    }
+
+    void publishSplits()
+    {
+        auto next = std::make_shared<SplitMap>();
+        for (const auto &[name, definition] : table.definitions()) {
+            const Service *service = config->service(name);
+            if (service == nullptr)
+                continue;
+            if (const auto split = table.split(*service, hooks.targets(name, definition.newVersion)))
+                next->emplace(name, *split);
+        }
+        splits.store(std::move(next));
+    }
+
+    void countDrops()
+    {
+        const std::uint64_t drops = reports.dropped() + window.dropped();
+        metrics.counter("dandeliondock_rollout_dropped_total").add(drops - countedDrops);
+        countedDrops = drops;
+    }
+
+    [[nodiscard]] bool post(ControlEvent event) { return control.push(std::move(event)) == PushResult::Pushed; }
+};
+
+RolloutDuty::RolloutDuty(std::unique_ptr<Impl> impl) : m_impl(std::move(impl)) {}
+
+RolloutDuty::~RolloutDuty()
+{
+    stop();
+}
+
+void RolloutDuty::report(AttemptReport report)
+{
+    m_impl->reports.push(std::move(report));
+}
+
+bool RolloutDuty::merge(RolloutRecord record)
+{
+    return m_impl->post(std::move(record));
+}
+
+bool RolloutDuty::takeChild(ChildId child, OutcomeBatch batch)
+{
+    return m_impl->post(ChildBatch{std::move(child), std::move(batch)});
+}
+
+bool RolloutDuty::acknowledge(SequenceNumber sequence)
+{
+    return m_impl->post(sequence);
+}
+
+bool RolloutDuty::parentChanged()
+{
+    return m_impl->post(ParentChange{});
+}
+
+std::optional<VersionSplit> RolloutDuty::split(const Service &service) const
+{
+    if (!service.previousVersion)
+        return std::nullopt;
+    const std::shared_ptr<const SplitMap> splits = m_impl->splits.load();
+    const auto found = splits->find(service.name);
+    if (found != splits->end() && found->second.newVersion == service.version)
+        return found->second;
+    return VersionSplit{TicketNumber{}, *service.previousVersion, service.version, noShare, noShare};
+}
+
+void RolloutDuty::stop()
+{
+    m_impl->reports.close();
+    m_impl->control.close();
+    if (m_impl->thread.joinable())
+        m_impl->thread.join();
+}
+
+RolloutDutyBuilder &RolloutDutyBuilder::hooks(RolloutHooks hooks)
+{
+    m_hooks = std::move(hooks);
+    return *this;
+}
+
+RolloutDutyBuilder &RolloutDutyBuilder::metrics(Metrics &metrics)
+{
+    m_metrics = &metrics;
+    return *this;
+}
+
+RolloutDutyBuilder &RolloutDutyBuilder::reportCapacity(std::size_t capacity)
+{
+    m_reportCapacity = capacity;
+    return *this;
+}
+
+RolloutDutyBuilder &RolloutDutyBuilder::interval(Milliseconds interval)
+{
+    m_interval = interval;
+    return *this;
+}
+
+std::unique_ptr<RolloutDuty> RolloutDutyBuilder::start()
+{
+    auto impl = std::make_unique<RolloutDuty::Impl>(std::move(m_hooks), *m_metrics, m_reportCapacity, m_interval);
+    RolloutDuty::Impl *self = impl.get();
+    std::unique_ptr<RolloutDuty> duty(new RolloutDuty(std::move(impl)));
+    self->thread = std::thread([self] { self->run(); });
+    return duty;
+}
+
+} // namespace dandeliondock
--- a/src/rollout/local_guard.cpp
+++ b/src/rollout/local_guard.cpp
@@ -34,8 +34,7 @@
 {
     const bool newFails =
             window.newSide.failures >= guardFailures && window.newSide.failures * 2 >= window.newSide.answers;
-    const bool oldHolds =
-            window.oldSide.answers >= guardOldAnswers && window.oldSide.failures == 0;
+    const bool oldHolds = window.oldSide.answers >= guardOldAnswers && window.oldSide.failures == 0;
     return newFails && oldHolds;
 }
 
--- a/src/rollout/rollout_table.cpp
+++ b/src/rollout/rollout_table.cpp
@@ -19,8 +19,8 @@
     for (const auto &[key, stamped] : state.resources()) {
         const Service *service = serviceIn(stamped);
         if (service != nullptr && service->previousVersion && service->rollout)
-            rollouts.push_back({stamped.ticket, service->name, *service->previousVersion, service->version,
-                                *service->rollout});
+            rollouts.push_back(
+                    {stamped.ticket, service->name, *service->previousVersion, service->version, *service->rollout});
     }
     return rollouts;
 }
--- a/src/rollout/sequential_test.cpp
+++ b/src/rollout/sequential_test.cpp
@@ -130,8 +130,7 @@
     for (const auto &[route, test] : m_routes) {
         if (test.failures.verdict() == Verdict::Bad || test.slowness.verdict() == Verdict::Bad)
             return Verdict::Bad;
-        const bool isGood =
-                test.failures.verdict() == Verdict::Good && test.slowness.verdict() == Verdict::Good;
+        const bool isGood = test.failures.verdict() == Verdict::Good && test.slowness.verdict() == Verdict::Good;
         const bool isUsed = test.newTotal.requests + test.round.newVersion.requests > 0;
         allGood = allGood && (isGood || !isUsed);
     }
@@ -191,7 +190,8 @@
     const Proportion round{answersAbove(test.round.oldVersion, bucket), answersIn(test.round.oldVersion)};
     const OutcomeSummary &fresh = test.round.newVersion;
     if (const std::optional<double> base = baseRate(total, round, slowFloor))
-        test.slowness.add(answersAbove(fresh, bucket), answersIn(fresh), matchedAnswers(test.round), *base, detectableSlowExcess);
+        test.slowness.add(answersAbove(fresh, bucket), answersIn(fresh), matchedAnswers(test.round), *base,
+                          detectableSlowExcess);
 }
 
 } // namespace dandeliondock
--- a/src/rollout/stage_plan.cpp
+++ b/src/rollout/stage_plan.cpp
@@ -10,8 +10,8 @@
 constexpr std::uint32_t nearWhole = 9'000; // a stage above it would hardly differ from the last one
 constexpr std::uint32_t riseToOneTarget = 5;
 constexpr Milliseconds completionReserve{2'000}; // for the conditional write of the completion
-constexpr int latestPercent = 90;   // the rest covers the change of the driver and the transit of evidence
-constexpr int earliestPercent = 45; // good evidence may halve the time of a stage
+constexpr int latestPercent = 90;                // the rest covers the change of the driver and the transit of evidence
+constexpr int earliestPercent = 45;              // good evidence may halve the time of a stage
 
 std::uint32_t oneTargetShare(std::uint32_t newTargets)
 {
@@ -35,6 +35,7 @@
 std::vector<std::uint32_t> explicitShares(const std::vector<Share> &given)
 {
     std::vector<std::uint32_t> shares;
+    shares.reserve(given.size() + 1);
     for (const Share share : given)
         shares.push_back(std::min(share.value(), whole));
     if (shares.back() < whole)
--- /dev/null
+++ b/tests/node/rollout_duty_test.cpp
@@ -0,0 +1,194 @@
+#include <dandeliondock/node/rollout_duty.h>
+#include <dandeliondock/rollout/local_guard.h>
+
+#include <catch2/catch.hpp>
+
+#include <condition_variable>
+#include <mutex>
+
+namespace dandeliondock {
+namespace {
+
+constexpr TicketNumber ticket{7};
+const ServiceName ledgerName("ledger");
+
+Service ledger()
+{
+    Service service;
+    service.name = ledgerName;
+    service.version = VersionName("v2");
+    service.previousVersion = VersionName("v1");
+    service.rollout = RolloutPlan{systemTime().wall() + Seconds{600}, {Share(5'000), fullShare}, Milliseconds{30'000}};
+    return service;
+}
+
+ConfigSnapshot ledgerState()
+{
+    Ticket filed;
+    filed.number = ticket;
+    filed.author = AuthorName("ada");
+    filed.resources = {ledger(), Version{ledgerName, VersionName("v1")}, Version{ledgerName, VersionName("v2")}};
+    return std::make_shared<const ConfigState>(ConfigState().apply({RevisionNumber(1), filed, WallTime{}}).value());
+}
+
+/// \brief The node around the duty: a store row, a lease and what the duty sent.
+class FakeNode
+{
+public:
+    explicit FakeNode(bool drives) : m_drives(drives) {}
+
+    RolloutHooks hooks()
+    {
+        RolloutHooks hooks;
+        hooks.config = [state = ledgerState()] { return state; };
+        hooks.targets = [](const ServiceName &, const VersionName &) { return 6U; };
+        hooks.lease = [this] { return lease(); };
+        hooks.row = [this](TicketNumber) { return view(); };
+        hooks.write = [this](const RolloutRow &next, const std::optional<RolloutRow> &expected) {
+            write(next, expected);
+        };
+        hooks.sendBatch = [this](const OutcomeBatch &sent) { change([&] { batch = sent; }); };
+        hooks.publish = [this](const std::vector<RolloutRecord> &records) {
+            change([&] { published = records.back(); });
+        };
+        hooks.time = systemTime();
+        return hooks;
+    }
+
+    void setStoreAway()
+    {
+        change([this] { m_storeAway = true; });
+    }
+
+    template <typename Condition>
+    bool waitFor(Condition condition)
+    {
+        std::unique_lock lock(m_mutex);
+        return m_changed.wait_for(lock, Seconds{10}, condition);
+    }
+
+    std::optional<RolloutRow> row;
+    std::optional<OutcomeBatch> batch;
+    std::optional<RolloutRecord> published;
+
+private:
+    template <typename Change>
+    void change(Change apply)
+    {
+        {
+            const std::scoped_lock lock(m_mutex);
+            apply();
+        }
+        m_changed.notify_all();
+    }
+
+    std::optional<Fence> lease()
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_drives && !m_storeAway ? std::optional(Fence(1)) : std::nullopt;
+    }
+
+    RowView view()
+    {
+        const std::scoped_lock lock(m_mutex);
+        return m_storeAway ? RowView{} : RowView{true, row};
+    }
+
+    void write(const RolloutRow &next, const std::optional<RolloutRow> &expected)
+    {
+        change([&] {
+            if (row == expected)
+                row = next;
+        });
+    }
+
+    bool m_drives;
+    bool m_storeAway = false;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+};
+
+std::unique_ptr<RolloutDuty> startDuty(FakeNode &node, Metrics &metrics)
+{
+    return RolloutDutyBuilder().hooks(node.hooks()).metrics(metrics).interval(Milliseconds{20}).start();
+}
+
+RolloutRecord runningRecord()
+{
+    return {ticket, ledgerName, StageIndex(0), RolloutState::Running, {}};
+}
+
+void reportAnswers(RolloutDuty &duty, bool newVersion, int status, int count)
+{
+    AttemptReport report;
+    report.route = RouteName("orders");
+    report.service = ledgerName;
+    report.target = TargetId(newVersion ? "new" : "old");
+    report.version = VersionName(newVersion ? "v2" : "v1");
+    report.newVersion = newVersion;
+    report.outcome.status = status;
+    for (int index = 0; index < count; ++index)
+        duty.report(report);
+}
+
+/// \brief Ends both targets' cold start, then lets the new version fail beside the old one.
+void reportFailure(RolloutDuty &duty)
+{
+    reportAnswers(duty, false, 200, static_cast<int>(coldStartAnswers));
+    reportAnswers(duty, true, 200, static_cast<int>(coldStartAnswers));
+    reportAnswers(duty, true, 500, static_cast<int>(guardFailures));
+    reportAnswers(duty, false, 200, 5 * static_cast<int>(guardOldAnswers));
+}
+
+} // namespace
+
+// Guards against a node that gives the new version a share before or without the driver's first stage.
+TEST_CASE("the old version carries everything until a record arrives", "[node]")
+{
+    FakeNode node(false);
+    Metrics metrics;
+    const auto duty = startDuty(node, metrics);
+    REQUIRE(duty->split(ledger()).has_value());
+    CHECK(duty->split(ledger())->newShare == noShare);
+    REQUIRE(duty->merge(runningRecord()));
+    REQUIRE(node.waitFor([&] { return node.published.has_value(); }));
+    duty->stop();
+    CHECK(duty->split(ledger())->newShare == Share(5'000));
+}
+
+// Guards against a plain failure that keeps its share at the node, or does not reach the parent.
+TEST_CASE("a plain failure ends the node's own share and is reported to the parent", "[node]")
+{
+    FakeNode node(false);
+    Metrics metrics;
+    const auto duty = startDuty(node, metrics);
+    REQUIRE(duty->merge(runningRecord()));
+    REQUIRE(node.waitFor([&] { return node.published.has_value(); }));
+    reportFailure(*duty);
+    const auto hasStop = [&] {
+        if (!node.batch)
+            return false;
+        static_cast<void>(duty->acknowledge(node.batch->sequence));
+        return node.batch->routes.front().guardStops > 0;
+    };
+    CHECK(node.waitFor(hasStop));
+    CHECK(duty->split(ledger())->newShare == noShare);
+    CHECK(metrics.counter("dandeliondock_rollout_guard_stops_total").value() == 1);
+}
+
+// Guards against a bad version that keeps its share because the store cannot be reached.
+TEST_CASE("a driver without the store rolls back through the records", "[node]")
+{
+    FakeNode node(true);
+    Metrics metrics;
+    const auto duty = startDuty(node, metrics);
+    REQUIRE(node.waitFor([&] { return node.row.has_value() && node.published.has_value(); }));
+    node.setStoreAway();
+    reportFailure(*duty);
+    CHECK(node.waitFor([&] { return node.published->state == RolloutState::RolledBack; }));
+    duty->stop();
+    CHECK(duty->split(ledger())->newShare == noShare);
+    CHECK(node.row->record.state == RolloutState::Running);
+}
+
+} // namespace dandeliondock
--- a/tests/rollout/rollout_driver_test.cpp
+++ b/tests/rollout/rollout_driver_test.cpp
@@ -11,7 +11,10 @@
 
 RolloutDefinition definitionUntil(int deadline)
 {
-    return {ticket, ledger, VersionName("v1"), VersionName("v2"),
+    return {ticket,
+            ledger,
+            VersionName("v1"),
+            VersionName("v2"),
             {WallTime(Seconds(deadline)), {}, Milliseconds{30'000}}};
 }
 
--- a/tests/rollout/rollout_model_test.cpp
+++ b/tests/rollout/rollout_model_test.cpp
@@ -39,9 +39,9 @@
 TEST_CASE("a bad version is rolled back within the stated share and requests", "[rollout]")
 {
     rc::prop("in each of the five ways", [] {
-        const auto kind = *rc::gen::element(VersionKind::FailsAtOnce, VersionKind::FailsLater,
-                                            VersionKind::FailsUnderLoad, VersionKind::FailsOnOneRoute,
-                                            VersionKind::Slow);
+        const auto kind =
+                *rc::gen::element(VersionKind::FailsAtOnce, VersionKind::FailsLater, VersionKind::FailsUnderLoad,
+                                  VersionKind::FailsOnOneRoute, VersionKind::Slow);
         const ModelResult result = runModel(anySettings(kind));
         RC_ASSERT(result.state == RolloutState::RolledBack);
         RC_ASSERT(result.faultRequests <= faultRequestLimit);
@@ -66,9 +66,8 @@
 // Guards against a version that is taken back for a fault of what both versions depend on.
 TEST_CASE("a fault shared by both versions blames nobody", "[rollout]")
 {
-    rc::prop("a service that fails as a whole for a while", [] {
-        RC_ASSERT(runModel(anySettings(VersionKind::SharedFault)).state == RolloutState::Completed);
-    });
+    rc::prop("a service that fails as a whole for a while",
+             [] { RC_ASSERT(runModel(anySettings(VersionKind::SharedFault)).state == RolloutState::Completed); });
 }
 
 // Guards against an outage or a pause that lowers a stage, revives a rolled-back version or completes a bad one.
@@ -83,8 +82,7 @@
         const ModelResult result = runModel(settings);
         RC_ASSERT_FALSE(result.stageFell);
         RC_ASSERT_FALSE(result.shareAfterRollback);
-        const auto wanted =
-                settings.kind == VersionKind::Good ? RolloutState::Completed : RolloutState::RolledBack;
+        const auto wanted = settings.kind == VersionKind::Good ? RolloutState::Completed : RolloutState::RolledBack;
         RC_ASSERT(result.state == wanted);
     });
 }
--- a/tests/rollout/stage_plan_test.cpp
+++ b/tests/rollout/stage_plan_test.cpp
@@ -22,10 +22,9 @@
         const auto targets = *rc::gen::inRange(1U, 100U);
         const StagePlan plan(planUntil(Seconds{600}), targets);
         const auto &stages = plan.stages();
-        const bool hasOneTargetStage =
-                std::any_of(stages.begin(), stages.end(), [targets](const Stage &stage) {
-                    return stage.newTargets.value() == fullShare.value() / targets;
-                });
+        const bool hasOneTargetStage = std::any_of(stages.begin(), stages.end(), [targets](const Stage &stage) {
+            return stage.newTargets.value() == fullShare.value() / targets;
+        });
         RC_ASSERT(hasOneTargetStage);
         RC_ASSERT(stages.front().share == canaryShare);
         for (std::size_t index = 1; index < stages.size(); ++index)
--- a/tests/standins/rollout_model.cpp
+++ b/tests/standins/rollout_model.cpp
@@ -8,11 +8,11 @@
 namespace {
 
 constexpr std::uint64_t million = 1'000'000;
-constexpr std::uint64_t ordinaryFailures = 2'000;   // in a million
-constexpr std::uint64_t faultyFailures = 500'000;   // in a million
-constexpr std::uint64_t sharedFailures = 600'000;   // in a million
-constexpr int laterOnset = 120;                     // seconds
-constexpr ModelSpan sharedFault{60, 90};            // seconds
+constexpr std::uint64_t ordinaryFailures = 2'000; // in a million
+constexpr std::uint64_t faultyFailures = 500'000; // in a million
+constexpr std::uint64_t sharedFailures = 600'000; // in a million
+constexpr int laterOnset = 120;                   // seconds
+constexpr ModelSpan sharedFault{60, 90};          // seconds
 constexpr int slowFactor = 4;
 constexpr int secondsAfterDeadline = 60;
 constexpr int secondsAfterEnd = 5;
@@ -71,9 +71,7 @@
 {
 public:
     explicit Model(const ModelSettings &settings)
-        : m_settings(settings),
-          m_random(seededRandom(settings.seed)),
-          m_service(serviceUnderTest(settings)),
+        : m_settings(settings), m_random(seededRandom(settings.seed)), m_service(serviceUnderTest(settings)),
           m_driver(rolloutsOf(stateUnderTest(m_service)).front(), settings.makeRule()),
           m_nodes(static_cast<std::size_t>(settings.nodes))
     {
