--- a/include/dandeliondock/dandeliondock.h
+++ b/include/dandeliondock/dandeliondock.h
@@ -19,6 +19,15 @@
 #include <dandeliondock/http/message.h>
 #include <dandeliondock/http/server.h>
 #include <dandeliondock/node/node.h>
+#include <dandeliondock/node/rollout_duty.h>
+#include <dandeliondock/rollout/local_guard.h>
+#include <dandeliondock/rollout/outcome_window.h>
+#include <dandeliondock/rollout/outcomes.h>
+#include <dandeliondock/rollout/rollout_driver.h>
+#include <dandeliondock/rollout/rollout_record.h>
+#include <dandeliondock/rollout/rollout_table.h>
+#include <dandeliondock/rollout/sequential_test.h>
+#include <dandeliondock/rollout/stage_plan.h>
 #include <dandeliondock/settings/node_settings.h>
 #include <dandeliondock/store/http_store.h>
 #include <dandeliondock/store/store_hooks.h>
--- a/src/node/rollout_duty.cpp
+++ b/src/node/rollout_duty.cpp
@@ -186,8 +186,12 @@
 
     void repeatStops()
     {
-        for (const auto &[ticket, route] : stoppedRoutes)
-            window.recordStop(ticket, route);
+        for (const auto &[ticket, route] : stoppedRoutes) {
+            const RolloutDefinition &definition = *definitionOf(ticket);
+            const std::optional<RolloutRecord> held = table.record(definition.service, ticket);
+            if (held && held->state == RolloutState::Running)
+                window.recordStop(ticket, route);
+        }
     }
 
     void passEvidence(MonotonicTime now)
