Hold the row's order with two drivers as a property

Cause: rivals were tested one at a time; crossed reads and writes of two drivers were not. Ruled out: a fixed scenario; the order of reads, pauses and writes is what varies. Change: a stateful property with two drivers on one conditional row. Conclusion: stages, states and fences of the row never fall.

--- a/tests/rollout/rollout_driver_test.cpp
+++ b/tests/rollout/rollout_driver_test.cpp
@@ -3,6 +3,10 @@
 #include <catch2/catch.hpp>
 #include <rapidcheck/catch.h>
 
+#include <array>
+#include <tuple>
+#include <vector>
+
 namespace dandeliondock {
 namespace {
 
@@ -52,6 +56,37 @@
 
 } // namespace
 
+// Guards against two drivers whose reads and writes cross, with pauses, late reads and a row that is away.
+TEST_CASE("two drivers never lower a stage or overwrite a rollback", "[rollout]")
+{
+    rc::prop("whatever the order of their steps", [] {
+        std::array<RolloutDriver, 2> drivers{RolloutDriver(definitionUntil(100)), RolloutDriver(definitionUntil(100))};
+        std::array<std::optional<RolloutRow>, 2> read;
+        std::optional<RolloutRow> row;
+        int second = 0;
+        const auto events = *rc::gen::container<std::vector<std::tuple<int, int, int>>>(
+                rc::gen::tuple(rc::gen::inRange(0, 2), rc::gen::inRange(0, 8), rc::gen::inRange(0, 4)));
+        for (const auto &[who, event, pause] : events) {
+            second += pause;
+            const auto index = static_cast<std::size_t>(who);
+            if (event == 0)
+                blame(drivers[index]);
+            if (event <= 3)
+                read[index] = row;
+            DriverInput input = inputAt(second, read[index]);
+            input.lease = Fence(index + 1);
+            input.view.storeAvailable = event != 4;
+            const DriverDecision decision = drivers[index].decide(input);
+            if (!decision.write || read[index] != row)
+                continue;
+            RC_ASSERT(!row || decision.write->fence >= row->fence);
+            RC_ASSERT(!row || decision.write->record.stage >= row->record.stage);
+            RC_ASSERT(!row || decision.write->record.state >= row->record.state);
+            row = decision.write;
+        }
+    });
+}
+
 // Guards against a driver that was replaced and still changes the rollout.
 TEST_CASE("a driver with a rival changes nothing", "[rollout]")
 {
