Add the attempt decisions

Cause: the request path tried one target and had no record of what an attempt may have caused. Ruled out: retrying any 5xx of an idempotent request; the answer is the target's and is passed on.

--- /dev/null
+++ b/include/dandeliondock/attempts/retry_budget.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <dandeliondock/core/units.h>
+
+#include <array>
+#include <cstdint>
+#include <mutex>
+
+namespace dandeliondock {
+
+/// \brief How many extra attempts a node may make.
+struct RetryBudgetLimits
+{
+    Share ofRequests{1'000};  ///< of the requests in the window
+    std::uint32_t floor = 10; ///< extra attempts a window that are always allowed, for nodes with few requests
+};
+
+/// \brief Bounds retries and hedges together to a share of the requests of the last 10 s.
+///
+/// \remark Every method is thread-safe.
+class RetryBudget
+{
+public:
+    explicit RetryBudget(RetryBudgetLimits limits = {}) : m_limits(limits) {}
+
+    /// \brief Counts a caller's request.
+    void recordRequest(MonotonicTime now);
+
+    /// \brief Takes one extra attempt; false when the budget is spent.
+    [[nodiscard]] bool tryTake(MonotonicTime now);
+
+private:
+    static constexpr std::size_t windowSeconds = 10;
+
+    struct Slot
+    {
+        std::int64_t second = -1;
+        std::uint64_t requests = 0;
+        std::uint64_t taken = 0;
+    };
+
+    Slot &slotAt(std::int64_t second);
+
+    const RetryBudgetLimits m_limits;
+    std::mutex m_mutex;
+    std::array<Slot, windowSeconds> m_slots;
+};
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/attempts/deadline.cpp
@@ -0,0 +1,28 @@
+#include <dandeliondock/attempts/deadline.h>
+
+#include <absl/strings/numbers.h>
+
+#include <algorithm>
+#include <cstdint>
+
+namespace dandeliondock {
+
+Deadline Deadline::of(std::optional<absl::string_view> header, Milliseconds routeTimeout, MonotonicTime now)
+{
+    std::uint32_t fromCaller = 0;
+    if (!header || !absl::SimpleAtoi(*header, &fromCaller))
+        return Deadline(now + routeTimeout);
+    return Deadline(now + std::min(routeTimeout, Milliseconds(fromCaller)));
+}
+
+Microseconds Deadline::left(MonotonicTime now) const
+{
+    return std::max(Microseconds(0), m_at - now);
+}
+
+Milliseconds Deadline::headerValue(MonotonicTime now) const
+{
+    return std::chrono::floor<Milliseconds>(left(now));
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/attempts/retry_budget.cpp
@@ -0,0 +1,46 @@
+#include <dandeliondock/attempts/retry_budget.h>
+
+namespace dandeliondock {
+
+namespace {
+
+std::int64_t secondOf(MonotonicTime now)
+{
+    return std::chrono::floor<Seconds>(now.time_since_epoch()).count();
+}
+
+} // namespace
+
+RetryBudget::Slot &RetryBudget::slotAt(std::int64_t second)
+{
+    Slot &slot = m_slots[static_cast<std::size_t>(second) % windowSeconds];
+    if (slot.second != second)
+        slot = {second, 0, 0};
+    return slot;
+}
+
+void RetryBudget::recordRequest(MonotonicTime now)
+{
+    const std::scoped_lock lock(m_mutex);
+    ++slotAt(secondOf(now)).requests;
+}
+
+bool RetryBudget::tryTake(MonotonicTime now)
+{
+    const std::scoped_lock lock(m_mutex);
+    const std::int64_t second = secondOf(now);
+    std::uint64_t requests = 0;
+    std::uint64_t taken = 0;
+    for (const Slot &slot : m_slots) {
+        if (slot.second <= second - static_cast<std::int64_t>(windowSeconds))
+            continue;
+        requests += slot.requests;
+        taken += slot.taken;
+    }
+    if (taken >= m_limits.floor + requests * m_limits.ofRequests.value() / fullShare.value())
+        return false;
+    ++slotAt(second).taken;
+    return true;
+}
+
+} // namespace dandeliondock
