Extend the stand-in for targets with load, faults and run counts

Cause: tests of the request path need targets that shed, lag, fall silent, cut and close, and that count their runs. Change: TargetServer with behaviour from schema/standin.proto, set by flag or POST /standin/behaviour.

--- a/tests/standins/target_main.cpp
+++ b/tests/standins/target_main.cpp
@@ -1,4 +1,6 @@
-#include <dandeliondock/http/server.h>
+#include "target_server.h"
+
+#include <dandeliondock/codec/bytes.h>
 
 #include <gflags/gflags.h>
 
@@ -8,6 +10,8 @@
 DEFINE_string(address, "127.0.0.1", "IP number to listen on");
 DEFINE_uint32(port, 0, "port to listen on; 0 takes a free one");
 DEFINE_string(version_name, "v1", "version that the answers name");
+DEFINE_uint32(connections, 130, "connections that are accepted at once");
+DEFINE_string(behaviour, "{}", "behaviour as JSON of wire.TargetBehaviour; POST /standin/behaviour replaces it");
 
 int main(int argc, char **argv)
 {
@@ -19,19 +23,19 @@
     sigaddset(&signals, SIGINT);
     pthread_sigmask(SIG_BLOCK, &signals, nullptr);
     std::signal(SIGPIPE, SIG_IGN);
-    const auto server = HttpServerBuilder()
-                                .listen(FLAGS_address, FLAGS_port)
-                                .handler([](const HttpRequest &request) {
-                                    HttpResponse response;
-                                    response.headers.add("X-Version", FLAGS_version_name);
-                                    response.body = request.method + " " + request.target + " " + request.body;
-                                    return response;
-                                })
-                                .start();
+    wire::TargetBehaviour behaviour;
+    const absl::Status parsed = parseJson(FLAGS_behaviour, ErrorKind::InvalidSettings, "--behaviour", behaviour);
+    if (!parsed.ok()) {
+        std::cerr << "standin-target: " << parsed.message() << "\n";
+        return 2;
+    }
+    const auto server = standins::TargetServer::start({FLAGS_address, static_cast<std::uint16_t>(FLAGS_port),
+                                                       FLAGS_version_name, ConnectionCount(FLAGS_connections)});
     if (!server.ok()) {
         std::cerr << "standin-target: " << server.status().message() << "\n";
         return 1;
     }
+    (*server)->setBehaviour(behaviour);
     std::cout << "port=" << (*server)->port() << std::endl;
     int signal = 0;
     sigwait(&signals, &signal);
