--- a/include/dandeliondock/dandeliondock.h
+++ b/include/dandeliondock/dandeliondock.h
@@ -1,6 +1,12 @@
 #pragma once
 
 // Umbrella include of the public headers.
+#include <dandeliondock/attempts/attempt_ledger.h>
+#include <dandeliondock/attempts/connection_proof.h>
+#include <dandeliondock/attempts/deadline.h>
+#include <dandeliondock/attempts/hedging.h>
+#include <dandeliondock/attempts/request_plan.h>
+#include <dandeliondock/attempts/retry_budget.h>
 #include <dandeliondock/config/config_state.h>
 #include <dandeliondock/config/config_store.h>
 #include <dandeliondock/config/resources.h>
@@ -15,9 +21,11 @@
 #include <dandeliondock/core/time_source.h>
 #include <dandeliondock/core/units.h>
 #include <dandeliondock/forward_declarations.h>
+#include <dandeliondock/http/call.h>
 #include <dandeliondock/http/client.h>
 #include <dandeliondock/http/message.h>
 #include <dandeliondock/http/server.h>
+#include <dandeliondock/node/ingress.h>
 #include <dandeliondock/node/node.h>
 #include <dandeliondock/settings/node_settings.h>
 #include <dandeliondock/store/http_store.h>
--- /dev/null
+++ b/src/node/exchange.cpp
@@ -0,0 +1,348 @@
+#include "exchange.h"
+
+#include <dandeliondock/attempts/connection_proof.h>
+#include <dandeliondock/core/error.h>
+
+#include <absl/strings/match.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace dandeliondock::impl {
+
+namespace {
+
+constexpr absl::string_view outcomeHeader = "X-Dandeliondock-Outcome";
+constexpr absl::string_view loadHeader = "X-Load";
+// An answer up to this length is received whole before it is passed on, so that a cut one becomes an error.
+constexpr ByteCount answerBuffer{std::uint64_t{64} * 1024};
+constexpr Milliseconds connectTimeout{250};
+// A streamed body that brings nothing for this long is cut.
+constexpr Milliseconds stallLimit{10'000};
+// A hedge is sent without waiting for room in the socket's buffer, which holds a request of this length.
+constexpr std::size_t longestHedgedBody = std::size_t{16} * 1024;
+
+absl::string_view verdictName(RunState verdict)
+{
+    return verdict == RunState::MayHaveRun ? "may-have-run" : "not-run";
+}
+
+int refusalStatus(RunState verdict, ErrorKind kind)
+{
+    if (kind == ErrorKind::DeadlineExceeded)
+        return 504;
+    if (verdict == RunState::MayHaveRun)
+        return 502;
+    return kind == ErrorKind::NotFound ? 404 : 503;
+}
+
+std::optional<Share> loadOf(const HttpHeaders &headers)
+{
+    const std::optional<absl::string_view> text = headers.first(loadHeader);
+    std::uint32_t parts = 0;
+    if (!text || !absl::SimpleAtoi(*text, &parts))
+        return std::nullopt;
+    return Share(std::min(parts, fullShare.value()));
+}
+
+absl::string_view pathOf(absl::string_view target)
+{
+    return target.substr(0, target.find('?'));
+}
+
+bool isBodiless(const HttpRequest &request, int status)
+{
+    return request.method == "HEAD" || status == 204 || status == 304;
+}
+
+} // namespace
+
+Exchange::Exchange(std::shared_ptr<const IngressParts> parts, HttpRequest request, CallerConnection caller)
+    : m_parts(std::move(parts)), m_request(std::move(request)), m_caller(caller), m_start(now())
+{
+}
+
+Exchange::~Exchange()
+{
+    // A streamed answer that the caller did not wait for.
+    for (Attempt &attempt : m_attempts) {
+        if (!attempt.concluded)
+            report(attempt, AttemptResult::Cancelled);
+    }
+}
+
+HttpReply Exchange::run()
+{
+    m_parts->metrics->counter("ingress_requests_total").add();
+    const std::string host(m_request.headers.first("Host").value_or(""));
+    absl::StatusOr<RouteMatch> match = m_parts->routing.match(host, pathOf(m_request.target));
+    if (!match.ok())
+        return refuse(RunState::NotSent, match.status());
+    m_match = *std::move(match);
+    const std::optional<absl::string_view> header = m_request.headers.first(deadlineHeader);
+    m_callerSetDeadline = header.has_value();
+    m_deadline = Deadline::of(header, m_match.route->timeout, m_start);
+    removeHopByHop(m_request.headers);
+    return runMatched();
+}
+
+HttpReply Exchange::runMatched()
+{
+    const bool idempotent = m_match.route->idempotent;
+    std::optional<Microseconds> hedgeDelay;
+    if (idempotent && m_request.body.size() <= longestHedgedBody)
+        hedgeDelay = m_parts->hedging->delay(m_match.route->name);
+    m_plan.emplace(idempotent, *m_deadline, hedgeDelay, *m_parts->budget);
+    PlanAction action = m_plan->start(now());
+    while (action.step == PlanStep::Send || action.step == PlanStep::Wait)
+        action = action.step == PlanStep::Send ? send() : waitForAttempt();
+    if (action.step == PlanStep::Answer)
+        return answer(action.attempt);
+    return refuse(action.verdict, refusalReason());
+}
+
+PlanAction Exchange::send()
+{
+    SelectionRequest selection{m_match, {}, std::nullopt, m_deadline->at()};
+    for (const Attempt &attempt : m_attempts) {
+        selection.tried.push_back(attempt.session->endpoint().target);
+        selection.newVersion = attempt.session->isNewVersion();
+    }
+    absl::StatusOr<std::shared_ptr<TargetSession>> session = m_parts->routing.select(selection);
+    if (!session.ok()) {
+        m_lastFailure = session.status();
+        return m_plan->noTarget();
+    }
+    if (!m_attempts.empty())
+        countExtraAttempt();
+    const Endpoint &endpoint = (*session)->endpoint();
+    SendOptions options;
+    options.connectTimeout = connectTimeout;
+    options.provenWithin = requiredProof(m_match.route->idempotent);
+    m_plan->begin(now());
+    m_attempts.push_back({*session, nullptr, now(), false});
+    m_attempts.back().call = m_parts->client->start(endpoint.address, message(), options, answerBuffer);
+    return {};
+}
+
+void Exchange::countExtraAttempt()
+{
+    const absl::string_view reason = m_lastFailure.ok() ? "hedge" : errorKindName(errorKind(m_lastFailure));
+    m_parts->metrics->counter("ingress_extra_attempts_total", reason).add();
+}
+
+HttpRequest Exchange::message() const
+{
+    HttpRequest copy = m_request;
+    copy.headers.set(deadlineHeader, absl::StrCat(m_deadline->headerValue(now()).count()));
+    return copy;
+}
+
+std::optional<std::size_t> Exchange::endedAttempt() const
+{
+    for (std::size_t i = 0; i < m_attempts.size(); ++i) {
+        if (!m_attempts[i].concluded && m_attempts[i].call->isReady())
+            return i;
+    }
+    return std::nullopt;
+}
+
+PlanAction Exchange::waitForAttempt()
+{
+    if (const std::optional<std::size_t> ended = endedAttempt())
+        return conclude(*ended);
+    std::vector<HttpCall *> calls;
+    for (const Attempt &attempt : m_attempts) {
+        if (!attempt.concluded)
+            calls.push_back(attempt.call.get());
+    }
+    const Microseconds limit = std::max(Microseconds(0), m_plan->nextTick() - now());
+    const CallWait reason = HttpCall::wait(calls, m_caller, limit);
+    if (reason == CallWait::CallerGone) {
+        m_lastFailure = makeError(ErrorKind::Closed, "the caller went away");
+        abandonOthers(AttemptResult::Cancelled);
+        return {PlanStep::Refuse, 0, m_plan->verdict()};
+    }
+    markSentAttempts();
+    if (endedAttempt())
+        return {};
+    const PlanAction action = m_plan->tick(now());
+    if (action.step == PlanStep::Refuse) {
+        if (const std::optional<std::size_t> streaming = streamingAttempt())
+            return m_plan->conclude(*streaming, AttemptResult::Answered, now());
+        abandonOthers(AttemptResult::TimedOut);
+        return {PlanStep::Refuse, 0, m_plan->verdict()};
+    }
+    return action;
+}
+
+void Exchange::markSentAttempts()
+{
+    for (std::size_t i = 0; i < m_attempts.size(); ++i) {
+        if (!m_attempts[i].concluded && m_attempts[i].call->isSent())
+            m_plan->markSent(i);
+    }
+}
+
+// An answer of unknown length whose head came in time is passed on as it comes.
+std::optional<std::size_t> Exchange::streamingAttempt() const
+{
+    if (m_callerSetDeadline)
+        return std::nullopt;
+    for (std::size_t i = 0; i < m_attempts.size(); ++i) {
+        const Attempt &attempt = m_attempts[i];
+        if (!attempt.concluded && attempt.call->hasHead() && !attempt.call->declaredLength())
+            return i;
+    }
+    return std::nullopt;
+}
+
+AttemptResult Exchange::resultOf(const HttpCall &call) const
+{
+    if (!call.status().ok())
+        return call.isSent() ? AttemptResult::MayHaveRun : AttemptResult::NotSent;
+    return AttemptResult::Answered;
+}
+
+PlanAction Exchange::conclude(std::size_t index)
+{
+    Attempt &attempt = m_attempts[index];
+    AttemptResult result = resultOf(*attempt.call);
+    const std::uint32_t shedStatus = m_match.service->shedStatus;
+    if (result != AttemptResult::Answered)
+        m_lastFailure = attempt.call->status();
+    else if (shedStatus != 0 && attempt.call->response().status == static_cast<int>(shedStatus)) {
+        result = AttemptResult::Shed;
+        m_lastFailure = makeError(ErrorKind::Overloaded,
+                                  absl::StrCat(attempt.session->endpoint().target.value(), " shed the request"));
+    }
+    const PlanAction action = m_plan->conclude(index, result, now());
+    if (result != AttemptResult::Answered)
+        report(attempt, result);
+    return action;
+}
+
+AttemptOutcome Exchange::outcomeOf(const Attempt &attempt, AttemptResult result) const
+{
+    AttemptOutcome outcome;
+    outcome.result = result;
+    outcome.latency = now() - attempt.began;
+    if (!attempt.call->hasHead())
+        return outcome;
+    const HttpResponse &response = attempt.call->response();
+    outcome.status = response.status;
+    outcome.reportedLoad = loadOf(response.headers);
+    const std::string &drainHeader = m_match.service->drainHeader;
+    outcome.draining = !drainHeader.empty() && response.headers.first(drainHeader).has_value();
+    return outcome;
+}
+
+void Exchange::report(Attempt &attempt, AttemptResult result)
+{
+    attempt.concluded = true;
+    const AttemptOutcome outcome = outcomeOf(attempt, result);
+    attempt.session->finish(outcome);
+    const Endpoint &endpoint = attempt.session->endpoint();
+    m_parts->outcomes->push({m_match.route->name, m_match.service->name, endpoint.target, endpoint.version,
+                             attempt.session->isNewVersion(), outcome});
+}
+
+void Exchange::abandonOthers(AttemptResult result)
+{
+    for (std::size_t i = 0; i < m_attempts.size(); ++i) {
+        Attempt &attempt = m_attempts[i];
+        if (attempt.concluded)
+            continue;
+        const AttemptResult known = attempt.call->isSent() ? result : AttemptResult::NotSent;
+        static_cast<void>(m_plan->conclude(i, known, m_deadline->at()));
+        report(attempt, known);
+        attempt.call.reset();
+    }
+}
+
+HttpReply Exchange::answer(std::size_t index)
+{
+    Attempt &attempt = m_attempts[index];
+    const Microseconds latency = now() - attempt.began;
+    attempt.concluded = true;
+    abandonOthers(AttemptResult::Cancelled);
+    m_parts->hedging->record(m_match.route->name, latency);
+    m_parts->metrics->latency("ingress_target_seconds").record(latency);
+    m_parts->metrics->latency("ingress_request_seconds").record(now() - m_start);
+    HttpResponse &response = attempt.call->response();
+    removeHopByHop(response.headers);
+    // Only this node may say whether the request ran; a target's own refusal concerns another request.
+    response.headers.remove(outcomeHeader);
+    const bool bodiless = isBodiless(m_request, response.status);
+    if (!attempt.call->isFinished() || (bodiless && attempt.call->declaredLength()))
+        return streamAnswer(index);
+    report(attempt, AttemptResult::Answered);
+    return {std::move(response), {}, {}};
+}
+
+HttpReply Exchange::streamAnswer(std::size_t index)
+{
+    HttpCall &call = *m_attempts[index].call;
+    HttpReply reply;
+    reply.response.status = call.response().status;
+    reply.response.headers = call.response().headers;
+    reply.length = call.declaredLength();
+    reply.source = [self = shared_from_this(), index](char *buffer, std::size_t size) {
+        return self->readBody(index, buffer, size);
+    };
+    if (call.isFinished())
+        report(m_attempts[index], AttemptResult::Answered);
+    else
+        m_attempts[index].concluded = false;
+    return reply;
+}
+
+absl::StatusOr<std::size_t> Exchange::readBody(std::size_t index, char *buffer, std::size_t size)
+{
+    Attempt &attempt = m_attempts[index];
+    // The route's timeout bounds the time to the head of a streamed answer; only a caller's own deadline cuts its body.
+    if (m_callerSetDeadline && m_deadline->hasPassed(now())) {
+        report(attempt, AttemptResult::TimedOut);
+        return makeError(ErrorKind::DeadlineExceeded, "the caller's deadline passed within the body");
+    }
+    absl::StatusOr<std::size_t> taken = attempt.call->read(buffer, size, stallLimit);
+    if (!taken.ok()) {
+        m_parts->metrics->counter("ingress_cut_bodies_total").add();
+        LogEvent(LogLevel::Warn, "ingress.body_cut")
+                .field("route", m_match.route->name)
+                .error(taken.status())
+                .write(m_parts->log);
+        report(attempt, AttemptResult::MayHaveRun);
+    } else if (attempt.call->isFinished() && !attempt.concluded) {
+        report(attempt, AttemptResult::Answered);
+    }
+    return taken;
+}
+
+absl::Status Exchange::refusalReason() const
+{
+    if (m_deadline->hasPassed(now()) && errorKind(m_lastFailure) != ErrorKind::Closed)
+        return makeError(ErrorKind::DeadlineExceeded, "no answer within the request's deadline");
+    return m_lastFailure.ok() ? makeError(ErrorKind::Internal, "the request ended without a reason") : m_lastFailure;
+}
+
+HttpReply Exchange::refuse(RunState verdict, const absl::Status &reason)
+{
+    const ErrorKind kind = errorKind(reason);
+    m_parts->metrics->counter("ingress_refusals_total", errorKindName(kind)).add();
+    m_parts->metrics->counter("ingress_verdicts_total", verdictName(verdict)).add();
+    LogEvent(LogLevel::Debug, "ingress.refused")
+            .field("verdict", verdictName(verdict))
+            .error(reason)
+            .write(m_parts->log);
+    HttpReply reply;
+    reply.response.status = refusalStatus(verdict, kind);
+    reply.response.headers.add(outcomeHeader, verdictName(verdict));
+    reply.response.headers.add("Content-Type", "text/plain");
+    reply.response.body = absl::StrCat(errorKindName(kind), ": ", reason.message(), "\n");
+    return reply;
+}
+
+} // namespace dandeliondock::impl
--- /dev/null
+++ b/src/node/exchange.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <dandeliondock/attempts/request_plan.h>
+#include <dandeliondock/node/ingress.h>
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dandeliondock::impl {
+
+/// \brief One attempt in progress: the claim on the target and the call to it.
+struct Attempt
+{
+    std::shared_ptr<TargetSession> session;
+    std::shared_ptr<HttpCall> call;
+    MonotonicTime began;
+    bool concluded = false;
+};
+
+/// \brief One caller's request from its arrival to its answer. Belongs to the thread of the caller's connection.
+class Exchange : public std::enable_shared_from_this<Exchange>
+{
+public:
+    Exchange(std::shared_ptr<const IngressParts> parts, HttpRequest request, CallerConnection caller);
+    ~Exchange();
+
+    Exchange(const Exchange &) = delete;
+    Exchange &operator=(const Exchange &) = delete;
+
+    /// \brief Does the request. A streamed reply keeps the exchange alive until its body ends.
+    [[nodiscard]] HttpReply run();
+
+private:
+    [[nodiscard]] MonotonicTime now() const { return m_parts->time.monotonic(); }
+    [[nodiscard]] HttpReply runMatched();
+    [[nodiscard]] PlanAction send();
+    [[nodiscard]] PlanAction waitForAttempt();
+    [[nodiscard]] std::optional<std::size_t> endedAttempt() const;
+    [[nodiscard]] PlanAction conclude(std::size_t index);
+    void countExtraAttempt();
+    [[nodiscard]] HttpRequest message() const;
+    void markSentAttempts();
+    [[nodiscard]] std::optional<std::size_t> streamingAttempt() const;
+    [[nodiscard]] AttemptResult resultOf(const HttpCall &call) const;
+    [[nodiscard]] AttemptOutcome outcomeOf(const Attempt &attempt, AttemptResult result) const;
+    void report(Attempt &attempt, AttemptResult result);
+    void abandonOthers(AttemptResult result);
+    [[nodiscard]] HttpReply answer(std::size_t index);
+    [[nodiscard]] HttpReply streamAnswer(std::size_t index);
+    [[nodiscard]] absl::StatusOr<std::size_t> readBody(std::size_t index, char *buffer, std::size_t size);
+    [[nodiscard]] HttpReply refuse(RunState verdict, const absl::Status &reason);
+    [[nodiscard]] absl::Status refusalReason() const;
+
+    std::shared_ptr<const IngressParts> m_parts;
+    HttpRequest m_request;
+    CallerConnection m_caller;
+    MonotonicTime m_start;
+    RouteMatch m_match;
+    std::optional<Deadline> m_deadline;
+    bool m_callerSetDeadline = false;
+    std::optional<RequestPlan> m_plan;
+    std::vector<Attempt> m_attempts;
+    absl::Status m_lastFailure;
+};
+
+} // namespace dandeliondock::impl
--- /dev/null
+++ b/src/node/ingress.cpp
@@ -0,0 +1,141 @@
+#include <dandeliondock/node/ingress.h>
+
+#include "exchange.h"
+
+#include <dandeliondock/attempts/connection_proof.h>
+
+#include <utility>
+
+namespace dandeliondock {
+
+namespace {
+
+// Longer than connectionProofAge: after it, no node sends a non-idempotent request on an idle connection any more.
+constexpr Milliseconds quietTime{connectionProofAge + Milliseconds(200)};
+
+void fillDefaults(IngressParts &parts)
+{
+    if (!parts.client)
+        parts.client = std::make_shared<HttpClient>();
+    if (!parts.budget)
+        parts.budget = std::make_shared<RetryBudget>();
+    if (!parts.hedging)
+        parts.hedging = std::make_shared<Hedging>();
+    if (!parts.metrics)
+        parts.metrics = std::make_shared<Metrics>();
+    if (!parts.time.monotonic)
+        parts.time = systemTime();
+}
+
+} // namespace
+
+Ingress::Ingress(std::shared_ptr<const IngressParts> parts, std::unique_ptr<HttpServer> server)
+    : m_parts(std::move(parts)), m_server(std::move(server))
+{
+}
+
+Ingress::~Ingress()
+{
+    stop();
+}
+
+std::uint16_t Ingress::port() const noexcept
+{
+    return m_server->port();
+}
+
+std::size_t Ingress::exchanges() const
+{
+    return m_server->exchanges();
+}
+
+bool Ingress::drain(Milliseconds limit)
+{
+    m_server->quiesce();
+    return m_server->waitQuiet(quietTime, limit);
+}
+
+void Ingress::stop()
+{
+    m_server->stop();
+}
+
+IngressBuilder &IngressBuilder::listen(std::string address, std::uint16_t port)
+{
+    m_address = std::move(address);
+    m_port = port;
+    return *this;
+}
+
+IngressBuilder &IngressBuilder::routing(RoutingHooks hooks)
+{
+    m_parts.routing = std::move(hooks);
+    return *this;
+}
+
+IngressBuilder &IngressBuilder::client(std::shared_ptr<HttpClient> client)
+{
+    m_parts.client = std::move(client);
+    return *this;
+}
+
+IngressBuilder &IngressBuilder::budget(std::shared_ptr<RetryBudget> budget)
+{
+    m_parts.budget = std::move(budget);
+    return *this;
+}
+
+IngressBuilder &IngressBuilder::outcomes(std::shared_ptr<BoundedRing<AttemptReport>> ring)
+{
+    m_parts.outcomes = std::move(ring);
+    return *this;
+}
+
+IngressBuilder &IngressBuilder::metrics(std::shared_ptr<Metrics> metrics)
+{
+    m_parts.metrics = std::move(metrics);
+    return *this;
+}
+
+IngressBuilder &IngressBuilder::time(TimeSource time)
+{
+    m_parts.time = std::move(time);
+    return *this;
+}
+
+IngressBuilder &IngressBuilder::log(LogSink sink)
+{
+    m_parts.log = std::move(sink);
+    return *this;
+}
+
+IngressBuilder &IngressBuilder::maxBody(ByteCount limit)
+{
+    m_maxBody = limit;
+    return *this;
+}
+
+IngressBuilder &IngressBuilder::maxConnections(ConnectionCount limit)
+{
+    m_maxConnections = limit;
+    return *this;
+}
+
+absl::StatusOr<std::unique_ptr<Ingress>> IngressBuilder::start()
+{
+    fillDefaults(m_parts);
+    auto parts = std::make_shared<const IngressParts>(m_parts);
+    auto server = HttpServerBuilder()
+                          .listen(m_address, m_port)
+                          .maxBody(m_maxBody)
+                          .maxConnections(m_maxConnections)
+                          .exchangeHandler([parts](HttpRequest request, const CallerConnection &caller) {
+                              return std::make_shared<impl::Exchange>(parts, std::move(request), caller)->run();
+                          })
+                          .start();
+    if (!server.ok())
+        return server.status();
+    return std::unique_ptr<Ingress>(new Ingress(std::move(parts), *std::move(server)));
+}
+
+} // namespace dandeliondock
