Give the property over faults an ample retry budget

Cause: with the ledger broken so that it always permits another attempt, the decision tests failed but the property with real sockets passed: refused connections and sheds had spent the shared budget, which hid the second run. Change: that test takes a budget that is never spent.

--- a/tests/node/ingress_test.cpp
+++ b/tests/node/ingress_test.cpp
@@ -48,7 +48,8 @@
 /// \brief An ingress before stand-in targets.
 struct Mesh
 {
-    explicit Mesh(const std::vector<Address> &targets, Milliseconds timeout = Milliseconds(2'000))
+    explicit Mesh(const std::vector<Address> &targets, Milliseconds timeout = Milliseconds(2'000),
+                  RetryBudgetLimits limits = {})
         : routing(std::make_shared<FixedRouting>(targets, timeout)),
           outcomes(std::make_shared<BoundedRing<AttemptReport>>(1'024, WhenFull::DropOldest)),
           metrics(std::make_shared<Metrics>())
@@ -57,6 +58,7 @@
                                .listen("127.0.0.1", 0)
                                .routing(routing->hooks())
                                .outcomes(outcomes)
+                               .budget(std::make_shared<RetryBudget>(limits))
                                .metrics(metrics)
                                .start();
         REQUIRE(started.ok());
@@ -98,7 +100,9 @@
 {
     const auto first = startTarget();
     const auto second = startTarget();
-    Mesh mesh({first->address(), second->address(), Address("127.0.0.1:1")}, Milliseconds(150));
+    // A spent budget would hide a retry that the ledger must not permit.
+    const RetryBudgetLimits ample{fullShare, 10'000};
+    Mesh mesh({first->address(), second->address(), Address("127.0.0.1:1")}, Milliseconds(150), ample);
     int order = 0;
     rc::prop("at most one run, and a true outcome", [&](std::uint8_t firstFault, std::uint8_t secondFault) {
         constexpr int kinds = Fault::KIND_CLOSE + 1;
