--- a/include/dandeliondock/dandeliondock.h
+++ b/include/dandeliondock/dandeliondock.h
@@ -1,6 +1,12 @@
 #pragma once
 
 // Umbrella include of the public headers.
+#include <dandeliondock/attempts/attempt_ledger.h>
+#include <dandeliondock/attempts/connection_proof.h>
+#include <dandeliondock/attempts/deadline.h>
+#include <dandeliondock/attempts/hedging.h>
+#include <dandeliondock/attempts/request_plan.h>
+#include <dandeliondock/attempts/retry_budget.h>
 #include <dandeliondock/codec/bytes.h>
 #include <dandeliondock/codec/compression.h>
 #include <dandeliondock/codec/config_codec.h>
@@ -33,6 +39,7 @@
 #include <dandeliondock/distribution/revision_log.h>
 #include <dandeliondock/distribution/snapshot_admission.h>
 #include <dandeliondock/forward_declarations.h>
+#include <dandeliondock/http/call.h>
 #include <dandeliondock/http/client.h>
 #include <dandeliondock/http/message.h>
 #include <dandeliondock/http/server.h>
@@ -45,6 +52,7 @@
 #include <dandeliondock/node/control_hooks.h>
 #include <dandeliondock/node/control_listener.h>
 #include <dandeliondock/node/filing_driver.h>
+#include <dandeliondock/node/ingress.h>
 #include <dandeliondock/node/lease_keeper.h>
 #include <dandeliondock/node/node.h>
 #include <dandeliondock/node/operator_api.h>
--- a/include/dandeliondock/forward_declarations.h
+++ b/include/dandeliondock/forward_declarations.h
@@ -4,18 +4,24 @@
 namespace dandeliondock {
 
 class AnnouncementSource;
+class AttemptLedger;
 class ClassQueue;
 class ConfigState;
 class ConfigStore;
 class Counter;
+class Deadline;
 class EndpointDirectory;
 class Filing;
 class FilingDriver;
 class Gauge;
+class Hedging;
+class HttpCall;
 class HttpClient;
 class HttpHeaders;
 class HttpServer;
 class HttpServerBuilder;
+class Ingress;
+class IngressBuilder;
 class LatencyHistogram;
 class LocalGuard;
 class LogEvent;
@@ -24,6 +30,8 @@
 class OperatorApi;
 class OperatorClient;
 class OutcomeWindow;
+class RequestPlan;
+class RetryBudget;
 class RolloutDriver;
 class RolloutDuty;
 class RolloutTable;
--- a/src/codec/control_codec.cpp
+++ b/src/codec/control_codec.cpp
@@ -305,6 +305,7 @@
         entry->set_route(outcomes.route.value());
         encodeSummary(outcomes.oldVersion, *entry->mutable_old_version());
         encodeSummary(outcomes.newVersion, *entry->mutable_new_version());
+        entry->set_guard_stops(outcomes.guardStops);
     }
     return message;
 }
@@ -324,7 +325,8 @@
         const absl::StatusOr<OutcomeSummary> after = decodeSummary(entry.new_version(), "outcomes.new_version");
         if (!after.ok())
             return after.status();
-        batch.routes.push_back({TicketNumber(entry.ticket()), RouteName(entry.route()), *before, *after});
+        batch.routes.push_back(
+                {TicketNumber(entry.ticket()), RouteName(entry.route()), *before, *after, entry.guard_stops()});
     }
     return batch;
 }
