Settle lost answers under test and name each remedy once

Nested errors repeated their remedies, and the linter asked for three changes. Skipping the settling altogether was found by no unit test, hence the new one.

--- a/include/dandeliondock/core/error.h
+++ b/include/dandeliondock/core/error.h
@@ -53,4 +53,8 @@
 /// \brief The kind of a status; None for an OK status, Internal for a status made elsewhere. Thread-safe.
 [[nodiscard]] ErrorKind errorKind(const absl::Status &status);
 
+/// \brief The message of a status without its kind's remedy, for use within another error's detail. The view lives as
+/// long as \c status. Thread-safe.
+[[nodiscard]] absl::string_view errorDetail(const absl::Status &status);
+
 } // namespace dandeliondock
--- a/src/codec/row_codec.cpp
+++ b/src/codec/row_codec.cpp
@@ -131,7 +131,7 @@
         return message.status();
     absl::StatusOr<Ticket> ticket = decodeTicket(message->ticket());
     if (!ticket.ok())
-        return invalidRow(row, ticket.status().message());
+        return invalidRow(row, errorDetail(ticket.status()));
     Revision accepted{RevisionNumber(message->revision()), *std::move(ticket),
                       WallTime(Milliseconds(message->accepted_unix_ms()))};
     if (absl::Status status = checkRevision(row, accepted); !status.ok())
@@ -148,7 +148,7 @@
         return message.status();
     absl::StatusOr<Revision> revision = decodeRevision(*message);
     if (!revision.ok())
-        return invalidRow(row, revision.status().message());
+        return invalidRow(row, errorDetail(revision.status()));
     if (absl::Status status = checkRevision(row, *revision); !status.ok())
         return status;
     if (row.key != revisionKey(revision->number))
--- a/src/codec/ticket_codec.cpp
+++ b/src/codec/ticket_codec.cpp
@@ -34,7 +34,7 @@
         return status;
     absl::StatusOr<Ticket> ticket = decodeTicket(message);
     if (!ticket.ok())
-        return makeError(ErrorKind::InvalidTicket, ticket.status().message());
+        return makeError(ErrorKind::InvalidTicket, errorDetail(ticket.status()));
     return ticket;
 }
 
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/cord.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/strip.h>
 
 #include <array>
 
@@ -121,4 +122,13 @@
     return errorKindNamed(std::string(*payload));
 }
 
+absl::string_view errorDetail(const absl::Status &status)
+{
+    absl::string_view detail = status.message();
+    const absl::string_view remedy = errorRemedy(errorKind(status));
+    if (absl::ConsumeSuffix(&detail, remedy))
+        absl::ConsumeSuffix(&detail, "; ");
+    return detail;
+}
+
 } // namespace dandeliondock
--- a/src/node/operator_client.cpp
+++ b/src/node/operator_client.cpp
@@ -43,7 +43,7 @@
 
 absl::Status unknownOutcome(const absl::Status &cause)
 {
-    return makeError(ErrorKind::OutcomeUnknown, absl::StrCat("the node's answer was lost: ", cause.message()));
+    return makeError(ErrorKind::OutcomeUnknown, absl::StrCat("the node's answer was lost: ", errorDetail(cause)));
 }
 
 } // namespace
--- a/src/settings/json_reader.cpp
+++ b/src/settings/json_reader.cpp
@@ -150,7 +150,7 @@
 {
     Struct object;
     if (absl::Status status = parseJson(json, ErrorKind::InvalidSettings, "JSON", object); !status.ok()) {
-        errors.add("(file)", "no JSON object", status.message());
+        errors.add("(file)", "no JSON object", errorDetail(status));
         return {};
     }
     Reader reader(errors);
--- a/src/store/http_store.cpp
+++ b/src/store/http_store.cpp
@@ -41,7 +41,7 @@
 absl::StatusOr<std::string> readBody(const SendResult &result)
 {
     if (!result.response.ok())
-        return unavailable(result.response.status().message());
+        return unavailable(errorDetail(result.response.status()));
     if (result.response->status != 200)
         return unavailable(absl::StrCat("the store answered ", result.response->status));
     return result.response->body;
@@ -58,9 +58,9 @@
 absl::StatusOr<std::string> writeBody(const SendResult &result)
 {
     if (!result.response.ok() && !result.sent)
-        return unavailable(result.response.status().message());
+        return unavailable(errorDetail(result.response.status()));
     if (!result.response.ok())
-        return makeError(ErrorKind::OutcomeUnknown, result.response.status().message());
+        return makeError(ErrorKind::OutcomeUnknown, errorDetail(result.response.status()));
     if (result.response->status == 429 || result.response->status == 503)
         return unavailable(absl::StrCat("the store answered ", result.response->status));
     if (result.response->status != 200)
--- a/src/store/snapshots.cpp
+++ b/src/store/snapshots.cpp
@@ -61,13 +61,13 @@
         return object.status();
     const absl::StatusOr<std::string> bytes = decompressBytes(*object, maxSnapshot);
     if (!bytes.ok())
-        return invalidObject(revision, bytes.status().message());
+        return invalidObject(revision, errorDetail(bytes.status()));
     const auto message = parseBytes<wire::ConfigState>(*bytes, ErrorKind::InvalidRow, snapshotName(revision));
     if (!message.ok())
         return message.status();
     absl::StatusOr<ConfigState> state = decodeState(*message);
     if (!state.ok())
-        return invalidObject(revision, state.status().message());
+        return invalidObject(revision, errorDetail(state.status()));
     if (state->revision() != revision)
         return invalidObject(revision, absl::StrCat("it holds revision ", state->revision().value()));
     return state;
--- a/src/tickets/filing.cpp
+++ b/src/tickets/filing.cpp
@@ -146,7 +146,7 @@
 {
     const ErrorKind kind = errorKind(status) == ErrorKind::NotFound ? ErrorKind::Internal : errorKind(status);
     return AnswerFiling{makeError(kind, absl::StrCat("ticket ", m_ticket.number.value(),
-                                                     " was not accepted by this filing: ", status.message()))};
+                                                     " was not accepted by this filing: ", errorDetail(status)))};
 }
 
 FilingAction Filing::outcomeUnknown() const
--- a/tests/standins/fault_plan.cpp
+++ b/tests/standins/fault_plan.cpp
@@ -113,7 +113,7 @@
     return share > noShare && uniformBelow(m_random, fullShare.value()) < share.value();
 }
 
-StoreHooks faultyStore(StoreHooks inner, std::shared_ptr<FaultPlan> plan)
+StoreHooks faultyStore(StoreHooks inner, const std::shared_ptr<FaultPlan> &plan)
 {
     StoreHooks hooks;
     hooks.read = [inner, plan](const std::vector<RowKey> &keys) {
--- a/tests/standins/fault_plan.h
+++ b/tests/standins/fault_plan.h
@@ -65,6 +65,6 @@
 };
 
 /// \brief Puts the faults of \c plan around \c inner. Thread-safe if \c inner is.
-[[nodiscard]] StoreHooks faultyStore(StoreHooks inner, std::shared_ptr<FaultPlan> plan);
+[[nodiscard]] StoreHooks faultyStore(StoreHooks inner, const std::shared_ptr<FaultPlan> &plan);
 
 } // namespace dandeliondock::standins
--- a/tests/tickets/filing_race_test.cpp
+++ b/tests/tickets/filing_race_test.cpp
@@ -277,4 +277,23 @@
     CHECK(commits == 1);
 }
 
+// Guards against a ticket in the table whose operator is told that the outcome is unknown although it can be read.
+TEST_CASE("a write that took effect is settled as accepted after its answer is lost", "[tickets]")
+{
+    MemoryTable table;
+    StoreHooks hooks = table.hooks();
+    hooks.commit = [&](const Transaction &transaction) -> absl::StatusOr<CommitResult> {
+        (void)table.commit(transaction);
+        return makeError(ErrorKind::OutcomeUnknown, "lost by the test");
+    };
+    TicketService service(hooks, systemTime(), [](Milliseconds) {});
+    Ticket ticket;
+    ticket.number = TicketNumber(1);
+    ticket.author = AuthorName("ada");
+    ticket.removals = {{ResourceKind::Route, "orders", {}}};
+    const absl::StatusOr<FiledTicket> filed = service.file(ticket);
+    REQUIRE(filed.ok());
+    CHECK(filed->revision == RevisionNumber(1));
+}
+
 } // namespace dandeliondock
