--- a/src/store/snapshots.cpp
+++ b/src/store/snapshots.cpp
@@ -56,7 +56,7 @@
         return object.status();
     absl::StatusOr<ConfigState> state = decodeSnapshot(*object);
     if (!state.ok())
-        return invalidObject(revision, state.status().message());
+        return invalidObject(revision, errorDetail(state.status()));
     if (state->revision() != revision)
         return invalidObject(revision, absl::StrCat("it holds revision ", state->revision().value()));
     return state;
