--- a/tests/node/operator_api_test.cpp
+++ b/tests/node/operator_api_test.cpp
@@ -35,7 +35,9 @@
         hooks.file = [this](const Ticket &ticket) { return service.file(ticket); };
         hooks.accepted = [this](TicketNumber number) { return service.accepted(number); };
         hooks.list = [this](TicketNumber from, std::size_t limit) { return service.list(from, limit); };
-        hooks.statusView = [this](const std::vector<TicketNumber> &) { return TicketStatusView{held, {}, true, WallTime{}}; };
+        hooks.statusView = [this](const std::vector<TicketNumber> &) {
+            return TicketStatusView{held, {}, true, WallTime{}};
+        };
         hooks.status = [] {
             wire::NodeStatus status;
             status.set_node("n1");
