Resolve the request path's counters once

Cause: each request looked up one counter and two histograms by name under the registry's mutex and filled each histogram under its own mutex. These locks were shared by every connection of the node.

Change: IngressCounters holds references that are made at the start, and LatencyHistogram uses Boost.Histogram's thread-safe storage. Its counts are integers, which the page no longer rounds to six digits.

--- a/include/dandeliondock/core/metrics.h
+++ b/include/dandeliondock/core/metrics.h
@@ -49,6 +49,7 @@
 public:
     LatencyHistogram();
 
+    /// \brief Counts a latency without a lock; a reader may see it in the buckets before it is in the sum.
     void record(Microseconds latency);
 
     /// \brief The upper edge of the bucket that holds the quantile; zero when nothing was recorded.
@@ -62,11 +63,14 @@
 
 private:
     using Axis = boost::histogram::axis::regular<double, boost::histogram::axis::transform::log>;
-    using Histogram = decltype(boost::histogram::make_histogram(std::declval<Axis>()));
+    // Buckets that many threads fill at once, so that the connections of a node share no lock.
+    using Buckets = boost::histogram::dense_storage<boost::histogram::accumulators::thread_safe<std::uint64_t>>;
+    using Histogram = boost::histogram::histogram<std::tuple<Axis>, Buckets>;
+
+    [[nodiscard]] std::uint64_t bucket(int index) const;
 
-    mutable std::mutex m_mutex;
     Histogram m_histogram;
-    double m_sumSeconds = 0;
+    std::atomic<std::int64_t> m_sumMicroseconds{0};
 };
 
 /// \brief The counters, gauges and histograms of a process by name and label.
--- a/include/dandeliondock/node/ingress.h
+++ b/include/dandeliondock/node/ingress.h
@@ -8,6 +8,7 @@
 #include <dandeliondock/core/time_source.h>
 #include <dandeliondock/http/client.h>
 #include <dandeliondock/http/server.h>
+#include <dandeliondock/node/ingress_counters.h>
 #include <dandeliondock/routing/routing_hooks.h>
 
 #include <absl/status/statusor.h>
@@ -27,6 +28,7 @@
     std::shared_ptr<Hedging> hedging;
     std::shared_ptr<BoundedRing<AttemptReport>> outcomes; ///< WhenFull::DropOldest, so that no request waits for it
     std::shared_ptr<Metrics> metrics;
+    std::shared_ptr<const IngressCounters> counters; ///< of \c metrics
     TimeSource time;
     LogSink log;
 };
--- /dev/null
+++ b/include/dandeliondock/node/ingress_counters.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <dandeliondock/core/metrics.h>
+
+namespace dandeliondock {
+
+/// \brief The numbers that every request changes, looked up once. Thread-safe; the registry must outlive it.
+///
+/// \remark Refusals and extra attempts are looked up by their reason when they occur.
+struct IngressCounters
+{
+    explicit IngressCounters(Metrics &metrics)
+        : requests(metrics.counter("ingress_requests_total")), targetLatency(metrics.latency("ingress_target_seconds")),
+          requestLatency(metrics.latency("ingress_request_seconds"))
+    {
+    }
+
+    Counter &requests;
+    LatencyHistogram &targetLatency;  ///< of one attempt, until the answer or its head
+    LatencyHistogram &requestLatency; ///< of the whole request
+};
+
+} // namespace dandeliondock
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -15,29 +15,31 @@
 } // namespace
 
 LatencyHistogram::LatencyHistogram()
-    : m_histogram(boost::histogram::make_histogram(Axis(latencyBuckets, lowestSeconds, highestSeconds)))
+    : m_histogram(std::make_tuple(Axis(latencyBuckets, lowestSeconds, highestSeconds)), Buckets())
 {
 }
 
 void LatencyHistogram::record(Microseconds latency)
 {
-    const double seconds = std::chrono::duration<double>(latency).count();
-    const std::scoped_lock lock(m_mutex);
-    m_histogram(seconds);
-    m_sumSeconds += seconds;
+    m_histogram(std::chrono::duration<double>(latency).count());
+    m_sumMicroseconds.fetch_add(latency.count(), std::memory_order_relaxed);
+}
+
+std::uint64_t LatencyHistogram::bucket(int index) const
+{
+    return m_histogram.at(index).load(std::memory_order_relaxed);
 }
 
 Microseconds LatencyHistogram::quantile(double quantile) const
 {
-    const std::scoped_lock lock(m_mutex);
-    const double total = boost::histogram::algorithm::sum(m_histogram);
+    const auto total = static_cast<double>(count());
     if (total == 0)
         return Microseconds{0};
     const Axis &axis = m_histogram.axis();
-    double seen = 0;
+    std::uint64_t seen = 0;
     for (int index = -1; index < axis.size(); ++index) {
-        seen += m_histogram.at(index);
-        if (seen >= quantile * total)
+        seen += bucket(index);
+        if (static_cast<double>(seen) >= quantile * total)
             return std::chrono::duration_cast<Microseconds>(std::chrono::duration<double>(axis.value(index + 1)));
     }
     return std::chrono::duration_cast<Microseconds>(std::chrono::duration<double>(highestSeconds));
@@ -45,23 +47,25 @@
 
 std::uint64_t LatencyHistogram::count() const
 {
-    const std::scoped_lock lock(m_mutex);
-    return static_cast<std::uint64_t>(boost::histogram::algorithm::sum(m_histogram));
+    std::uint64_t total = 0;
+    for (int index = -1; index <= m_histogram.axis().size(); ++index)
+        total += bucket(index);
+    return total;
 }
 
 void LatencyHistogram::print(absl::string_view name, std::string &out) const
 {
-    const std::scoped_lock lock(m_mutex);
     const Axis &axis = m_histogram.axis();
     absl::StrAppend(&out, "# TYPE ", name, " histogram\n");
-    double seen = 0;
+    std::uint64_t seen = 0;
     for (int index = -1; index < axis.size(); ++index) {
-        seen += m_histogram.at(index);
+        seen += bucket(index);
         absl::StrAppend(&out, name, "_bucket{le=\"", axis.value(index + 1), "\"} ", seen, "\n");
     }
-    seen += m_histogram.at(axis.size());
+    seen += bucket(axis.size());
     absl::StrAppend(&out, name, "_bucket{le=\"+Inf\"} ", seen, "\n");
-    absl::StrAppend(&out, name, "_sum ", m_sumSeconds, "\n", name, "_count ", seen, "\n");
+    const double sumSeconds = std::chrono::duration<double>(Microseconds(m_sumMicroseconds.load())).count();
+    absl::StrAppend(&out, name, "_sum ", sumSeconds, "\n", name, "_count ", seen, "\n");
 }
 
 Counter &Metrics::counter(absl::string_view name, absl::string_view reason)
--- a/src/node/exchange.cpp
+++ b/src/node/exchange.cpp
@@ -75,7 +75,7 @@
 
 HttpReply Exchange::run()
 {
-    m_parts->metrics->counter("ingress_requests_total").add();
+    m_parts->counters->requests.add();
     const std::string host(m_request.headers.first("Host").value_or(""));
     absl::StatusOr<RouteMatch> match = m_parts->routing.match(host, pathOf(m_request.target));
     if (!match.ok())
@@ -269,8 +269,8 @@
     attempt.concluded = true;
     abandonOthers(AttemptResult::Cancelled);
     m_parts->hedging->record(m_match.route->name, latency);
-    m_parts->metrics->latency("ingress_target_seconds").record(latency);
-    m_parts->metrics->latency("ingress_request_seconds").record(now() - m_start);
+    m_parts->counters->targetLatency.record(latency);
+    m_parts->counters->requestLatency.record(now() - m_start);
     HttpResponse &response = attempt.call->response();
     removeHopByHop(response.headers);
     // Only this node may say whether the request ran; a target's own refusal concerns another request.
--- a/src/node/ingress.cpp
+++ b/src/node/ingress.cpp
@@ -23,6 +23,7 @@
         parts.hedging = std::make_shared<Hedging>();
     if (!parts.metrics)
         parts.metrics = std::make_shared<Metrics>();
+    parts.counters = std::make_shared<const IngressCounters>(*parts.metrics);
     if (!parts.time.monotonic)
         parts.time = systemTime();
 }
