Remove hop-by-hop headers in one pass

Cause: the lines of each message were copied to be tested, twice a request.

Change: HttpHeaders::removeIf() tests the lines in place.

--- a/include/dandeliondock/http/message.h
+++ b/include/dandeliondock/http/message.h
@@ -30,6 +30,9 @@
 
     void remove(absl::string_view name);
 
+    /// \brief Removes every line whose name \c isUnwanted tells.
+    void removeIf(bool (*isUnwanted)(absl::string_view name));
+
     /// \brief The first value of a name; empty when there is none.
     [[nodiscard]] std::optional<absl::string_view> first(absl::string_view name) const;
 
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -40,11 +40,7 @@
 {
     for (const std::string &name : namedByConnection(headers))
         headers.remove(name);
-    const std::vector<HttpHeader> lines = headers.lines();
-    for (const HttpHeader &line : lines) {
-        if (isHopByHop(line.name))
-            headers.remove(line.name);
-    }
+    headers.removeIf(&isHopByHop);
 }
 
 void HttpHeaders::add(absl::string_view name, absl::string_view value)
@@ -63,6 +59,11 @@
     std::erase_if(m_lines, [name](const HttpHeader &line) { return absl::EqualsIgnoreCase(line.name, name); });
 }
 
+void HttpHeaders::removeIf(bool (*isUnwanted)(absl::string_view name))
+{
+    std::erase_if(m_lines, [isUnwanted](const HttpHeader &line) { return isUnwanted(line.name); });
+}
+
 std::optional<absl::string_view> HttpHeaders::first(absl::string_view name) const
 {
     const auto found = std::find_if(m_lines.begin(), m_lines.end(),
