Bound the connections of a node to one target

Cause: the pool kept 16 idle connections for each address and set no bound on those in use, so one node could hold 36 of a target's 130 connections.

Change: the pool refuses with ConnectionLimit, before anything is sent, when all connections of an address are in use; a fresh connection takes the place of the oldest idle one. The bound is the target's connections divided by the callers of the subset, and selection counts a target as busy at it. A refusal of the pool is no evidence against the target.

Tested with 24 threads and a limit of 4, abandoned calls and fresh connections. With more callers than a target has connections the share stays at one, so the sum can still exceed the target's connections.

--- a/include/dandeliondock/core/error.h
+++ b/include/dandeliondock/core/error.h
@@ -25,6 +25,7 @@
     NotAuthorised,
     NotReady,
     Overloaded,
+    ConnectionLimit,
     DeadlineExceeded,
     NoTarget,
     NotSent,
--- a/include/dandeliondock/http/call.h
+++ b/include/dandeliondock/http/call.h
@@ -63,7 +63,7 @@
     /// \brief Whether the status line and the headers have arrived.
     [[nodiscard]] bool hasHead() const noexcept;
 
-    /// \brief OK while running and after success; NotSent, MayHaveRun or Truncated after a failure.
+    /// \brief OK while running and after success; ConnectionLimit, NotSent, MayHaveRun or Truncated after a failure.
     [[nodiscard]] absl::Status status() const;
 
     /// \brief Status and headers, with the body received so far.
--- a/include/dandeliondock/http/client.h
+++ b/include/dandeliondock/http/client.h
@@ -26,12 +26,16 @@
     Milliseconds connectTimeout{250};
     bool freshConnection = false;               ///< never reuse a connection
     std::optional<Milliseconds> provenWithin{}; ///< reuse only a connection that carried an answer this recently
-    CallInterrupt *interrupt = nullptr;         ///< ends send() with Interrupted; may be null
+    /// Connections to the address, in use and idle; empty keeps the limit that holds. A request that finds no room is
+    /// refused with ConnectionLimit before anything is sent.
+    std::optional<ConnectionCount> connectionLimit{};
+    CallInterrupt *interrupt = nullptr; ///< ends send() with Interrupted; may be null
 };
 
 /// \brief Bounds of the client's connection pool.
 struct PoolLimits
 {
+    ConnectionCount perAddress{130}; ///< in use and idle, until a request tells another limit
     ConnectionCount idlePerAddress{16};
     Milliseconds maxIdle{30'000}; ///< below the idle limit of usual servers, so that the client closes first
     Milliseconds maxAge{300'000}; ///< of a connection since it was opened
@@ -40,8 +44,9 @@
 /// \brief What became of a sending.
 struct SendResult
 {
-    bool sent = false;                     ///< some bytes of the request may have left
-    absl::StatusOr<HttpResponse> response; ///< NotSent, MayHaveRun, DeadlineExceeded or Truncated on failure
+    bool sent = false; ///< some bytes of the request may have left
+    absl::StatusOr<HttpResponse>
+            response; ///< ConnectionLimit, NotSent, MayHaveRun, DeadlineExceeded or Truncated on failure
 };
 
 /// \brief A client that keeps connections and sends each request at most once.
@@ -69,6 +74,9 @@
     /// \brief Number of idle connections to \c address.
     [[nodiscard]] std::size_t idleConnections(const Address &address) const;
 
+    /// \brief Number of connections to \c address, in use and idle.
+    [[nodiscard]] std::size_t connections(const Address &address) const;
+
 private:
     std::shared_ptr<impl::ConnectionPool> m_pool;
 };
--- a/include/dandeliondock/routing/pool_target.h
+++ b/include/dandeliondock/routing/pool_target.h
@@ -6,6 +6,7 @@
 #include <dandeliondock/routing/locality_plan.h>
 #include <dandeliondock/routing/outlier_ejection.h>
 
+#include <algorithm>
 #include <cstdint>
 #include <memory>
 #include <optional>
@@ -22,11 +23,12 @@
     {
     }
 
-    [[nodiscard]] bool isBusy() const noexcept { return inFlight >= limit.value(); }
+    [[nodiscard]] bool isBusy() const noexcept { return inFlight >= std::min(limit.value(), connections.value()); }
 
     Endpoint endpoint;
     LocalityTier tier;
     ConcurrencyLimit limit;
+    ConnectionCount connections{130}; ///< of the target, this caller's share
     OutlierEjection ejection;
     KnownLoad load;
     MonotonicTime servingSince;
--- a/include/dandeliondock/routing/rendezvous.h
+++ b/include/dandeliondock/routing/rendezvous.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliondock/core/ids.h>
+#include <dandeliondock/core/units.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -22,4 +23,9 @@
 /// \pre \c callers is greater than 0.
 [[nodiscard]] std::size_t subsetSize(std::size_t targets, std::size_t callers, std::size_t connectionsPerTarget);
 
+/// \brief How many of a target's connections one of its callers may open, idle ones included; at least one.
+/// Thread-safe.
+/// \pre \c callersPerTarget > 0.
+[[nodiscard]] ConnectionCount connectionShare(ConnectionCount connectionsPerTarget, std::size_t callersPerTarget);
+
 } // namespace dandeliondock
--- a/include/dandeliondock/routing/routing_hooks.h
+++ b/include/dandeliondock/routing/routing_hooks.h
@@ -67,8 +67,11 @@
     /// \brief Called once, with the outcome, or with nothing when the attempt was given up before it began.
     using Release = std::function<void(const std::optional<AttemptOutcome> &)>;
 
-    TargetSession(Endpoint endpoint, bool newVersion, Release release)
-        : m_endpoint(std::move(endpoint)), m_newVersion(newVersion), m_release(std::move(release))
+    /// \param connections that this node may open to the target; empty for no limit of the target's own.
+    TargetSession(Endpoint endpoint, bool newVersion, Release release,
+                  std::optional<ConnectionCount> connections = std::nullopt)
+        : m_endpoint(std::move(endpoint)), m_newVersion(newVersion), m_release(std::move(release)),
+          m_connections(connections)
     {
     }
 
@@ -82,6 +85,11 @@
     /// \brief Whether the attempt goes to the new version of a running rollout.
     [[nodiscard]] bool isNewVersion() const noexcept { return m_newVersion; }
 
+    [[nodiscard]] std::optional<ConnectionCount> connections() const noexcept { return m_connections; }
+
+    /// \brief Ends the claim of an attempt that showed nothing of the target; later calls do nothing.
+    void abandon() { release(std::nullopt); }
+
     /// \brief Ends the claim and reports what became of the attempt; later calls do nothing.
     void finish(const AttemptOutcome &outcome) { release(outcome); }
 
@@ -95,6 +103,7 @@
     Endpoint m_endpoint;
     bool m_newVersion;
     Release m_release;
+    std::optional<ConnectionCount> m_connections;
     std::atomic_flag m_released;
 };
 
--- a/include/dandeliondock/routing/service_gate.h
+++ b/include/dandeliondock/routing/service_gate.h
@@ -32,6 +32,7 @@
     Pick pick;
     VersionChoice version;
     Endpoint endpoint;                  ///< as it was when the claim was taken
+    ConnectionCount connections;        ///< that this caller may open to the target
     std::optional<MonotonicTime> proof; ///< last time the target was seen to take work
     bool waited = false;
 };
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -55,6 +55,8 @@
         KindEntry{ErrorKind::NotReady, absl::StatusCode::kUnavailable, "not_ready",
                   "send the request to another node or try again"},
         KindEntry{ErrorKind::Overloaded, absl::StatusCode::kResourceExhausted, "overloaded", "try again after a pause"},
+        KindEntry{ErrorKind::ConnectionLimit, absl::StatusCode::kResourceExhausted, "connection_limit",
+                  "try again after a pause; nothing was sent"},
         KindEntry{ErrorKind::DeadlineExceeded, absl::StatusCode::kDeadlineExceeded, "deadline_exceeded",
                   "allow more time or try again"},
         KindEntry{ErrorKind::NoTarget, absl::StatusCode::kUnavailable, "no_target",
--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -70,7 +70,7 @@
 absl::Status HttpCall::status() const
 {
     if (m_state->code == CURLE_OK)
-        return absl::OkStatus();
+        return m_state->refusal;
     if (m_state->sendings == 0)
         return makeError(ErrorKind::NotSent, m_state->failure);
     const bool truncated = m_state->code == CURLE_PARTIAL_FILE || m_state->headComplete;
--- a/src/http/call_state.cpp
+++ b/src/http/call_state.cpp
@@ -106,9 +106,11 @@
 
 CallState::CallState(std::shared_ptr<ConnectionPool> connections, Address target, HttpRequest message,
                      const SendOptions &options, ByteCount limit)
-    : pool(std::move(connections)), address(std::move(target)), request(std::move(message)), bufferLimit(limit),
-      connection(pool->take(address, options)), headers(buildHeaders(request))
+    : pool(std::move(connections)), address(std::move(target)), request(std::move(message)), bufferLimit(limit)
 {
+    if (!takeConnection(options))
+        return;
+    headers = buildHeaders(request);
     prepare(options);
     prepareMethod();
     prepareHooks();
@@ -117,8 +119,21 @@
 
 CallState::~CallState()
 {
-    if (connection.easy && !finished)
-        curl_multi_remove_handle(connection.multi.get(), connection.easy.get());
+    if (finished)
+        return;
+    curl_multi_remove_handle(connection.multi.get(), connection.easy.get());
+    pool->discard(address, std::move(connection));
+}
+
+bool CallState::takeConnection(const SendOptions &options)
+{
+    absl::StatusOr<Connection> taken = pool->take(address, options);
+    finished = !taken.ok();
+    if (finished)
+        refusal = taken.status();
+    else
+        connection = *std::move(taken);
+    return !finished;
 }
 
 void CallState::prepare(const SendOptions &options)
@@ -194,7 +209,7 @@
         return;
     }
     failure = absl::StrCat(address.value(), ": ", curl_easy_strerror(code));
-    connection = Connection();
+    pool->discard(address, std::move(connection));
 }
 
 } // namespace dandeliondock::impl
--- a/src/http/call_state.h
+++ b/src/http/call_state.h
@@ -4,6 +4,8 @@
 
 #include <dandeliondock/http/client.h>
 
+#include <absl/status/status.h>
+
 #include <memory>
 #include <optional>
 #include <string>
@@ -39,7 +41,8 @@
     std::unique_ptr<curl_slist, ListCleanup> headers;
     HttpResponse response;
     std::optional<ByteCount> declaredLength;
-    std::string failure; ///< message of libcurl after a failed transfer
+    std::string failure;  ///< message of libcurl after a failed transfer
+    absl::Status refusal; ///< of the pool, which gave no connection
     CURLcode code = CURLE_OK;
     int sendings = 0;
     int socket = -1;
@@ -48,6 +51,7 @@
     bool paused = false;
 
 private:
+    [[nodiscard]] bool takeConnection(const SendOptions &options);
     void prepare(const SendOptions &options);
     void prepareMethod();
     void prepareHooks();
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -93,4 +93,9 @@
     return m_pool->idle(address);
 }
 
+std::size_t HttpClient::connections(const Address &address) const
+{
+    return m_pool->connections(address);
+}
+
 } // namespace dandeliondock
--- a/src/http/connection_pool.cpp
+++ b/src/http/connection_pool.cpp
@@ -1,5 +1,9 @@
 #include "connection_pool.h"
 
+#include <dandeliondock/core/error.h>
+
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -15,51 +19,97 @@
     return connection;
 }
 
-Connection ConnectionPool::take(const Address &address, const SendOptions &options)
+ConnectionPool::AddressState &ConnectionPool::stateOf(const Address &address, const SendOptions &options)
 {
-    const MonotonicTime now = m_time.monotonic();
-    std::vector<Connection> expired; // closed after the lock is released
-    const std::scoped_lock lock(m_mutex);
-    const auto found = m_idle.find(address);
-    if (options.freshConnection || found == m_idle.end())
-        return open();
-    std::vector<Connection> &idle = found->second;
-    const auto firstYoung = std::find_if(idle.begin(), idle.end(), [&](const Connection &connection) {
+    AddressState &state =
+            m_addresses.try_emplace(address, AddressState{{}, 0, m_limits.perAddress.value()}).first->second;
+    if (options.connectionLimit)
+        state.limit = options.connectionLimit->value();
+    return state;
+}
+
+void ConnectionPool::dropExpired(AddressState &state, MonotonicTime now, std::vector<Connection> &closing) const
+{
+    const auto firstYoung = std::find_if(state.idle.begin(), state.idle.end(), [&](const Connection &connection) {
         return now - connection.lastAnswer <= m_limits.maxIdle;
     });
-    std::move(idle.begin(), firstYoung, std::back_inserter(expired));
-    idle.erase(idle.begin(), firstYoung);
-    if (idle.empty())
-        return open();
-    const Connection &latest = idle.back();
-    if (options.provenWithin && now - latest.lastAnswer > *options.provenWithin)
-        return open();
-    Connection connection = std::move(idle.back());
-    idle.pop_back();
+    std::move(state.idle.begin(), firstYoung, std::back_inserter(closing));
+    state.idle.erase(state.idle.begin(), firstYoung);
+}
+
+std::optional<Connection> ConnectionPool::takeIdle(AddressState &state, const SendOptions &options,
+                                                   MonotonicTime now) const
+{
+    if (options.freshConnection || state.idle.empty())
+        return std::nullopt;
+    if (options.provenWithin && now - state.idle.back().lastAnswer > *options.provenWithin)
+        return std::nullopt;
+    Connection connection = std::move(state.idle.back());
+    state.idle.pop_back();
     return connection;
 }
 
+absl::StatusOr<Connection> ConnectionPool::take(const Address &address, const SendOptions &options)
+{
+    const MonotonicTime now = m_time.monotonic();
+    std::vector<Connection> closing; // closed after the lock is released and before the new connection is opened
+    {
+        const std::scoped_lock lock(m_mutex);
+        AddressState &state = stateOf(address, options);
+        dropExpired(state, now, closing);
+        std::optional<Connection> held = takeIdle(state, options, now);
+        if (!held && state.inUse >= state.limit)
+            return makeError(ErrorKind::ConnectionLimit, absl::StrCat(address.value(), ": all connections are in use"));
+        ++state.inUse;
+        if (held)
+            return *std::move(held);
+        while (state.connections() > state.limit && !state.idle.empty()) {
+            closing.push_back(std::move(state.idle.front()));
+            state.idle.erase(state.idle.begin());
+        }
+    }
+    closing.clear();
+    return open();
+}
+
 void ConnectionPool::giveBack(const Address &address, Connection connection)
 {
     const MonotonicTime now = m_time.monotonic();
-    if (now - connection.opened > m_limits.maxAge)
-        return;
     connection.lastAnswer = now;
-    Connection oldest; // closed after the lock is released
+    Connection surplus; // closed after the lock is released
     const std::scoped_lock lock(m_mutex);
-    std::vector<Connection> &idle = m_idle[address];
-    idle.push_back(std::move(connection));
-    if (idle.size() <= m_limits.idlePerAddress.value())
+    AddressState &state = m_addresses.at(address);
+    --state.inUse;
+    if (now - connection.opened > m_limits.maxAge || state.connections() >= state.limit) {
+        surplus = std::move(connection);
         return;
-    oldest = std::move(idle.front());
-    idle.erase(idle.begin());
+    }
+    state.idle.push_back(std::move(connection));
+    if (state.idle.size() <= m_limits.idlePerAddress.value())
+        return;
+    surplus = std::move(state.idle.front());
+    state.idle.erase(state.idle.begin());
+}
+
+void ConnectionPool::discard(const Address &address, Connection connection)
+{
+    connection = Connection(); // closed before its place is free
+    const std::scoped_lock lock(m_mutex);
+    --m_addresses.at(address).inUse;
 }
 
 std::size_t ConnectionPool::idle(const Address &address) const
 {
     const std::scoped_lock lock(m_mutex);
-    const auto found = m_idle.find(address);
-    return found == m_idle.end() ? 0 : found->second.size();
+    const auto found = m_addresses.find(address);
+    return found == m_addresses.end() ? 0 : found->second.idle.size();
+}
+
+std::size_t ConnectionPool::connections(const Address &address) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const auto found = m_addresses.find(address);
+    return found == m_addresses.end() ? 0 : found->second.connections();
 }
 
 } // namespace dandeliondock::impl
--- a/src/node/exchange.cpp
+++ b/src/node/exchange.cpp
@@ -120,6 +120,7 @@
     const Endpoint &endpoint = (*session)->endpoint();
     SendOptions options;
     options.connectTimeout = connectTimeout;
+    options.connectionLimit = (*session)->connections();
     options.provenWithin = requiredProof(m_match.route->idempotent);
     m_plan->begin(now());
     m_attempts.push_back({*session, nullptr, now(), false});
@@ -219,7 +220,9 @@
                                   absl::StrCat(attempt.session->endpoint().target.value(), " shed the request"));
     }
     const PlanAction action = m_plan->conclude(index, result, now());
-    if (result != AttemptResult::Answered)
+    if (errorKind(attempt.call->status()) == ErrorKind::ConnectionLimit)
+        abandon(attempt);
+    else if (result != AttemptResult::Answered)
         report(attempt, result);
     return action;
 }
@@ -249,6 +252,13 @@
                              attempt.session->isNewVersion(), outcome});
 }
 
+// A refusal of the pool is no evidence of the target.
+void Exchange::abandon(Attempt &attempt)
+{
+    attempt.concluded = true;
+    attempt.session->abandon();
+}
+
 void Exchange::abandonOthers(AttemptResult result)
 {
     for (std::size_t i = 0; i < m_attempts.size(); ++i) {
--- a/src/node/exchange.h
+++ b/src/node/exchange.h
@@ -46,6 +46,7 @@
     [[nodiscard]] AttemptResult resultOf(const HttpCall &call) const;
     [[nodiscard]] AttemptOutcome outcomeOf(const Attempt &attempt, AttemptResult result) const;
     void report(Attempt &attempt, AttemptResult result);
+    static void abandon(Attempt &attempt);
     void abandonOthers(AttemptResult result);
     [[nodiscard]] HttpReply answer(std::size_t index);
     [[nodiscard]] HttpReply streamAnswer(std::size_t index);
--- a/src/routing/rendezvous.cpp
+++ b/src/routing/rendezvous.cpp
@@ -28,4 +28,10 @@
     return std::min(targets, std::max(affordable, smallestSubset));
 }
 
+ConnectionCount connectionShare(ConnectionCount connectionsPerTarget, std::size_t callersPerTarget)
+{
+    const std::size_t share = connectionsPerTarget.value() / callersPerTarget;
+    return ConnectionCount(static_cast<std::uint32_t>(std::max<std::size_t>(1, share)));
+}
+
 } // namespace dandeliondock
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -177,7 +177,8 @@
     auto release = [self = shared_from_this(), gate, pick = claim.pick](const std::optional<AttemptOutcome> &outcome) {
         gate->release(pick, outcome);
     };
-    return std::make_shared<TargetSession>(std::move(claim.endpoint), claim.version.isNew, std::move(release));
+    return std::make_shared<TargetSession>(std::move(claim.endpoint), claim.version.isNew, std::move(release),
+                                           claim.connections);
 }
 
 void Router::applyEndpoint(const Endpoint &record)
--- a/src/routing/service_gate.cpp
+++ b/src/routing/service_gate.cpp
@@ -50,6 +50,7 @@
     if (claim.pick.verdict == PickVerdict::None)
         return noTarget();
     claim.endpoint = claim.pick.target->endpoint;
+    claim.connections = claim.pick.target->connections;
     claim.proof = claim.pick.target->proof;
     return claim;
 }
--- a/src/routing/service_pool.cpp
+++ b/src/routing/service_pool.cpp
@@ -215,6 +215,7 @@
     const std::size_t callersPerTarget = (callers * kept + targets.size() - 1) / targets.size();
     targets.resize(kept);
     for (const PoolTargetPtr &target : targets) {
+        target->connections = connectionShare(connections, callersPerTarget);
         if (!std::exchange(target->isLimitStarted, true))
             target->limit = ConcurrencyLimit(SlotCount(target->limit.slots()), callersPerTarget);
     }
