Merge the request path's counters and the connection budget

Cause: both changes extend the target session. Change: the smallest share of a target's connections is 4 instead of 1, because each node counts as a caller of every service; at 25,000 nodes an equal division would leave one request in flight for each node and target.

--- a/include/dandeliondock/dandeliondock.h
+++ b/include/dandeliondock/dandeliondock.h
@@ -55,6 +55,7 @@
 #include <dandeliondock/node/endpoint_board.h>
 #include <dandeliondock/node/filing_driver.h>
 #include <dandeliondock/node/ingress.h>
+#include <dandeliondock/node/ingress_counters.h>
 #include <dandeliondock/node/lease_keeper.h>
 #include <dandeliondock/node/node.h>
 #include <dandeliondock/node/operator_api.h>
--- a/include/dandeliondock/routing/rendezvous.h
+++ b/include/dandeliondock/routing/rendezvous.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliondock/core/ids.h>
+#include <dandeliondock/core/units.h>
 
 #include <cstddef>
 #include <cstdint>
@@ -22,4 +23,13 @@
 /// \pre \c callers is greater than 0.
 [[nodiscard]] std::size_t subsetSize(std::size_t targets, std::size_t callers, std::size_t connectionsPerTarget);
 
+/// \brief Connections that every caller may open to a target. Each node counts as a caller of every service, but few of
+/// them call a given one at a time; an equal division among thousands would leave each a single request in flight.
+inline constexpr std::size_t smallestConnectionShare = 4;
+
+/// \brief How many of a target's connections one of its callers may open, idle ones included.
+/// Thread-safe.
+/// \pre \c callersPerTarget > 0.
+[[nodiscard]] ConnectionCount connectionShare(ConnectionCount connectionsPerTarget, std::size_t callersPerTarget);
+
 } // namespace dandeliondock
--- a/include/dandeliondock/routing/routing_hooks.h
+++ b/include/dandeliondock/routing/routing_hooks.h
@@ -67,10 +67,13 @@
     /// \brief Called once, with the outcome, or with nothing when the attempt was given up before it began.
     using Release = std::function<void(const std::optional<AttemptOutcome> &)>;
 
+    /// \param connections that this node may open to the target; empty for no limit of the target's own.
+    /// \param servingSince when this node learnt that the target serves; empty when it does not know.
     TargetSession(Endpoint endpoint, bool newVersion, Release release,
+                  std::optional<ConnectionCount> connections = std::nullopt,
                   std::optional<MonotonicTime> servingSince = std::nullopt)
-        : m_endpoint(std::move(endpoint)), m_newVersion(newVersion), m_servingSince(servingSince),
-          m_release(std::move(release))
+        : m_endpoint(std::move(endpoint)), m_newVersion(newVersion), m_release(std::move(release)),
+          m_connections(connections), m_servingSince(servingSince)
     {
     }
 
@@ -87,6 +90,11 @@
     /// \brief When this node learnt that the target serves; empty when it does not know.
     [[nodiscard]] std::optional<MonotonicTime> servingSince() const noexcept { return m_servingSince; }
 
+    [[nodiscard]] std::optional<ConnectionCount> connections() const noexcept { return m_connections; }
+
+    /// \brief Ends the claim of an attempt that showed nothing of the target; later calls do nothing.
+    void abandon() { release(std::nullopt); }
+
     /// \brief Ends the claim and reports what became of the attempt; later calls do nothing.
     void finish(const AttemptOutcome &outcome) { release(outcome); }
 
@@ -99,8 +107,9 @@
 
     Endpoint m_endpoint;
     bool m_newVersion;
-    std::optional<MonotonicTime> m_servingSince;
     Release m_release;
+    std::optional<ConnectionCount> m_connections;
+    std::optional<MonotonicTime> m_servingSince;
     std::atomic_flag m_released;
 };
 
--- a/src/node/exchange.cpp
+++ b/src/node/exchange.cpp
@@ -75,7 +75,7 @@
 
 HttpReply Exchange::run()
 {
-    m_parts->metrics->counter("ingress_requests_total").add();
+    m_parts->counters->requests.add();
     const std::string host(m_request.headers.first("Host").value_or(""));
     absl::StatusOr<RouteMatch> match = m_parts->routing.match(host, pathOf(m_request.target));
     if (!match.ok())
@@ -120,6 +120,7 @@
     const Endpoint &endpoint = (*session)->endpoint();
     SendOptions options;
     options.connectTimeout = connectTimeout;
+    options.connectionLimit = (*session)->connections();
     options.provenWithin = requiredProof(m_match.route->idempotent);
     m_plan->begin(now());
     m_attempts.push_back({*session, nullptr, now(), false});
@@ -219,7 +220,9 @@
                                   absl::StrCat(attempt.session->endpoint().target.value(), " shed the request"));
     }
     const PlanAction action = m_plan->conclude(index, result, now());
-    if (result != AttemptResult::Answered)
+    if (errorKind(attempt.call->status()) == ErrorKind::ConnectionLimit)
+        abandon(attempt);
+    else if (result != AttemptResult::Answered)
         report(attempt, result);
     return action;
 }
@@ -249,6 +252,13 @@
                              attempt.session->isNewVersion(), outcome, attempt.session->servingSince()});
 }
 
+// A refusal of the pool is no evidence of the target.
+void Exchange::abandon(Attempt &attempt)
+{
+    attempt.concluded = true;
+    attempt.session->abandon();
+}
+
 void Exchange::abandonOthers(AttemptResult result)
 {
     for (std::size_t i = 0; i < m_attempts.size(); ++i) {
@@ -269,8 +279,8 @@
     attempt.concluded = true;
     abandonOthers(AttemptResult::Cancelled);
     m_parts->hedging->record(m_match.route->name, latency);
-    m_parts->metrics->latency("ingress_target_seconds").record(latency);
-    m_parts->metrics->latency("ingress_request_seconds").record(now() - m_start);
+    m_parts->counters->targetLatency.record(latency);
+    m_parts->counters->requestLatency.record(now() - m_start);
     HttpResponse &response = attempt.call->response();
     removeHopByHop(response.headers);
     // Only this node may say whether the request ran; a target's own refusal concerns another request.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -178,7 +178,7 @@
         gate->release(pick, outcome);
     };
     return std::make_shared<TargetSession>(std::move(claim.endpoint), claim.version.isNew, std::move(release),
-                                           claim.servingSince);
+                                           claim.connections, claim.servingSince);
 }
 
 void Router::applyEndpoint(const Endpoint &record)
