Answer the board's questions from indexes of the directory

Cause: the board copied every record for its control addresses, counts of serving targets, look-ups by control address, number of callers and summary. The uplink and the rollout thread ask at every poll or tick, so the cost grew with the region. expire() scanned all records at every poll.

Ruled out: caches in the board, which every merge would make void, and a sample in the order of addresses, which would name neighbours that fail together.

Change: EndpointDirectory keeps the count of live nodes of the region, the serving targets by service and version, and live nodes by hash of the control address. The board takes a sample of 32 control addresses. A target that enters the summary now counts as changed: a region that had been sent everything was not told of it before. expire() reads records only when a region is silent. absl::btree is part of libabsl-dev.

Conclusion: what a poll asks no longer grows with the region. Repair by digest still sends full lists.

--- a/include/dandeliondock/membership/endpoint_directory.h
+++ b/include/dandeliondock/membership/endpoint_directory.h
@@ -2,12 +2,16 @@
 
 #include <dandeliondock/membership/endpoint.h>
 
+#include <absl/container/btree_map.h>
+#include <absl/container/btree_set.h>
 #include <absl/container/flat_hash_map.h>
 
 #include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <tuple>
+#include <utility>
 #include <vector>
 
 namespace dandeliondock {
@@ -60,11 +64,27 @@
     /// \brief The records that changed after \c version, oldest change first.
     [[nodiscard]] std::vector<Endpoint> changesSince(DirectoryVersion version) const;
 
+    /// \brief The live record whose node has this control address; null when none is held. Valid until the next change.
+    [[nodiscard]] const Endpoint *findByControlAddress(const Address &address) const;
+
+    /// \brief Number of starting and serving targets of the own region.
+    [[nodiscard]] std::size_t liveInRegion() const noexcept { return m_liveInRegion; }
+
+    /// \brief Number of targets of a version that serve, those known of other regions too.
+    [[nodiscard]] std::size_t serving(const ServiceName &service, const VersionName &version) const;
+
+    /// \brief Control addresses of at most \c count live nodes of the own region.
+    /// \remark The nodes follow \c start in an order by hash, so that neighbours by address are not drawn together.
+    [[nodiscard]] std::vector<Address> sampleControlAddresses(std::size_t count, std::uint64_t start) const;
+
     /// \brief Serving targets of the own region for another region: a few of each service and version.
     ///
     /// \remark Which ones depends on the content only, so that every relay of a region names the same.
     [[nodiscard]] std::vector<Endpoint> summary() const;
 
+    /// \brief Whether the record of a target is part of the summary.
+    [[nodiscard]] bool isInSummary(const Endpoint &record) const;
+
     [[nodiscard]] DirectoryVersion version() const noexcept { return m_version; }
 
     /// \brief Sum over the starting and serving records of the own region.
@@ -83,12 +103,31 @@
         MonotonicTime mergedAt;
     };
 
+    /// Serving targets of one service and version.
+    struct Group
+    {
+        std::size_t serving = 0;
+        absl::btree_set<std::pair<std::uint64_t, TargetId>> ownRegion; ///< by hash of the target
+    };
+
+    using GroupKey = std::pair<ServiceName, VersionName>;
+    /// Whether the node is of another region, hash of its control address, its target.
+    using NodeKey = std::tuple<bool, std::uint64_t, TargetId>;
+
     void put(const Endpoint &record, MonotonicTime now);
     void erase(const TargetId &target);
+    void addToIndexes(const Endpoint &record);
+    void removeFromIndexes(const Endpoint &record);
+    void addToGroup(const Endpoint &record);
+    void removeFromGroup(const Endpoint &record);
+    [[nodiscard]] std::optional<GroupKey> summaryGroupOf(const TargetId &target) const;
+    void noteSummaryEntry(const GroupKey &key);
+    [[nodiscard]] NodeKey nodeKeyOf(const Endpoint &record) const;
+    [[nodiscard]] const Endpoint *findNode(const Address &address, bool otherRegion) const;
     void addToDigest(const Endpoint &record) noexcept;
     void removeFromDigest(const Endpoint &record) noexcept;
     void expireTombstones(MonotonicTime now);
-    [[nodiscard]] bool isSilent(const Endpoint &record, MonotonicTime now) const;
+    [[nodiscard]] bool isSilent(const RegionName &region, MonotonicTime now) const;
 
     RegionName m_ownRegion;
     DirectoryLimits m_limits;
@@ -96,6 +135,9 @@
     std::map<DirectoryVersion, TargetId> m_changes;
     std::map<DirectoryVersion, TargetId> m_tombstones;
     std::map<RegionName, MonotonicTime> m_contacts;
+    absl::btree_set<NodeKey> m_nodes; ///< of live records
+    absl::btree_map<GroupKey, Group> m_groups;
+    std::size_t m_liveInRegion = 0;
     DirectoryVersion m_version;
     std::uint64_t m_digest = 0;
 };
--- a/include/dandeliondock/node/endpoint_board.h
+++ b/include/dandeliondock/node/endpoint_board.h
@@ -58,7 +58,7 @@
     /// \brief Every record, for a node of region \c receiver.
     [[nodiscard]] std::vector<Endpoint> all(const RegionName &receiver) const;
 
-    /// \brief Control addresses of nodes of the own region beside targets that live.
+    /// \brief Control addresses of a few nodes of the own region beside targets that live, other ones at each call.
     [[nodiscard]] std::vector<Address> controlAddresses() const;
 
     /// \brief Number of targets of a version that serve.
@@ -68,7 +68,6 @@
     // All of these need the lock.
     void applyChange(const Endpoint &record);
     void expire(MonotonicTime now);
-    [[nodiscard]] std::vector<Address> controlAddressesHeld() const;
     [[nodiscard]] std::vector<Endpoint> forRegion(std::vector<Endpoint> records, const RegionName &receiver) const;
 
     RegionName m_region;
@@ -77,6 +76,7 @@
     mutable std::mutex m_mutex;
     EndpointDirectory m_directory;
     std::optional<AnnouncementSource> m_self;
+    std::uint64_t m_sampleSeed = 0; ///< differs between nodes, so that they do not all ask the same candidates
     std::map<RegionName, MonotonicTime> m_contacts;
 };
 
--- a/src/membership/endpoint_directory.cpp
+++ b/src/membership/endpoint_directory.cpp
@@ -3,6 +3,7 @@
 #include <dandeliondock/core/stable_hash.h>
 
 #include <algorithm>
+#include <iterator>
 #include <tuple>
 #include <utility>
 
@@ -62,12 +63,17 @@
 {
     expireTombstones(now);
     std::vector<TargetId> silent;
+    const auto isOld = [&](const auto &contact) { return isSilent(contact.first, now); };
+    // Called at every poll: without a silent region no record is looked at.
+    if (std::none_of(m_contacts.begin(), m_contacts.end(), isOld))
+        return silent;
     for (const auto &[target, entry] : m_entries) {
-        if (isSilent(entry.record, now))
+        if (!isTerminal(entry.record.stamp.state) && isSilent(entry.record.region, now))
             silent.push_back(target);
     }
     for (const TargetId &target : silent)
         erase(target);
+    std::erase_if(m_contacts, isOld);
     return silent;
 }
 
@@ -94,28 +100,74 @@
     return records;
 }
 
-std::vector<Endpoint> EndpointDirectory::summary() const
+const Endpoint *EndpointDirectory::findNode(const Address &address, bool otherRegion) const
 {
-    std::map<std::pair<ServiceName, VersionName>, std::vector<const Endpoint *>> groups;
-    for (const auto &[target, entry] : m_entries) {
-        if (entry.record.region == m_ownRegion && entry.record.stamp.state == EndpointState::Serving)
-            groups[{entry.record.service, entry.record.version}].push_back(&entry.record);
+    const std::uint64_t hash = stableHash(address.value());
+    for (auto node = m_nodes.lower_bound(NodeKey{otherRegion, hash, TargetId()}); node != m_nodes.end(); ++node) {
+        if (std::get<0>(*node) != otherRegion || std::get<1>(*node) != hash)
+            break;
+        const Endpoint &record = m_entries.at(std::get<2>(*node)).record;
+        if (record.controlAddress == address)
+            return &record;
     }
+    return nullptr;
+}
+
+const Endpoint *EndpointDirectory::findByControlAddress(const Address &address) const
+{
+    const Endpoint *own = findNode(address, false);
+    return own != nullptr ? own : findNode(address, true);
+}
+
+std::size_t EndpointDirectory::serving(const ServiceName &service, const VersionName &version) const
+{
+    const auto group = m_groups.find({service, version});
+    return group == m_groups.end() ? 0 : group->second.serving;
+}
+
+std::vector<Address> EndpointDirectory::sampleControlAddresses(std::size_t count, std::uint64_t start) const
+{
+    std::vector<Address> addresses;
+    const std::size_t wanted = std::min(count, m_liveInRegion);
+    addresses.reserve(wanted);
+    auto node = m_nodes.lower_bound(NodeKey{false, start, TargetId()});
+    while (addresses.size() < wanted) {
+        if (node == m_nodes.end() || std::get<0>(*node))
+            node = m_nodes.begin();
+        addresses.push_back(m_entries.at(std::get<2>(*node)).record.controlAddress);
+        ++node;
+    }
+    return addresses;
+}
+
+std::vector<Endpoint> EndpointDirectory::summary() const
+{
     std::vector<Endpoint> records;
-    for (auto &[key, group] : groups) {
-        std::sort(group.begin(), group.end(), [](const Endpoint *left, const Endpoint *right) {
-            const auto order = [](const Endpoint &item) { return stableHash(item.target.value()); };
-            return std::pair(order(*left), left->target) < std::pair(order(*right), right->target);
-        });
-        const std::size_t count = std::min(group.size(), m_limits.summaryPerVersion);
-        for (std::size_t index = 0; index < count; ++index)
-            records.push_back(*group[index]);
+    for (const auto &[key, group] : m_groups) {
+        std::size_t left = m_limits.summaryPerVersion;
+        for (auto item = group.ownRegion.begin(); item != group.ownRegion.end() && left > 0; ++item, --left)
+            records.push_back(m_entries.at(item->second).record);
     }
     return records;
 }
 
+bool EndpointDirectory::isInSummary(const Endpoint &record) const
+{
+    const auto group = m_groups.find({record.service, record.version});
+    if (group == m_groups.end())
+        return false;
+    std::size_t left = m_limits.summaryPerVersion;
+    const auto &targets = group->second.ownRegion;
+    for (auto item = targets.begin(); item != targets.end() && left > 0; ++item, --left) {
+        if (item->second == record.target)
+            return true;
+    }
+    return false;
+}
+
 void EndpointDirectory::put(const Endpoint &record, MonotonicTime now)
 {
+    const std::optional<GroupKey> left = summaryGroupOf(record.target);
     erase(record.target);
     m_version = DirectoryVersion(m_version.value() + 1);
     m_changes.emplace(m_version, record.target);
@@ -123,6 +175,9 @@
         m_tombstones.emplace(m_version, record.target);
     addToDigest(record);
     m_entries.emplace(record.target, Entry{record, m_version, now});
+    addToIndexes(record);
+    if (left && !isInSummary(record))
+        noteSummaryEntry(*left);
     if (m_tombstones.size() > m_limits.tombstones)
         erase(TargetId(m_tombstones.begin()->second));
 }
@@ -133,11 +188,81 @@
     if (found == m_entries.end())
         return;
     removeFromDigest(found->second.record);
+    removeFromIndexes(found->second.record);
     m_changes.erase(found->second.changed);
     m_tombstones.erase(found->second.changed);
     m_entries.erase(found);
 }
 
+EndpointDirectory::NodeKey EndpointDirectory::nodeKeyOf(const Endpoint &record) const
+{
+    return {record.region != m_ownRegion, stableHash(record.controlAddress.value()), record.target};
+}
+
+void EndpointDirectory::addToIndexes(const Endpoint &record)
+{
+    if (isTerminal(record.stamp.state))
+        return;
+    m_nodes.insert(nodeKeyOf(record));
+    if (record.region == m_ownRegion)
+        ++m_liveInRegion;
+    if (record.stamp.state == EndpointState::Serving)
+        addToGroup(record);
+}
+
+void EndpointDirectory::removeFromIndexes(const Endpoint &record)
+{
+    if (isTerminal(record.stamp.state))
+        return;
+    m_nodes.erase(nodeKeyOf(record));
+    if (record.region == m_ownRegion)
+        --m_liveInRegion;
+    if (record.stamp.state == EndpointState::Serving)
+        removeFromGroup(record);
+}
+
+void EndpointDirectory::addToGroup(const Endpoint &record)
+{
+    Group &group = m_groups[{record.service, record.version}];
+    ++group.serving;
+    if (record.region == m_ownRegion)
+        group.ownRegion.emplace(stableHash(record.target.value()), record.target);
+}
+
+void EndpointDirectory::removeFromGroup(const Endpoint &record)
+{
+    const auto found = m_groups.find({record.service, record.version});
+    Group &group = found->second;
+    --group.serving;
+    group.ownRegion.erase({stableHash(record.target.value()), record.target});
+    if (group.serving == 0)
+        m_groups.erase(found);
+}
+
+std::optional<EndpointDirectory::GroupKey> EndpointDirectory::summaryGroupOf(const TargetId &target) const
+{
+    const Endpoint *held = find(target);
+    if (held == nullptr || !isInSummary(*held))
+        return std::nullopt;
+    return GroupKey{held->service, held->version};
+}
+
+// The target that takes the place of one that left the summary counts as changed, because other regions were not sent
+// it when it last changed.
+void EndpointDirectory::noteSummaryEntry(const GroupKey &key)
+{
+    const auto group = m_groups.find(key);
+    if (group == m_groups.end() || group->second.ownRegion.size() < m_limits.summaryPerVersion)
+        return;
+    const auto last =
+            std::next(group->second.ownRegion.begin(), static_cast<std::ptrdiff_t>(m_limits.summaryPerVersion - 1));
+    Entry &entry = m_entries.at(last->second);
+    m_changes.erase(entry.changed);
+    m_version = DirectoryVersion(m_version.value() + 1);
+    m_changes.emplace(m_version, last->second);
+    entry.changed = m_version;
+}
+
 void EndpointDirectory::addToDigest(const Endpoint &record) noexcept
 {
     if (record.region == m_ownRegion && !isTerminal(record.stamp.state))
@@ -160,11 +285,11 @@
     }
 }
 
-bool EndpointDirectory::isSilent(const Endpoint &record, MonotonicTime now) const
+bool EndpointDirectory::isSilent(const RegionName &region, MonotonicTime now) const
 {
-    if (record.region == m_ownRegion || isTerminal(record.stamp.state))
+    if (region == m_ownRegion)
         return false;
-    const auto contact = m_contacts.find(record.region);
+    const auto contact = m_contacts.find(region);
     return contact == m_contacts.end() || now - contact->second >= m_limits.regionSilence;
 }
 
--- a/src/node/endpoint_board.cpp
+++ b/src/node/endpoint_board.cpp
@@ -1,7 +1,7 @@
 #include <dandeliondock/node/endpoint_board.h>
 
-#include <algorithm>
-#include <set>
+#include <dandeliondock/core/stable_hash.h>
+
 #include <utility>
 
 namespace dandeliondock {
@@ -11,16 +11,8 @@
 // Longer than a few polls, shorter than the time after which a silent region's summary is dropped.
 constexpr Milliseconds contactWindow{5'000};
 
-bool isLive(const Endpoint &record)
-{
-    return !isTerminal(record.stamp.state);
-}
-
-// Another region needs the few targets of the summary and the news that one of them goes.
-bool crossesRegions(const Endpoint &record, const std::set<TargetId> &summary)
-{
-    return summary.count(record.target) > 0 || isTerminal(record.stamp.state);
-}
+// Enough for a node that lost its parent to find one before it asks the store.
+constexpr std::size_t controlAddressSample = 32;
 
 } // namespace
 
@@ -32,6 +24,7 @@
 void EndpointBoard::setLocalTarget(Endpoint self)
 {
     const std::scoped_lock lock(m_mutex);
+    m_sampleSeed = stableHash(self.controlAddress.value());
     m_self.emplace(std::move(self));
     applyChange(m_self->current());
 }
@@ -76,7 +69,7 @@
             applyChange(*answer);
             refuted = true;
         }
-        m_router->setCallers(controlAddressesHeld().size());
+        m_router->setCallers(m_directory.liveInRegion());
     }
     if (refuted)
         m_hooks.announced();
@@ -87,11 +80,8 @@
 {
     {
         const std::scoped_lock lock(m_mutex);
-        const std::vector<Endpoint> records = m_directory.all();
-        const auto lost = std::find_if(records.begin(), records.end(), [&](const Endpoint &record) {
-            return record.controlAddress == controlAddress && isLive(record);
-        });
-        if (lost == records.end())
+        const Endpoint *lost = m_directory.findByControlAddress(controlAddress);
+        if (lost == nullptr)
             return;
         const std::optional<Endpoint> gone = m_directory.markGone(lost->target, m_hooks.time.monotonic());
         if (!gone)
@@ -148,13 +138,12 @@
 {
     if (receiver == m_region || receiver.value().empty())
         return records;
-    std::set<TargetId> summary;
-    for (const Endpoint &record : m_directory.summary())
-        summary.insert(record.target);
+    // Another region needs the few targets of the summary and the news that one of them goes.
     std::erase_if(records, [&](const Endpoint &record) {
         if (record.region == receiver)
             return true;
-        return record.region == m_region && !crossesRegions(record, summary);
+        const bool crosses = isTerminal(record.stamp.state) || m_directory.isInSummary(record);
+        return record.region == m_region && !crosses;
     });
     return records;
 }
@@ -172,29 +161,17 @@
     return forRegion(m_directory.all(), receiver);
 }
 
-std::vector<Address> EndpointBoard::controlAddressesHeld() const
-{
-    std::vector<Address> addresses;
-    for (const Endpoint &record : m_directory.all()) {
-        if (record.region == m_region && isLive(record))
-            addresses.push_back(record.controlAddress);
-    }
-    return addresses;
-}
-
 std::vector<Address> EndpointBoard::controlAddresses() const
 {
     const std::scoped_lock lock(m_mutex);
-    return controlAddressesHeld();
+    const auto ticks = static_cast<std::uint64_t>(m_hooks.time.monotonic().time_since_epoch().count());
+    return m_directory.sampleControlAddresses(controlAddressSample, stableCombine(m_sampleSeed, ticks));
 }
 
 std::uint32_t EndpointBoard::serving(const ServiceName &service, const VersionName &version) const
 {
     const std::scoped_lock lock(m_mutex);
-    const std::vector<Endpoint> records = m_directory.all();
-    return static_cast<std::uint32_t>(std::count_if(records.begin(), records.end(), [&](const Endpoint &record) {
-        return record.service == service && record.version == version && record.stamp.state == EndpointState::Serving;
-    }));
+    return static_cast<std::uint32_t>(m_directory.serving(service, version));
 }
 
 } // namespace dandeliondock
--- a/tests/membership/endpoint_directory_test.cpp
+++ b/tests/membership/endpoint_directory_test.cpp
@@ -177,6 +177,62 @@
     });
 }
 
+// Guards against counts, look-ups and a summary that drift from the records while these replace each other.
+TEST_CASE("the indexes agree with a scan of all records", "[membership]")
+{
+    rc::prop("counts, look-up by control address, sample and summary match the content", [] {
+        const auto records = *rc::gen::container<std::vector<Endpoint>>(genRecord());
+        EndpointDirectory directory(ownRegion);
+        for (const Endpoint &record : records) {
+            Endpoint addressed = record;
+            addressed.controlAddress = Address(record.target.value());
+            directory.merge(addressed, MonotonicTime{});
+        }
+        std::size_t live = 0;
+        std::size_t serving = 0;
+        for (const Endpoint &record : directory.all()) {
+            const bool isLive = !isTerminal(record.stamp.state);
+            const Endpoint *found = directory.findByControlAddress(record.controlAddress);
+            RC_ASSERT((found != nullptr) == isLive);
+            RC_ASSERT((!isLive || *found == record));
+            live += isLive && record.region == ownRegion ? 1U : 0U;
+            serving += record.stamp.state == EndpointState::Serving ? 1U : 0U;
+        }
+        RC_ASSERT(directory.liveInRegion() == live);
+        RC_ASSERT(directory.serving(ServiceName("ledger"), VersionName("v1")) == serving);
+        const std::vector<Endpoint> summary = directory.summary();
+        for (const Endpoint &record : directory.all()) {
+            const bool listed = std::find(summary.begin(), summary.end(), record) != summary.end();
+            RC_ASSERT(directory.isInSummary(record) == listed);
+        }
+        auto sample = directory.sampleControlAddresses(3, *rc::gen::arbitrary<std::uint64_t>());
+        RC_ASSERT(sample.size() == std::min<std::size_t>(3, live));
+        std::sort(sample.begin(), sample.end());
+        RC_ASSERT(std::unique(sample.begin(), sample.end()) == sample.end());
+    });
+}
+
+// Guards against another region that never hears of the target which took the place of one that left its summary.
+TEST_CASE("a target that enters the summary counts as changed", "[membership]")
+{
+    EndpointDirectory directory(ownRegion);
+    for (unsigned target = 0; target < 24; target += 4)
+        directory.merge(recordOf(target, 1, 0, EndpointState::Serving), MonotonicTime{});
+    const std::vector<Endpoint> before = directory.summary();
+    const DirectoryVersion seen = directory.version();
+    directory.markGone(before.front().target, MonotonicTime{});
+    const Endpoint entered = directory.summary().back();
+    REQUIRE(std::find(before.begin(), before.end(), entered) == before.end());
+    const std::vector<Endpoint> changes = directory.changesSince(seen);
+    CHECK(std::find(changes.begin(), changes.end(), entered) != changes.end());
+    // A new stamp of a target that stays in the summary makes nothing else change.
+    const DirectoryVersion later = directory.version();
+    Endpoint again = entered;
+    again.stamp.sequence = SequenceNumber(1);
+    directory.merge(again, MonotonicTime{});
+    CHECK(directory.changesSince(later) == std::vector{again});
+}
+
 // Guards against calls to a region that was cut off long ago.
 TEST_CASE("another region's records age out without contact", "[membership]")
 {
