End a rolled-back version's share before a node routes again

Cause: a rollback merged from a parent's answer waits in the ring of the rollout thread for its next tick, up to an interval, while the same answer can make a woken node ready. It then sends requests to the bad version. The cause was read from the code and the log (rollback at 43.959, woken node attached at 43.971); no trace of the record was taken. Ruled out: a tick on each event; the node would still be ready before the thread ran. Change: RolloutDuty::merge() withdraws the share at once through an immutable map that split() reads.

--- a/src/node/rollout_duty.cpp
+++ b/src/node/rollout_duty.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <atomic>
 #include <map>
+#include <mutex>
 #include <thread>
 #include <utility>
 #include <variant>
@@ -58,12 +59,15 @@
 
 } // namespace
 
+/// \brief The latest rollout of each service that was rolled back.
+using RollbackMap = std::map<ServiceName, TicketNumber>;
+
 struct RolloutDuty::Impl
 {
     Impl(RolloutHooks givenHooks, Metrics &givenMetrics, std::size_t reportCapacity, Milliseconds givenInterval)
         : hooks(std::move(givenHooks)), metrics(givenMetrics), interval(givenInterval),
           reports(reportCapacity, WhenFull::DropOldest), control(controlCapacity, WhenFull::Reject),
-          splits(std::make_shared<const SplitMap>())
+          splits(std::make_shared<const SplitMap>()), rollbacks(std::make_shared<const RollbackMap>())
     {
     }
 
@@ -73,6 +77,8 @@
     BoundedRing<AttemptReport> reports;
     BoundedRing<ControlEvent> control;
     std::atomic<std::shared_ptr<const SplitMap>> splits;
+    std::mutex rollbackWriters;
+    std::atomic<std::shared_ptr<const RollbackMap>> rollbacks; ///< in force before the thread's next tick
     std::thread thread;
 
     // Of the thread only.
@@ -293,6 +299,23 @@
         countedDrops = drops;
     }
 
+    // A woken node routes as soon as its parent answered, which may be before the thread's next tick.
+    void withdraw(const RolloutRecord &record)
+    {
+        const std::scoped_lock lock(rollbackWriters);
+        auto next = std::make_shared<RollbackMap>(*rollbacks.load());
+        TicketNumber &latest = (*next)[record.service];
+        latest = std::max(latest, record.ticket);
+        rollbacks.store(std::move(next));
+    }
+
+    [[nodiscard]] bool isWithdrawn(const ServiceName &service, TicketNumber rollout) const
+    {
+        const std::shared_ptr<const RollbackMap> held = rollbacks.load();
+        const auto found = held->find(service);
+        return found != held->end() && found->second == rollout;
+    }
+
     [[nodiscard]] bool post(ControlEvent event) { return control.push(std::move(event)) == PushResult::Pushed; }
 };
 
@@ -310,6 +333,8 @@
 
 bool RolloutDuty::merge(RolloutRecord record)
 {
+    if (record.state == RolloutState::RolledBack)
+        m_impl->withdraw(record);
     return m_impl->post(std::move(record));
 }
 
@@ -334,7 +359,8 @@
         return std::nullopt;
     const std::shared_ptr<const SplitMap> splits = m_impl->splits.load();
     const auto found = splits->find(service.name);
-    if (found != splits->end() && found->second.newVersion == service.version)
+    const bool isHeld = found != splits->end() && found->second.newVersion == service.version;
+    if (isHeld && !m_impl->isWithdrawn(service.name, found->second.rollout))
         return found->second;
     return VersionSplit{TicketNumber{}, *service.previousVersion, service.version, noShare, noShare};
 }
