--- a/bench/fleet.cpp
+++ b/bench/fleet.cpp
@@ -36,7 +36,8 @@
 
 constexpr std::chrono::seconds patience{60};
 constexpr std::chrono::milliseconds settleTime{4'000};
-constexpr std::chrono::milliseconds ticketPause{300};
+// Not a multiple of the interval at which the baseline polls.
+constexpr std::chrono::milliseconds ticketPause{370};
 
 /// \brief What one node has used so far.
 struct Usage
@@ -131,21 +132,22 @@
     return static_cast<double>(std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
 }
 
-// The time from the acceptance of a ticket to its application by the last node.
+// The time from the start of the ticket command to the application by the last node. The command's process, its request
+// and the acceptance are part of it, because nodes may hold the revision before the command returns.
 double convergenceOf(Fleet &fleet, std::uint32_t number)
 {
-    if (fleet.fileTicket(*fleet.nodes().front(), ticketJson(number)) != 0)
+    const double filed = nowMs();
+    if (fleet.fileTicket(*fleet.nodes().back(), ticketJson(number)) != 0)
         return -1;
-    const double accepted = nowMs();
     if (!eventually([&] { return fleet.everyNodeHolds(number); }, patience))
         return -1;
-    double last = accepted;
+    double last = filed;
     for (const auto &node : fleet.nodes()) {
         const std::optional<wire::NodeStatus> status = fleet.status(*node);
         if (status)
             last = std::max(last, static_cast<double>(status->revision_applied_unix_ms()));
     }
-    return last - accepted;
+    return last - filed;
 }
 
 double percentile(std::vector<double> values, double part)
--- a/include/dandeliondock/dandeliondock.h
+++ b/include/dandeliondock/dandeliondock.h
@@ -11,6 +11,7 @@
 #include <dandeliondock/codec/compression.h>
 #include <dandeliondock/codec/config_codec.h>
 #include <dandeliondock/codec/control_codec.h>
+#include <dandeliondock/codec/record_codec.h>
 #include <dandeliondock/codec/row_codec.h>
 #include <dandeliondock/codec/snapshot_cache.h>
 #include <dandeliondock/codec/snapshot_codec.h>
--- a/src/node/rollout_store.cpp
+++ b/src/node/rollout_store.cpp
@@ -30,6 +30,7 @@
                                                         const std::vector<TicketNumber> &tickets)
 {
     std::vector<RowKey> keys;
+    keys.reserve(tickets.size());
     for (const TicketNumber ticket : tickets)
         keys.push_back(rolloutKey(ticket));
     const absl::StatusOr<std::vector<TableRow>> rows = store.read(keys);
--- a/tests/support/child_process.cpp
+++ b/tests/support/child_process.cpp
@@ -1,6 +1,7 @@
 #include "child_process.h"
 
 #include <arpa/inet.h>
+#include <atomic>
 #include <csignal>
 #include <cstdlib>
 #include <fcntl.h>
@@ -26,6 +27,46 @@
     return std::filesystem::exists(direct) ? direct.string() : (base / "tests" / program).string();
 }
 
+// A folder of this process, removed at its end.
+class TemporaryFolder
+{
+public:
+    TemporaryFolder()
+        : m_path(std::filesystem::temp_directory_path() / ("dandeliondock-test-" + std::to_string(getpid())))
+    {
+        std::filesystem::create_directories(m_path);
+    }
+
+    ~TemporaryFolder()
+    {
+        std::error_code ignored;
+        std::filesystem::remove_all(m_path, ignored);
+    }
+
+    TemporaryFolder(const TemporaryFolder &) = delete;
+    TemporaryFolder &operator=(const TemporaryFolder &) = delete;
+
+    [[nodiscard]] const std::filesystem::path &path() const { return m_path; }
+
+private:
+    std::filesystem::path m_path;
+};
+
+bool canListen(std::uint16_t port)
+{
+    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int on = 1;
+    setsockopt(probe, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+    struct sockaddr_in wanted = {};
+    wanted.sin_family = AF_INET;
+    wanted.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    wanted.sin_port = htons(port);
+    const bool bound = bind(probe, reinterpret_cast<struct sockaddr *>(&wanted), sizeof wanted) == 0;
+    const bool listening = bound && listen(probe, 1) == 0;
+    close(probe);
+    return listening;
+}
+
 } // namespace
 
 ChildProcess::ChildProcess(const std::string &program, const std::vector<std::string> &arguments)
@@ -102,23 +143,23 @@
 
 std::uint16_t freePort()
 {
-    const int probe = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-    struct sockaddr_in bound = {};
-    bound.sin_family = AF_INET;
-    bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    socklen_t size = sizeof bound;
-    bind(probe, reinterpret_cast<struct sockaddr *>(&bound), size);
-    getsockname(probe, reinterpret_cast<struct sockaddr *>(&bound), &size);
-    close(probe);
-    return ntohs(bound.sin_port);
+    // Below the system's range for outgoing connections, which take ports between the probe and their use.
+    constexpr int firstPort = 10'000;
+    constexpr int portCount = 20'000;
+    constexpr int portsForProcess = 611;
+    static std::atomic<int> next{getpid() * portsForProcess};
+    for (int tries = 0; tries < portCount; ++tries) {
+        const auto port = static_cast<std::uint16_t>(firstPort + next++ % portCount);
+        if (canListen(port))
+            return port;
+    }
+    throw std::runtime_error("no free port");
 }
 
 std::string writeTemporary(const std::string &name, const std::string &content)
 {
-    const std::filesystem::path folder =
-            std::filesystem::temp_directory_path() / ("dandeliondock-test-" + std::to_string(getpid()));
-    std::filesystem::create_directories(folder);
-    const std::filesystem::path path = folder / name;
+    static const TemporaryFolder folder;
+    const std::filesystem::path path = folder.path() / name;
     std::ofstream(path, std::ios::binary) << content;
     return path.string();
 }
--- a/tests/support/fleet.cpp
+++ b/tests/support/fleet.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <absl/strings/str_split.h>
 
 #include <algorithm>
@@ -59,9 +60,21 @@
                         node.plan.target->service, "\", \"version\": \"", node.plan.target->version,
                         "\", \"slots\": ", node.plan.target->slots, "}");
     }
+    if (m_usePeers)
+        absl::StrAppend(&json, ", \"peers\": [", peersOf(node), "]");
     return absl::StrCat(json, m_extraSettings, "}");
 }
 
+std::string Fleet::peersOf(const NodeProcess &node) const
+{
+    std::vector<std::string> peers;
+    for (const auto &other : m_nodes) {
+        if (other->plan.region == node.plan.region)
+            peers.push_back(absl::StrCat("\"127.0.0.1:", other->nodesPort, "\""));
+    }
+    return absl::StrJoin(peers, ", ");
+}
+
 NodeProcess &Fleet::startNode(const NodePlan &plan)
 {
     auto node = std::make_unique<NodeProcess>();
--- a/tests/support/fleet.h
+++ b/tests/support/fleet.h
@@ -54,6 +54,9 @@
     /// \param extraSettings members of the nodes' settings, as JSON text beginning with a comma
     Fleet(std::string deployment, std::string storeRegion, std::string extraSettings = {});
 
+    /// \brief Nodes started from now on know the earlier nodes of their region as peers.
+    void usePeers() { m_usePeers = true; }
+
     /// \brief Starts a node, and its target when it has one.
     NodeProcess &startNode(const NodePlan &plan);
 
@@ -92,12 +95,14 @@
 
 private:
     [[nodiscard]] std::string settingsOf(const NodeProcess &node) const;
+    [[nodiscard]] std::string peersOf(const NodeProcess &node) const;
     [[nodiscard]] SendResult operatorCall(const NodeProcess &node, const std::string &path);
 
     std::string m_deployment;
     std::string m_storeRegion;
     std::string m_extraSettings;
     std::string m_keyFile;
+    bool m_usePeers = false;
     HttpClient m_client;
     std::unique_ptr<ChildProcess> m_platform;
     std::uint16_t m_platformPort = 0;
