Handle the stop signals in one place

Ruled out: a common main function for the programs; their settings and exit codes differ. Conclusion: a new program states one line.

--- a/include/dandeliondock/dandeliondock.h
+++ b/include/dandeliondock/dandeliondock.h
@@ -27,6 +27,7 @@
 #include <dandeliondock/core/metrics.h>
 #include <dandeliondock/core/random_source.h>
 #include <dandeliondock/core/stable_hash.h>
+#include <dandeliondock/core/stop_signals.h>
 #include <dandeliondock/core/strong_type.h>
 #include <dandeliondock/core/time_source.h>
 #include <dandeliondock/core/units.h>
--- a/include/dandeliondock/forward_declarations.h
+++ b/include/dandeliondock/forward_declarations.h
@@ -41,6 +41,7 @@
 class ServiceGate;
 class ServicePool;
 class StagePlan;
+class StopSignals;
 class TargetHealth;
 class TargetSession;
 class TargetWatch;
--- a/tests/standins/platform_main.cpp
+++ b/tests/standins/platform_main.cpp
@@ -1,8 +1,9 @@
 #include "platform_server.h"
 
+#include <dandeliondock/core/stop_signals.h>
+
 #include <gflags/gflags.h>
 
-#include <csignal>
 #include <iostream>
 
 DEFINE_string(address, "127.0.0.1", "IP number to listen on");
@@ -30,12 +31,7 @@
 int main(int argc, char **argv)
 {
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
+    const dandeliondock::StopSignals signals;
     const auto server = dandeliondock::standins::PlatformServer::start(FLAGS_address, FLAGS_port, FLAGS_seed);
     if (!server.ok()) {
         std::cerr << "standin-platform: " << server.status().message() << "\n";
@@ -43,7 +39,6 @@
     }
     (*server)->faults().set(faultsFromFlags());
     std::cout << "port=" << (*server)->port() << std::endl;
-    int signal = 0;
-    sigwait(&signals, &signal);
+    signals.wait();
     return 0;
 }
--- a/tests/standins/target_main.cpp
+++ b/tests/standins/target_main.cpp
@@ -1,10 +1,10 @@
 #include "target_server.h"
 
 #include <dandeliondock/codec/bytes.h>
+#include <dandeliondock/core/stop_signals.h>
 
 #include <gflags/gflags.h>
 
-#include <csignal>
 #include <iostream>
 
 DEFINE_string(address, "127.0.0.1", "IP number to listen on");
@@ -17,12 +17,7 @@
 {
     using namespace dandeliondock;
     gflags::ParseCommandLineFlags(&argc, &argv, true);
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
+    const StopSignals signals;
     wire::TargetBehaviour behaviour;
     const absl::Status parsed = parseJson(FLAGS_behaviour, ErrorKind::InvalidSettings, "--behaviour", behaviour);
     if (!parsed.ok()) {
@@ -37,7 +32,6 @@
     }
     (*server)->setBehaviour(behaviour);
     std::cout << "port=" << (*server)->port() << std::endl;
-    int signal = 0;
-    sigwait(&signals, &signal);
+    signals.wait();
     return 0;
 }
