--- a/include/dandeliondock/distribution/lease_duty.h
+++ b/include/dandeliondock/distribution/lease_duty.h
@@ -15,9 +15,12 @@
 {
     RowKey key;
     LeaseKind kind = LeaseKind::DataCentre;
-    bool claimable = true;
+    Milliseconds reluctance{0}; ///< time for which a vacant lease is left to others
 };
 
+/// \brief A node outside the store's region leaves a vacant root lease to the nodes near the store for this time.
+inline constexpr Milliseconds remoteRootReluctance{12'000};
+
 /// \brief The leases that concern a node, the highest first. Thread-safe.
 ///
 /// \remark In the store's region the root takes the region lease's place.
@@ -35,8 +38,9 @@
     LeaseRow write;        ///< of Write
 };
 
-/// \brief Claims at most one of a node's leases and keeps it.
+/// \brief Claims the highest vacant lease of a node and keeps it.
 ///
+/// \remark The holder of a lease also claims a higher one that is vacant; the lower one is then no longer renewed.
 /// \remark One thread at a time.
 class LeaseDuty
 {
@@ -57,7 +61,15 @@
 
     [[nodiscard]] bool holdsRoot(MonotonicTime now) const;
 
-    /// \brief Holders that this node may take as its parent, by its own place in the tree.
+    /// \brief Whether the node held a lease when the store last answered. While the store is away the node keeps its
+    /// place as the top of its subtree, so that a region goes on; relaying needs no fence.
+    [[nodiscard]] bool interim() const noexcept { return m_heldAtLastContact; }
+
+    /// \brief Whether a node with this parent reads the leases: one without a parent, or a child of a holder. Other
+    /// nodes do not, which bounds the reads by the number of leases and not of nodes.
+    [[nodiscard]] bool watches(const std::optional<Address> &parent, MonotonicTime now) const;
+
+    /// \brief Holders that this node may take as its parent, the nearest rank above its own place first.
     [[nodiscard]] std::vector<Address> superiors(MonotonicTime now) const;
 
     /// \brief The write that releases the lease held; call after a read.
@@ -66,11 +78,12 @@
     [[nodiscard]] const std::vector<LeaseScope> &scopes() const noexcept { return m_scopes; }
 
 private:
-    [[nodiscard]] std::vector<Address> holdersOf(LeaseKind kind) const;
+    void addHolders(LeaseKind kind, std::vector<Address> &holders) const;
 
     std::vector<LeaseScope> m_scopes;
     std::vector<RelayLease> m_leases;
     Address m_address;
+    bool m_heldAtLastContact = false;
 };
 
 } // namespace dandeliondock
--- a/include/dandeliondock/distribution/parent_selection.h
+++ b/include/dandeliondock/distribution/parent_selection.h
@@ -27,9 +27,10 @@
 /// \brief Addresses that this node knows, by source.
 struct KnownAddresses
 {
-    std::vector<Address> leaseHolders;
+    std::vector<Address> leaseHolders; ///< in the order in which to try them
     std::vector<Address> peers;
     std::vector<Address> directory;
+    bool holder = false; ///< this node holds a lease itself and belongs under a higher holder
 };
 
 enum class SelectionAction { Poll, AskStore, Wait };
@@ -45,6 +46,8 @@
 enum class AttachOutcome { Attached, Refused, Redirected, Loop, PathLost, WrongDeployment };
 
 inline constexpr Milliseconds pathGrace{3'000};
+/// \brief A lease holder under a parent that is not a higher holder looks for one again after this time.
+inline constexpr Milliseconds holderReattachment{10'000};
 inline constexpr std::size_t maxDirectoryCandidates = 8;
 inline constexpr std::size_t maxCandidatesInRound = 64;
 
@@ -75,6 +78,7 @@
     [[nodiscard]] bool attached() const noexcept { return m_parent.has_value(); }
 
 private:
+    [[nodiscard]] bool misplaced(const KnownAddresses &known, MonotonicTime now) const;
     void startRound(const KnownAddresses &known);
     void addCandidates(std::vector<Address> addresses, CandidateSource source, std::size_t limit);
     AttachOutcome refuse(const PollAnswer &answer);
@@ -89,6 +93,7 @@
     std::vector<NodeId> m_path;
     std::vector<Address> m_lastPath;
     std::optional<MonotonicTime> m_pathlessSince;
+    MonotonicTime m_attachedAt;
     std::deque<ParentCandidate> m_round;
     std::set<Address> m_seen;
     Milliseconds m_retryHint{0};
--- a/include/dandeliondock/distribution/relay_lease.h
+++ b/include/dandeliondock/distribution/relay_lease.h
@@ -51,7 +51,8 @@
 class RelayLease
 {
 public:
-    RelayLease(NodeId self, Address controlAddress, RandomSource random);
+    /// \param reluctance how much longer than others this process leaves a vacant lease to them.
+    RelayLease(NodeId self, Address controlAddress, RandomSource random, Milliseconds reluctance = Milliseconds(0));
 
     [[nodiscard]] LeaseStep next(MonotonicTime now, WallTime wall);
 
@@ -82,6 +83,7 @@
     NodeId m_self;
     Address m_address;
     RandomSource m_random;
+    Milliseconds m_reluctance;
     LeaseRow m_row;
     LeaseRow m_attempt;
     std::optional<MonotonicTime> m_attemptStarted;
--- a/include/dandeliondock/distribution/relay_state.h
+++ b/include/dandeliondock/distribution/relay_state.h
@@ -42,8 +42,8 @@
 {
     bool revisions = false;
     bool path = false;
-    bool fullEndpoints = false;                  ///< the digests differ although every change was sent
-    std::optional<ChangeCursor> endpointsAfter;  ///< send the changes after this one
+    bool fullEndpoints = false;                 ///< the digests differ although every change was sent
+    std::optional<ChangeCursor> endpointsAfter; ///< send the changes after this one
     std::vector<RolloutRecord> rollouts;
 
     [[nodiscard]] bool any() const noexcept
@@ -125,4 +125,8 @@
     std::map<NodeId, Child> m_children;
 };
 
+/// \brief The path from the root to a node: its parent's path and itself; a top without a parent begins a path. Empty
+/// when the node is neither attached nor a top. Thread-safe.
+[[nodiscard]] std::vector<NodeId> ownPath(const NodeId &self, const std::vector<NodeId> &parentPath, bool top);
+
 } // namespace dandeliondock
--- a/src/codec/control_codec.cpp
+++ b/src/codec/control_codec.cpp
@@ -26,8 +26,8 @@
 {
     if (received == expected.value())
         return absl::OkStatus();
-    return makeError(ErrorKind::WrongDeployment,
-                     absl::StrCat("the message is of deployment '", received, "', this node of '", expected.value(), "'"));
+    return makeError(ErrorKind::WrongDeployment, absl::StrCat("the message is of deployment '", received,
+                                                              "', this node of '", expected.value(), "'"));
 }
 
 wire::EndpointRecord::State encodeEndpointState(EndpointState state)
--- a/src/distribution/backoff.cpp
+++ b/src/distribution/backoff.cpp
@@ -4,8 +4,8 @@
 
 namespace dandeliondock {
 
-Backoff::Backoff(RandomSource random, Milliseconds base, Milliseconds cap) :
-    m_random(std::move(random)), m_base(base), m_cap(cap), m_limit(base)
+Backoff::Backoff(RandomSource random, Milliseconds base, Milliseconds cap)
+    : m_random(std::move(random)), m_base(base), m_cap(cap), m_limit(base)
 {
 }
 
--- a/src/distribution/lease_duty.cpp
+++ b/src/distribution/lease_duty.cpp
@@ -16,22 +16,23 @@
                                     const RegionName &storeRegion)
 {
     const bool nearStore = region == storeRegion;
-    std::vector<LeaseScope> scopes{{RowKey("lease/root/0"), LeaseKind::Root, nearStore}};
+    std::vector<LeaseScope> scopes{
+            {RowKey("lease/root/0"), LeaseKind::Root, nearStore ? Milliseconds(0) : remoteRootReluctance}};
     if (!nearStore)
-        scopes.push_back({RowKey(absl::StrCat("lease/region/", region.value(), "/0")), LeaseKind::Region, true});
+        scopes.push_back({RowKey(absl::StrCat("lease/region/", region.value(), "/0")), LeaseKind::Region, {}});
     for (int i = 0; i < leasesPerDataCentre; ++i) {
         const RowKey key(absl::StrCat("lease/dc/", region.value(), "/", dataCentre.value(), "/", i));
-        scopes.push_back({key, LeaseKind::DataCentre, true});
+        scopes.push_back({key, LeaseKind::DataCentre, {}});
     }
     return scopes;
 }
 
 LeaseDuty::LeaseDuty(std::vector<LeaseScope> scopes, const NodeId &self, const Address &controlAddress,
-                     const RandomSource &random) :
-    m_scopes(std::move(scopes)), m_address(controlAddress)
+                     const RandomSource &random)
+    : m_scopes(std::move(scopes)), m_address(controlAddress)
 {
-    for (std::size_t i = 0; i < m_scopes.size(); ++i)
-        m_leases.emplace_back(self, controlAddress, random);
+    for (const LeaseScope &scope : m_scopes)
+        m_leases.emplace_back(self, controlAddress, random, scope.reluctance);
 }
 
 DutyStep LeaseDuty::next(MonotonicTime now, WallTime wall, bool candidate)
@@ -41,8 +42,8 @@
     if (!holding && !candidate)
         return best;
     for (std::size_t i = 0; i < m_leases.size(); ++i) {
-        if (holding ? i != *holding : !m_scopes[i].claimable)
-            continue;
+        if (holding && i > *holding)
+            break;
         const LeaseStep step = m_leases[i].next(now, wall);
         if (step.action == LeaseAction::Write)
             return {DutyAction::Write, {}, i, step.write};
@@ -58,6 +59,7 @@
 {
     for (std::size_t i = 0; i < m_leases.size(); ++i)
         m_leases[i].onRead(rows[i], now);
+    m_heldAtLastContact = held(now).has_value();
 }
 
 void LeaseDuty::onReadFailed(MonotonicTime now)
@@ -69,6 +71,8 @@
 void LeaseDuty::onWrite(std::size_t scope, LeaseWrite result, MonotonicTime started, MonotonicTime now)
 {
     m_leases[scope].onWrite(result, started, now);
+    if (result == LeaseWrite::Committed || result == LeaseWrite::Refused)
+        m_heldAtLastContact = held(now).has_value();
 }
 
 std::optional<std::size_t> LeaseDuty::held(MonotonicTime now) const
@@ -86,28 +90,37 @@
     return holding && m_scopes[*holding].kind == LeaseKind::Root;
 }
 
-std::vector<Address> LeaseDuty::holdersOf(LeaseKind kind) const
+void LeaseDuty::addHolders(LeaseKind kind, std::vector<Address> &holders) const
 {
-    std::vector<Address> holders;
+    const auto first = static_cast<std::ptrdiff_t>(holders.size());
     for (std::size_t i = 0; i < m_leases.size(); ++i) {
         const Address &holder = m_leases[i].holderAddress();
         if (m_scopes[i].kind == kind && !holder.value().empty() && holder != m_address)
             holders.push_back(holder);
     }
-    return holders;
+    // Half of the nodes begin with the second holder of a data centre.
+    if (std::hash<Address>{}(m_address) % 2 == 1)
+        std::reverse(holders.begin() + first, holders.end());
+}
+
+bool LeaseDuty::watches(const std::optional<Address> &parent, MonotonicTime now) const
+{
+    if (!parent)
+        return true;
+    const std::vector<Address> holders = superiors(now);
+    return std::find(holders.begin(), holders.end(), *parent) != holders.end();
 }
 
 std::vector<Address> LeaseDuty::superiors(MonotonicTime now) const
 {
     const std::optional<std::size_t> holding = held(now);
-    std::vector<Address> result;
+    std::vector<Address> holders;
     if (!holding)
-        result = holdersOf(LeaseKind::DataCentre);
-    if (result.empty() && (!holding || m_scopes[*holding].kind == LeaseKind::DataCentre))
-        result = holdersOf(LeaseKind::Region);
-    if (result.empty())
-        result = holdersOf(LeaseKind::Root);
-    return result;
+        addHolders(LeaseKind::DataCentre, holders);
+    if (!holding || m_scopes[*holding].kind == LeaseKind::DataCentre)
+        addHolders(LeaseKind::Region, holders);
+    addHolders(LeaseKind::Root, holders);
+    return holders;
 }
 
 std::optional<DutyStep> LeaseDuty::release(MonotonicTime now)
--- a/src/distribution/parent_selection.cpp
+++ b/src/distribution/parent_selection.cpp
@@ -4,13 +4,15 @@
 
 namespace dandeliondock {
 
-ParentSelection::ParentSelection(NodeId self, Address controlAddress, const RandomSource &random) :
-    m_self(std::move(self)), m_address(std::move(controlAddress)), m_random(random), m_backoff(random)
+ParentSelection::ParentSelection(NodeId self, Address controlAddress, const RandomSource &random)
+    : m_self(std::move(self)), m_address(std::move(controlAddress)), m_random(random), m_backoff(random)
 {
 }
 
 SelectionStep ParentSelection::next(const KnownAddresses &known, MonotonicTime now)
 {
+    if (misplaced(known, now))
+        detach();
     if (m_parent)
         return {SelectionAction::Poll, m_tried = *m_parent, {}};
     if (!m_inRound)
@@ -30,6 +32,12 @@
     return {SelectionAction::Wait, {}, now + wait};
 }
 
+bool ParentSelection::misplaced(const KnownAddresses &known, MonotonicTime now) const
+{
+    return m_parent && known.holder && !known.leaseHolders.empty() && m_parent->source != CandidateSource::Lease
+           && now - m_attachedAt >= holderReattachment;
+}
+
 void ParentSelection::startRound(const KnownAddresses &known)
 {
     m_inRound = true;
@@ -44,7 +52,7 @@
 
 void ParentSelection::addCandidates(std::vector<Address> addresses, CandidateSource source, std::size_t limit)
 {
-    for (std::size_t i = addresses.size(); i > 1; --i)
+    for (std::size_t i = source == CandidateSource::Lease ? 0 : addresses.size(); i > 1; --i)
         std::swap(addresses[i - 1], addresses[uniformBelow(m_random, i)]);
     std::size_t added = 0;
     for (const Address &address : addresses) {
@@ -67,6 +75,8 @@
     }
     if (answer.path.empty())
         return keepWithoutPath(now);
+    if (!m_parent)
+        m_attachedAt = now;
     m_parent = m_tried;
     m_path = answer.path;
     m_lastPath = {m_tried.address, answer.grandparent};
--- a/src/distribution/relay_lease.cpp
+++ b/src/distribution/relay_lease.cpp
@@ -12,8 +12,9 @@
 
 } // namespace
 
-RelayLease::RelayLease(NodeId self, Address controlAddress, RandomSource random) :
-    m_self(std::move(self)), m_address(std::move(controlAddress)), m_random(std::move(random))
+RelayLease::RelayLease(NodeId self, Address controlAddress, RandomSource random, Milliseconds reluctance)
+    : m_self(std::move(self)), m_address(std::move(controlAddress)), m_random(std::move(random)),
+      m_reluctance(reluctance)
 {
 }
 
@@ -47,9 +48,11 @@
 
 bool RelayLease::vacant(MonotonicTime now) const noexcept
 {
-    if (m_row.version == RowVersion{} || m_row.record.holder.value().empty())
-        return true;
-    return m_unchangedSince && now - *m_unchangedSince >= leaseTerm + claimMargin;
+    if (!m_unchangedSince)
+        return false;
+    const bool unclaimed = m_row.version == RowVersion{} || m_row.record.holder.value().empty();
+    const Milliseconds wait = unclaimed ? m_reluctance : m_reluctance + leaseTerm + claimMargin;
+    return now - *m_unchangedSince >= wait;
 }
 
 MonotonicTime RelayLease::jittered(MonotonicTime now, Milliseconds interval) const
--- a/src/distribution/relay_state.cpp
+++ b/src/distribution/relay_state.cpp
@@ -27,8 +27,8 @@
 
 } // namespace
 
-RelayState::RelayState(DeploymentName deployment, NodeId self, RegionName region, std::size_t fanOut) :
-    m_deployment(std::move(deployment)), m_self(std::move(self)), m_region(std::move(region)), m_fanOut(fanOut)
+RelayState::RelayState(DeploymentName deployment, NodeId self, RegionName region, std::size_t fanOut)
+    : m_deployment(std::move(deployment)), m_self(std::move(self)), m_region(std::move(region)), m_fanOut(fanOut)
 {
 }
 
@@ -171,4 +171,12 @@
     return nodes;
 }
 
+std::vector<NodeId> ownPath(const NodeId &self, const std::vector<NodeId> &parentPath, bool top)
+{
+    std::vector<NodeId> path = parentPath;
+    if (top || !path.empty())
+        path.push_back(self);
+    return path;
+}
+
 } // namespace dandeliondock
