--- /dev/null
+++ b/src/distribution/lease_duty.cpp
@@ -0,0 +1,135 @@
+#include <dandeliondock/distribution/lease_duty.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+
+namespace dandeliondock {
+
+namespace {
+
+constexpr int leasesPerDataCentre = 2;
+
+} // namespace
+
+std::vector<LeaseScope> leaseScopes(const RegionName &region, const DataCentreName &dataCentre,
+                                    const RegionName &storeRegion)
+{
+    const bool nearStore = region == storeRegion;
+    std::vector<LeaseScope> scopes{
+            {RowKey("lease/root/0"), LeaseKind::Root, nearStore ? Milliseconds(0) : remoteRootReluctance}};
+    if (!nearStore)
+        scopes.push_back({RowKey(absl::StrCat("lease/region/", region.value(), "/0")), LeaseKind::Region, {}});
+    for (int i = 0; i < leasesPerDataCentre; ++i) {
+        const RowKey key(absl::StrCat("lease/dc/", region.value(), "/", dataCentre.value(), "/", i));
+        scopes.push_back({key, LeaseKind::DataCentre, {}});
+    }
+    return scopes;
+}
+
+LeaseDuty::LeaseDuty(std::vector<LeaseScope> scopes, const NodeId &self, const Address &controlAddress,
+                     const RandomSource &random)
+    : m_scopes(std::move(scopes)), m_address(controlAddress)
+{
+    for (const LeaseScope &scope : m_scopes)
+        m_leases.emplace_back(self, controlAddress, random, scope.reluctance);
+}
+
+DutyStep LeaseDuty::next(MonotonicTime now, WallTime wall, bool candidate)
+{
+    const std::optional<std::size_t> holding = held(now);
+    DutyStep best{DutyAction::Wait, now + leaseRenewal, 0, {}};
+    if (!holding && !candidate)
+        return best;
+    for (std::size_t i = 0; i < m_leases.size(); ++i) {
+        if (holding && i > *holding)
+            break;
+        const LeaseStep step = m_leases[i].next(now, wall);
+        if (step.action == LeaseAction::Write)
+            return {DutyAction::Write, {}, i, step.write};
+        if (step.action == LeaseAction::Read)
+            best.action = DutyAction::ReadAll;
+        else
+            best.until = std::min(best.until, step.until);
+    }
+    return best;
+}
+
+void LeaseDuty::onRead(const std::vector<LeaseRow> &rows, MonotonicTime now)
+{
+    for (std::size_t i = 0; i < m_leases.size(); ++i)
+        m_leases[i].onRead(rows[i], now);
+    m_heldAtLastContact = held(now).has_value();
+}
+
+void LeaseDuty::onReadFailed(MonotonicTime now)
+{
+    for (RelayLease &lease : m_leases)
+        lease.onReadFailed(now);
+}
+
+void LeaseDuty::onWrite(std::size_t scope, LeaseWrite result, MonotonicTime started, MonotonicTime now)
+{
+    m_leases[scope].onWrite(result, started, now);
+    if (result == LeaseWrite::Committed || result == LeaseWrite::Refused)
+        m_heldAtLastContact = held(now).has_value();
+}
+
+std::optional<std::size_t> LeaseDuty::held(MonotonicTime now) const
+{
+    for (std::size_t i = 0; i < m_leases.size(); ++i) {
+        if (m_leases[i].held(now))
+            return i;
+    }
+    return std::nullopt;
+}
+
+bool LeaseDuty::holdsRoot(MonotonicTime now) const
+{
+    const std::optional<std::size_t> holding = held(now);
+    return holding && m_scopes[*holding].kind == LeaseKind::Root;
+}
+
+void LeaseDuty::addHolders(LeaseKind kind, std::vector<Address> &holders) const
+{
+    const auto first = static_cast<std::ptrdiff_t>(holders.size());
+    for (std::size_t i = 0; i < m_leases.size(); ++i) {
+        const Address &holder = m_leases[i].holderAddress();
+        if (m_scopes[i].kind == kind && !holder.value().empty() && holder != m_address)
+            holders.push_back(holder);
+    }
+    // Half of the nodes begin with the second holder of a data centre.
+    if (std::hash<Address>{}(m_address) % 2 == 1)
+        std::reverse(holders.begin() + first, holders.end());
+}
+
+bool LeaseDuty::watches(const std::optional<Address> &parent, MonotonicTime now) const
+{
+    if (!parent)
+        return true;
+    const std::vector<Address> holders = superiors(now);
+    return std::find(holders.begin(), holders.end(), *parent) != holders.end();
+}
+
+std::vector<Address> LeaseDuty::superiors(MonotonicTime now) const
+{
+    const std::optional<std::size_t> holding = held(now);
+    std::vector<Address> holders;
+    if (!holding)
+        addHolders(LeaseKind::DataCentre, holders);
+    if (!holding || m_scopes[*holding].kind == LeaseKind::DataCentre)
+        addHolders(LeaseKind::Region, holders);
+    addHolders(LeaseKind::Root, holders);
+    return holders;
+}
+
+std::optional<DutyStep> LeaseDuty::release(MonotonicTime now)
+{
+    const std::optional<std::size_t> holding = held(now);
+    if (!holding)
+        return std::nullopt;
+    const std::optional<LeaseRow> row = m_leases[*holding].release(now);
+    return DutyStep{DutyAction::Write, {}, *holding, *row};
+}
+
+} // namespace dandeliondock
