--- a/include/dandeliondock/codec/control_codec.h
+++ b/include/dandeliondock/codec/control_codec.h
@@ -1,8 +1,6 @@
 #pragma once
 
-#include <dandeliondock/config/config_state.h>
 #include <dandeliondock/distribution/poll.h>
-#include <dandeliondock/distribution/relay_lease.h>
 
 #include <absl/status/statusor.h>
 #include <absl/strings/string_view.h>
@@ -33,17 +31,4 @@
 [[nodiscard]] absl::StatusOr<SnapshotRequest> decodeSnapshotRequest(absl::string_view bytes,
                                                                     const DeploymentName &deployment);
 
-/// \brief The compressed form of a whole state.
-[[nodiscard]] absl::StatusOr<std::string> encodeSnapshot(const ConfigState &state);
-
-/// \brief A state from its compressed form; bounded by maxSnapshotBytes once decompressed.
-[[nodiscard]] absl::StatusOr<ConfigState> decodeSnapshot(absl::string_view bytes);
-
-inline constexpr std::size_t maxSnapshotBytes = std::size_t{64} << 20U;
-
-[[nodiscard]] std::string encodeLease(const LeaseRecord &record);
-
-/// \return InvalidRow when the row's value is not a lease.
-[[nodiscard]] absl::StatusOr<LeaseRecord> decodeLease(absl::string_view bytes, const RowKey &key);
-
 } // namespace dandeliondock
--- a/include/dandeliondock/codec/snapshot_cache.h
+++ b/include/dandeliondock/codec/snapshot_cache.h
@@ -2,8 +2,6 @@
 
 #include <dandeliondock/config/config_state.h>
 
-#include <absl/status/statusor.h>
-
 #include <memory>
 #include <mutex>
 #include <string>
@@ -17,7 +15,7 @@
 {
 public:
     /// \pre \c state is not null.
-    [[nodiscard]] absl::StatusOr<std::shared_ptr<const std::string>> encoded(const ConfigSnapshot &state);
+    [[nodiscard]] std::shared_ptr<const std::string> encoded(const ConfigSnapshot &state);
 
 private:
     std::mutex m_mutex;
--- a/include/dandeliondock/distribution/lease_duty.h
+++ b/include/dandeliondock/distribution/lease_duty.h
@@ -35,7 +35,7 @@
     DutyAction action = DutyAction::Wait;
     MonotonicTime until;   ///< of Wait
     std::size_t scope = 0; ///< of Write: index of the lease
-    LeaseRow write;        ///< of Write
+    VersionedLease write;  ///< of Write
 };
 
 /// \brief Claims the highest vacant lease of a node and keeps it.
@@ -52,7 +52,7 @@
     [[nodiscard]] DutyStep next(MonotonicTime now, WallTime wall, bool candidate);
 
     /// \pre \c rows has a row for each scope, in order.
-    void onRead(const std::vector<LeaseRow> &rows, MonotonicTime now);
+    void onRead(const std::vector<VersionedLease> &rows, MonotonicTime now);
     void onReadFailed(MonotonicTime now);
     void onWrite(std::size_t scope, LeaseWrite result, MonotonicTime started, MonotonicTime now);
 
--- a/include/dandeliondock/distribution/relay_lease.h
+++ b/include/dandeliondock/distribution/relay_lease.h
@@ -3,6 +3,7 @@
 #include <dandeliondock/core/ids.h>
 #include <dandeliondock/core/random_source.h>
 #include <dandeliondock/core/units.h>
+#include <dandeliondock/store/row_types.h>
 
 #include <optional>
 
@@ -11,24 +12,13 @@
 inline constexpr Milliseconds leaseTerm{6'000};
 inline constexpr Milliseconds leaseRenewal{2'000};
 
-/// \brief Content of a lease's row; an empty holder marks a released lease.
-struct LeaseRecord
-{
-    NodeId holder;
-    Address controlAddress;
-    Fence fence;
-    WallTime expires; ///< for readers; whether the lease is vacant is decided on each process's own monotonic clock
-
-    bool operator==(const LeaseRecord &) const = default;
-};
-
 /// \brief A lease's row as read; absent rows have version 0.
-struct LeaseRow
+struct VersionedLease
 {
-    LeaseRecord record;
+    LeaseRow record;
     RowVersion version;
 
-    bool operator==(const LeaseRow &) const = default;
+    bool operator==(const VersionedLease &) const = default;
 };
 
 enum class LeaseAction { Wait, Read, Write };
@@ -37,8 +27,8 @@
 struct LeaseStep
 {
     LeaseAction action = LeaseAction::Wait;
-    MonotonicTime until; ///< of Wait
-    LeaseRow write;      ///< of Write: the record, on condition that the row still has this version
+    MonotonicTime until;  ///< of Wait
+    VersionedLease write; ///< of Write: the record, on condition that the row still has this version
 };
 
 enum class LeaseWrite { Committed, Refused, Unavailable, Unknown };
@@ -56,7 +46,7 @@
 
     [[nodiscard]] LeaseStep next(MonotonicTime now, WallTime wall);
 
-    void onRead(const LeaseRow &row, MonotonicTime now);
+    void onRead(const VersionedLease &row, MonotonicTime now);
     void onReadFailed(MonotonicTime now);
 
     /// \pre next() returned Write at \c started.
@@ -70,7 +60,7 @@
     [[nodiscard]] Fence fence() const noexcept { return m_row.record.fence; }
 
     /// \brief The write that releases the lease; empty when it is not held.
-    [[nodiscard]] std::optional<LeaseRow> release(MonotonicTime now);
+    [[nodiscard]] std::optional<VersionedLease> release(MonotonicTime now);
 
     /// \brief Address of the holder last read; empty when unknown or vacant.
     [[nodiscard]] const Address &holderAddress() const noexcept { return m_row.record.controlAddress; }
@@ -84,8 +74,8 @@
     Address m_address;
     RandomSource m_random;
     Milliseconds m_reluctance;
-    LeaseRow m_row;
-    LeaseRow m_attempt;
+    VersionedLease m_row;
+    VersionedLease m_attempt;
     std::optional<MonotonicTime> m_attemptStarted;
     std::optional<MonotonicTime> m_unchangedSince;
     std::optional<MonotonicTime> m_heldUntil;
--- a/include/dandeliondock/node/lease_keeper.h
+++ b/include/dandeliondock/node/lease_keeper.h
@@ -39,6 +39,9 @@
     void readRows();
     void write(const DutyStep &step);
     void readHead();
+    [[nodiscard]] absl::Status catchUp(const HeadRow &head);
+    [[nodiscard]] absl::Status startFromSnapshot(RevisionNumber head);
+    void takeSnapshot();
     void publish();
     void release();
     void waitForNext();
@@ -55,7 +58,4 @@
     std::thread m_thread;
 };
 
-/// \brief Reads the revisions after \c held from the store, at most a page of them.
-[[nodiscard]] absl::StatusOr<std::vector<Revision>> readRevisionsAfter(const StoreHooks &store, RevisionNumber held);
-
 } // namespace dandeliondock
--- a/src/codec/control_codec.cpp
+++ b/src/codec/control_codec.cpp
@@ -9,7 +9,6 @@
 #include <store.pb.h>
 
 #include <algorithm>
-#include <zlib.h>
 
 namespace dandeliondock {
 
@@ -448,61 +447,4 @@
                            RevisionNumber(message->revision()), RegionName(message->region())};
 }
 
-absl::StatusOr<std::string> encodeSnapshot(const ConfigState &state)
-{
-    const std::string plain = encodeState(state).SerializeAsString();
-    uLongf size = compressBound(plain.size());
-    std::string packed(size, '\0');
-    const int code = compress(reinterpret_cast<Bytef *>(packed.data()), &size,
-                              reinterpret_cast<const Bytef *>(plain.data()), plain.size());
-    if (code != Z_OK)
-        return makeError(ErrorKind::Internal, absl::StrCat("zlib cannot compress the snapshot: ", code));
-    packed.resize(size);
-    return packed;
-}
-
-absl::StatusOr<ConfigState> decodeSnapshot(absl::string_view bytes)
-{
-    constexpr std::size_t firstGuess = 8;
-    constexpr std::size_t smallest = 4'096;
-    std::string plain;
-    int code = Z_BUF_ERROR;
-    // The plain size is not transmitted, so that the buffer doubles until the content fits or the bound is reached.
-    for (std::size_t room = std::max(smallest, bytes.size() * firstGuess); code == Z_BUF_ERROR; room *= 2) {
-        plain.resize(std::min(room, maxSnapshotBytes));
-        uLongf size = plain.size();
-        code = uncompress(reinterpret_cast<Bytef *>(plain.data()), &size, reinterpret_cast<const Bytef *>(bytes.data()),
-                          bytes.size());
-        if (code == Z_OK)
-            plain.resize(size);
-        if (room >= maxSnapshotBytes)
-            break;
-    }
-    if (code != Z_OK)
-        return invalid("the snapshot is not a whole zlib stream of at most 64 MiB");
-    const auto message = parseBytes<wire::ConfigState>(plain, ErrorKind::InvalidMessage, "the snapshot");
-    if (!message.ok())
-        return message.status();
-    return decodeState(*message);
-}
-
-std::string encodeLease(const LeaseRecord &record)
-{
-    wire::LeaseRow message;
-    message.set_holder(record.holder.value());
-    message.set_control_address(record.controlAddress.value());
-    message.set_fence(record.fence.value());
-    message.set_expires_unix_ms(record.expires.time_since_epoch().count());
-    return message.SerializeAsString();
-}
-
-absl::StatusOr<LeaseRecord> decodeLease(absl::string_view bytes, const RowKey &key)
-{
-    const auto message = parseBytes<wire::LeaseRow>(bytes, ErrorKind::InvalidRow, key.value());
-    if (!message.ok())
-        return message.status();
-    return LeaseRecord{NodeId(message->holder()), Address(message->control_address()), Fence(message->fence()),
-                       WallTime(Milliseconds(message->expires_unix_ms()))};
-}
-
 } // namespace dandeliondock
--- /dev/null
+++ b/src/codec/snapshot_codec.cpp
@@ -0,0 +1,25 @@
+#include <dandeliondock/codec/snapshot_codec.h>
+
+#include <dandeliondock/codec/bytes.h>
+#include <dandeliondock/codec/compression.h>
+#include <dandeliondock/codec/config_codec.h>
+
+namespace dandeliondock {
+
+std::string encodeSnapshot(const ConfigState &state)
+{
+    return compressBytes(encodeState(state).SerializeAsString());
+}
+
+absl::StatusOr<ConfigState> decodeSnapshot(absl::string_view bytes)
+{
+    const absl::StatusOr<std::string> plain = decompressBytes(bytes, maxSnapshotSize);
+    if (!plain.ok())
+        return plain.status();
+    const auto message = parseBytes<wire::ConfigState>(*plain, ErrorKind::InvalidMessage, "the snapshot");
+    if (!message.ok())
+        return message.status();
+    return decodeState(*message);
+}
+
+} // namespace dandeliondock
--- a/src/distribution/lease_duty.cpp
+++ b/src/distribution/lease_duty.cpp
@@ -55,7 +55,7 @@
     return best;
 }
 
-void LeaseDuty::onRead(const std::vector<LeaseRow> &rows, MonotonicTime now)
+void LeaseDuty::onRead(const std::vector<VersionedLease> &rows, MonotonicTime now)
 {
     for (std::size_t i = 0; i < m_leases.size(); ++i)
         m_leases[i].onRead(rows[i], now);
@@ -128,7 +128,7 @@
     const std::optional<std::size_t> holding = held(now);
     if (!holding)
         return std::nullopt;
-    const std::optional<LeaseRow> row = m_leases[*holding].release(now);
+    const std::optional<VersionedLease> row = m_leases[*holding].release(now);
     return DutyStep{DutyAction::Write, {}, *holding, *row};
 }
 
--- a/src/distribution/relay_lease.cpp
+++ b/src/distribution/relay_lease.cpp
@@ -39,7 +39,7 @@
     m_attempt = m_row;
     m_attempt.record.holder = m_self;
     m_attempt.record.controlAddress = m_address;
-    m_attempt.record.expires = wall + leaseTerm;
+    m_attempt.record.expiresAt = wall + leaseTerm;
     if (!m_heldUntil)
         m_attempt.record.fence = Fence(m_row.record.fence.value() + 1);
     m_attemptStarted = now;
@@ -61,7 +61,7 @@
     return now + interval - Milliseconds(uniformBelow(m_random, spread + 1));
 }
 
-void RelayLease::onRead(const LeaseRow &row, MonotonicTime now)
+void RelayLease::onRead(const VersionedLease &row, MonotonicTime now)
 {
     const bool changed = !m_unchangedSince || row.version != m_row.version;
     if (changed)
@@ -105,11 +105,11 @@
     return m_heldUntil && now < *m_heldUntil;
 }
 
-std::optional<LeaseRow> RelayLease::release(MonotonicTime now)
+std::optional<VersionedLease> RelayLease::release(MonotonicTime now)
 {
     if (!held(now))
         return std::nullopt;
-    LeaseRow row = m_row;
+    VersionedLease row = m_row;
     row.record.holder = NodeId();
     row.record.controlAddress = Address();
     m_heldUntil.reset();
--- a/src/node/control_listener.cpp
+++ b/src/node/control_listener.cpp
@@ -113,12 +113,10 @@
 
 HttpResponse ControlListener::sendSnapshot()
 {
-    const auto bytes = m_snapshots.encoded(m_hub->hooks().config());
-    if (!bytes.ok())
-        return refuse(bytes.status());
+    const std::shared_ptr<const std::string> bytes = m_snapshots.encoded(m_hub->hooks().config());
     m_hub->hooks().metrics->counter("dandeliondock_snapshots_served_total").add();
     HttpResponse response;
-    response.body = **bytes;
+    response.body = *bytes;
     return response;
 }
 
--- a/src/node/lease_keeper.cpp
+++ b/src/node/lease_keeper.cpp
@@ -1,11 +1,10 @@
 #include <dandeliondock/node/lease_keeper.h>
 
-#include <dandeliondock/codec/bytes.h>
-#include <dandeliondock/codec/config_codec.h>
-#include <dandeliondock/codec/control_codec.h>
+#include <dandeliondock/codec/row_codec.h>
+#include <dandeliondock/config/config_store.h>
 #include <dandeliondock/core/error.h>
-#include <dandeliondock/node/ticket_service.h>
-#include <dandeliondock/store/rows.h>
+#include <dandeliondock/store/snapshots.h>
+#include <dandeliondock/store/state_reader.h>
 
 #include <algorithm>
 
@@ -15,7 +14,6 @@
 
 constexpr Milliseconds headInterval{250};
 constexpr Milliseconds longestWait{1'000};
-constexpr std::size_t revisionPage = 256;
 
 LeaseWrite toLeaseWrite(const absl::StatusOr<CommitResult> &result)
 {
@@ -24,11 +22,15 @@
     return errorKind(result.status()) == ErrorKind::StoreUnavailable ? LeaseWrite::Unavailable : LeaseWrite::Unknown;
 }
 
-absl::StatusOr<std::vector<LeaseRow>> decodeRows(const std::vector<TableRow> &rows)
+absl::StatusOr<std::vector<VersionedLease>> decodeRows(const std::vector<TableRow> &rows)
 {
-    std::vector<LeaseRow> leases;
+    std::vector<VersionedLease> leases;
     for (const TableRow &row : rows) {
-        absl::StatusOr<LeaseRecord> record = decodeLease(row.value, row.key);
+        if (row.version == RowVersion{}) {
+            leases.emplace_back();
+            continue;
+        }
+        absl::StatusOr<LeaseRow> record = decodeLeaseRow(row);
         if (!record.ok())
             return record.status();
         leases.push_back({*std::move(record), row.version});
@@ -38,29 +40,6 @@
 
 } // namespace
 
-absl::StatusOr<std::vector<Revision>> readRevisionsAfter(const StoreHooks &store, RevisionNumber held)
-{
-    std::vector<Revision> revisions;
-    const absl::StatusOr<RevisionNumber> head = readHead(store);
-    if (!head.ok())
-        return head.status();
-    if (*head <= held)
-        return revisions;
-    const auto rows = store.scan({revisionPrefix, revisionKey(RevisionNumber(held.value() + 1)).value(), revisionPage});
-    if (!rows.ok())
-        return rows.status();
-    for (const TableRow &row : *rows) {
-        const auto message = parseBytes<wire::Revision>(row.value, ErrorKind::InvalidRow, row.key.value());
-        if (!message.ok())
-            return message.status();
-        absl::StatusOr<Revision> revision = decodeRevision(*message);
-        if (!revision.ok())
-            return revision.status();
-        revisions.push_back(*std::move(revision));
-    }
-    return revisions;
-}
-
 LeaseKeeper::LeaseKeeper(std::shared_ptr<RelayHub> hub)
     : m_hub(std::move(hub)),
       m_duty(leaseScopes(m_hub->identity().region, m_hub->identity().dataCentre, m_hub->identity().storeRegion),
@@ -141,7 +120,7 @@
     const RowKey &key = m_duty.scopes()[step.scope].key;
     const MonotonicTime started = m_hub->hooks().time.monotonic();
     const auto result =
-            m_hub->hooks().store.commit({{{key, step.write.version}}, {{key, encodeLease(step.write.record)}}});
+            m_hub->hooks().store.commit({{{key, step.write.version}}, {{key, encodeLeaseRow(step.write.record)}}});
     const LeaseWrite outcome = toLeaseWrite(result);
     m_duty.onWrite(step.scope, outcome, started, m_hub->hooks().time.monotonic());
     if (outcome != LeaseWrite::Committed)
@@ -180,14 +159,48 @@
     if (now < m_nextHead)
         return;
     m_nextHead = now + headInterval;
-    const auto revisions = readRevisionsAfter(m_hub->hooks().store, m_hub->hooks().config()->revision());
-    if (!revisions.ok()) {
+    const absl::StatusOr<VersionedHead> head = readVersionedHead(m_hub->hooks().store);
+    const absl::Status status = head.ok() ? catchUp(head->head) : head.status();
+    if (!status.ok()) {
         m_hub->report(LogLevel::Warn, "store.poll_failed", "dandeliondock_store_errors_total",
-                      errorKindName(errorKind(revisions.status())));
+                      errorKindName(errorKind(status)));
         return;
     }
-    if (m_hub->apply(*revisions).ok() && revisions->size() < revisionPage)
-        m_hub->setReady();
+    m_hub->setReady();
+    if (snapshotDue(head->head))
+        takeSnapshot();
+}
+
+void LeaseKeeper::takeSnapshot()
+{
+    const absl::Status status = writeSnapshot(m_hub->hooks().store, *m_hub->hooks().config());
+    if (!status.ok())
+        m_hub->report(LogLevel::Warn, "store.snapshot_failed", "dandeliondock_store_errors_total",
+                      errorKindName(errorKind(status)));
+}
+
+absl::Status LeaseKeeper::catchUp(const HeadRow &head)
+{
+    const ControlHooks &hooks = m_hub->hooks();
+    while (hooks.config()->revision() < head.revision) {
+        const auto revisions = scanRevisions(hooks.store, hooks.config()->revision(), head.revision);
+        if (errorKind(revisions.status()) == ErrorKind::NotFound)
+            return startFromSnapshot(head.revision);
+        if (!revisions.ok())
+            return revisions.status();
+        if (absl::Status status = m_hub->apply(*revisions); !status.ok())
+            return status;
+    }
+    return absl::OkStatus();
+}
+
+absl::Status LeaseKeeper::startFromSnapshot(RevisionNumber head)
+{
+    ConfigStore latest;
+    if (absl::Status status = readRevisions(m_hub->hooks().store, head, latest); !status.ok())
+        return status;
+    m_hub->mergeSnapshot(*latest.current());
+    return absl::OkStatus();
 }
 
 void LeaseKeeper::release()
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -1,7 +1,5 @@
 #include <dandeliondock/node/node.h>
 
-#include <dandeliondock/codec/bytes.h>
-#include <dandeliondock/codec/config_codec.h>
 #include <dandeliondock/config/config_store.h>
 #include <dandeliondock/core/error.h>
 #include <dandeliondock/core/metrics.h>
@@ -9,6 +7,7 @@
 #include <dandeliondock/http/server.h>
 #include <dandeliondock/node/control_listener.h>
 #include <dandeliondock/node/lease_keeper.h>
+#include <dandeliondock/node/operator_api.h>
 #include <dandeliondock/node/relay_hub.h>
 #include <dandeliondock/node/ticket_service.h>
 #include <dandeliondock/node/uplink.h>
@@ -18,7 +17,6 @@
 #include <absl/strings/str_cat.h>
 
 #include <status.pb.h>
-#include <tickets.pb.h>
 
 #include <condition_variable>
 #include <mutex>
@@ -30,55 +28,8 @@
 
 constexpr Milliseconds storeTimeout{2'000};
 constexpr Milliseconds storePollInterval{250};
-constexpr const char *operatorKeyHeader = "X-Operator-Key";
 constexpr const char *outcomeHeader = "X-Dandeliondock-Outcome";
 
-int httpStatus(ErrorKind kind)
-{
-    switch (kind) {
-    case ErrorKind::InvalidTicket:
-    case ErrorKind::InvalidMessage:
-        return 400;
-    case ErrorKind::NotAuthorised:
-        return 401;
-    case ErrorKind::NotFound:
-        return 404;
-    case ErrorKind::TicketNumberUsed:
-    case ErrorKind::TicketSuperseded:
-    case ErrorKind::UnresolvedReference:
-    case ErrorKind::HeadContended:
-        return 409;
-    case ErrorKind::OutcomeUnknown:
-    case ErrorKind::MayHaveRun:
-    case ErrorKind::Truncated:
-        return 502;
-    case ErrorKind::DeadlineExceeded:
-        return 504;
-    default:
-        return 503;
-    }
-}
-
-HttpResponse refusal(const absl::Status &status)
-{
-    wire::Refusal message;
-    message.set_kind(std::string(errorKindName(errorKind(status))));
-    message.set_message(std::string(status.message()));
-    HttpResponse response;
-    response.status = httpStatus(errorKind(status));
-    response.headers.add("Content-Type", "application/json");
-    response.body = printJson(message);
-    return response;
-}
-
-HttpResponse jsonResponse(const google::protobuf::Message &message)
-{
-    HttpResponse response;
-    response.headers.add("Content-Type", "application/json");
-    response.body = printJson(message);
-    return response;
-}
-
 const Route *matchRoute(const ConfigState &state, absl::string_view path)
 {
     const Route *best = nullptr;
@@ -104,6 +55,7 @@
     ConfigStore config;
     StoreHooks store;
     std::unique_ptr<TicketService> tickets;
+    std::unique_ptr<OperatorApi> operatorApi;
     std::unique_ptr<HttpServer> callers;
     std::unique_ptr<HttpServer> operators;
     std::mutex mutex;
@@ -223,47 +175,27 @@
     {
         const ErrorKind kind = errorKind(status);
         metrics.counter("dandeliondock_refusals_total", errorKindName(kind)).add();
-        HttpResponse response = refusal(status);
+        HttpResponse response = refusalResponse(status);
         const bool mayHaveRun =
                 kind == ErrorKind::MayHaveRun || kind == ErrorKind::DeadlineExceeded || kind == ErrorKind::Truncated;
         response.headers.add(outcomeHeader, mayHaveRun ? "may-have-run" : "not-run");
         return response;
     }
 
-    HttpResponse serveOperator(const HttpRequest &request)
+    OperatorHooks operatorHooks()
     {
-        if (request.headers.first(operatorKeyHeader) != absl::string_view(settings.operatorKey))
-            return refusal(makeError(ErrorKind::NotAuthorised, "the operators' key is missing or wrong"));
-        if (request.target == "/tickets" && request.method == "POST")
-            return fileTicket(request.body);
-        if (request.target == "/status")
-            return jsonResponse(status());
-        if (request.target == "/metrics")
-            return metricsPage();
-        return refusal(makeError(ErrorKind::NotFound, request.target));
-    }
-
-    HttpResponse fileTicket(const std::string &body)
-    {
-        wire::Ticket message;
-        if (absl::Status status = parseJson(body, ErrorKind::InvalidTicket, "ticket", message); !status.ok())
-            return refusal(status);
-        const absl::StatusOr<Ticket> ticket = decodeTicket(message);
-        if (!ticket.ok())
-            return refusal(ticket.status());
-        const absl::StatusOr<FiledTicket> filed = tickets->file(*ticket);
-        if (!filed.ok())
-            return refusal(filed.status());
-        wire::TicketFiled answer;
-        answer.set_number(ticket->number.value());
-        answer.set_revision(filed->revision.value());
-        answer.set_repeated(filed->repeated);
-        LogEvent(LogLevel::Info, "ticket.accepted")
-                .field("ticket", ticket->number)
-                .field("revision", filed->revision)
-                .field("author", ticket->author)
-                .write(log);
-        return jsonResponse(answer);
+        OperatorHooks hooks;
+        hooks.file = [this](const Ticket &ticket) { return tickets->file(ticket); };
+        hooks.accepted = [this](TicketNumber number) { return tickets->accepted(number); };
+        hooks.list = [this](TicketNumber from, std::size_t limit) { return tickets->list(from, limit); };
+        hooks.statusView = [this] {
+            return TicketStatusView{{config.current()->revision(), 1}, {}, true, time.wall()};
+        };
+        hooks.status = [this] { return status(); };
+        hooks.metricsPage = [this] { return metrics.page(); };
+        hooks.keyMatches = [this](absl::string_view key) { return equalInConstantTime(key, settings.operatorKey); };
+        hooks.log = log;
+        return hooks;
     }
 
     wire::NodeStatus status()
@@ -291,14 +223,6 @@
         message.mutable_acknowledgement()->set_lowest_revision(sum.lowest.value());
         message.mutable_acknowledgement()->set_nodes(sum.nodes.value());
     }
-
-    HttpResponse metricsPage() const
-    {
-        HttpResponse response;
-        response.headers.add("Content-Type", "text/plain; version=0.0.4");
-        response.body = metrics.page();
-        return response;
-    }
 };
 
 Node::Node(std::unique_ptr<Impl> impl) : m_impl(std::move(impl)) {}
@@ -318,6 +242,7 @@
     impl->tickets = std::make_unique<TicketService>(impl->store, impl->time);
     if (absl::Status status = impl->startDistribution(); !status.ok())
         return status;
+    impl->operatorApi = std::make_unique<OperatorApi>(impl->operatorHooks());
     auto callers = HttpServerBuilder()
                            .listen(impl->settings.callers.address, impl->settings.callers.port)
                            .maxBody(impl->settings.maxBody)
@@ -328,7 +253,7 @@
     impl->callers = *std::move(callers);
     auto operators = HttpServerBuilder()
                              .listen(impl->settings.operators.address, impl->settings.operators.port)
-                             .handler([self](const HttpRequest &request) { return self->serveOperator(request); })
+                             .handler([self](const HttpRequest &request) { return self->operatorApi->serve(request); })
                              .start();
     if (!operators.ok())
         return operators.status();
--- a/src/node/uplink.cpp
+++ b/src/node/uplink.cpp
@@ -1,6 +1,7 @@
 #include <dandeliondock/node/uplink.h>
 
 #include <dandeliondock/codec/control_codec.h>
+#include <dandeliondock/codec/snapshot_codec.h>
 #include <dandeliondock/core/error.h>
 
 #include <absl/strings/numbers.h>
