--- a/include/dandeliondock/core/error.h
+++ b/include/dandeliondock/core/error.h
@@ -34,6 +34,7 @@
     RingFull,
     Closed,
     LeaseLost,
+    Interrupted,
     Internal,
 };
 
--- a/include/dandeliondock/dandeliondock.h
+++ b/include/dandeliondock/dandeliondock.h
@@ -41,6 +41,7 @@
 #include <dandeliondock/forward_declarations.h>
 #include <dandeliondock/http/call.h>
 #include <dandeliondock/http/client.h>
+#include <dandeliondock/http/interrupt.h>
 #include <dandeliondock/http/message.h>
 #include <dandeliondock/http/server.h>
 #include <dandeliondock/membership/announcement_source.h>
@@ -51,6 +52,7 @@
 #include <dandeliondock/membership/view_freshness.h>
 #include <dandeliondock/node/control_hooks.h>
 #include <dandeliondock/node/control_listener.h>
+#include <dandeliondock/node/endpoint_board.h>
 #include <dandeliondock/node/filing_driver.h>
 #include <dandeliondock/node/ingress.h>
 #include <dandeliondock/node/lease_keeper.h>
@@ -58,8 +60,13 @@
 #include <dandeliondock/node/operator_api.h>
 #include <dandeliondock/node/operator_client.h>
 #include <dandeliondock/node/operator_text.h>
+#include <dandeliondock/node/outcome_dispatcher.h>
 #include <dandeliondock/node/relay_hub.h>
+#include <dandeliondock/node/rollout_board.h>
 #include <dandeliondock/node/rollout_duty.h>
+#include <dandeliondock/node/rollout_store.h>
+#include <dandeliondock/node/store_poller.h>
+#include <dandeliondock/node/target_probe.h>
 #include <dandeliondock/node/target_watch.h>
 #include <dandeliondock/node/ticket_service.h>
 #include <dandeliondock/node/uplink.h>
--- a/include/dandeliondock/distribution/lease_duty.h
+++ b/include/dandeliondock/distribution/lease_duty.h
@@ -21,6 +21,9 @@
 /// \brief A node outside the store's region leaves a vacant root lease to the nodes near the store for this time.
 inline constexpr Milliseconds remoteRootReluctance{12'000};
 
+/// \brief Key of the root's lease, which is also the rollout driver's. Thread-safe.
+[[nodiscard]] RowKey rootLeaseKey();
+
 /// \brief The leases that concern a node, the highest first. Thread-safe.
 ///
 /// \remark In the store's region the root takes the region lease's place.
@@ -61,6 +64,9 @@
 
     [[nodiscard]] bool holdsRoot(MonotonicTime now) const;
 
+    /// \brief The term of the root lease; empty when it is not held.
+    [[nodiscard]] std::optional<LeaseTerm> rootTerm(MonotonicTime now) const;
+
     /// \brief Whether the node held a lease when the store last answered. While the store is away the node keeps its
     /// place as the top of its subtree, so that a region goes on; relaying needs no fence.
     [[nodiscard]] bool interim() const noexcept { return m_heldAtLastContact; }
--- a/include/dandeliondock/distribution/poll.h
+++ b/include/dandeliondock/distribution/poll.h
@@ -47,6 +47,7 @@
     bool leaving = false;
     Milliseconds hold{0};
     bool fullEndpoints = false; ///< endpoints holds the whole directory
+    bool resynchronise = false; ///< the answer to the last poll was not received
 
     bool operator==(const PollRequest &) const = default;
 };
@@ -69,6 +70,8 @@
     Milliseconds retryAfter{0};
     std::optional<AcknowledgementSum> acknowledgement; ///< of the whole tree, as the root last saw it
     Address grandparent;                               ///< control address of the parent's parent; may be empty
+    RegionName region;                                 ///< of the parent
+    std::vector<RegionName> contacts;                  ///< regions that the parent heard from lately
 
     bool operator==(const PollAnswer &) const = default;
 };
--- a/include/dandeliondock/distribution/relay_lease.h
+++ b/include/dandeliondock/distribution/relay_lease.h
@@ -21,6 +21,13 @@
     bool operator==(const VersionedLease &) const = default;
 };
 
+/// \brief A lease held: its fencing token, and when it ends unless it is renewed.
+struct LeaseTerm
+{
+    Fence fence;
+    MonotonicTime until;
+};
+
 enum class LeaseAction { Wait, Read, Write };
 
 /// \brief What to do for a lease.
@@ -55,6 +62,9 @@
     /// \brief Whether the duty may be carried out at \c now.
     [[nodiscard]] bool held(MonotonicTime now) const noexcept;
 
+    /// \brief End of the term as far as it is certain; empty when the lease is not held.
+    [[nodiscard]] const std::optional<MonotonicTime> &heldUntil() const noexcept { return m_heldUntil; }
+
     /// \brief The token to condition writes under the lease on.
     /// \pre held() at the time of use.
     [[nodiscard]] Fence fence() const noexcept { return m_row.record.fence; }
--- a/include/dandeliondock/distribution/relay_state.h
+++ b/include/dandeliondock/distribution/relay_state.h
@@ -15,6 +15,9 @@
 inline constexpr Milliseconds childTimeout{5'000};
 inline constexpr Milliseconds repairInterval{2'000};
 
+/// \brief Order of the polls of one child at one relay.
+using PollNumber = StrongType<struct PollNumberTag, std::uint64_t>;
+
 /// \brief Why a poll was not accepted.
 enum class PollRefusal { None, WrongDeployment, NoPath, Loop, Full, Leaving, StaleIncarnation };
 
@@ -26,6 +29,7 @@
     std::vector<Address> redirects;
     bool joined = false;       ///< the child is new here
     bool takeOutcomes = false; ///< the batch was not taken before
+    PollNumber poll;           ///< identifies the poll among those of its child
 };
 
 /// \brief What this node holds now, compared with what each child has.
@@ -80,8 +84,12 @@
     /// \brief What the child lacks; nothing when it is not attached.
     [[nodiscard]] ChildNeed needOf(const NodeId &child, const RelayView &view, MonotonicTime now) const;
 
-    /// \brief Notes what was put into an answer to the child.
-    void onAnswered(const NodeId &child, const RelayView &view, const ChildNeed &need, MonotonicTime now);
+    /// \brief Whether the child has sent no poll after this one, so that it still waits for the answer.
+    [[nodiscard]] bool isLatest(const NodeId &child, PollNumber poll) const;
+
+    /// \brief Notes what was put into the answer to a poll; the answer to an earlier poll is not counted as received.
+    void onAnswered(const NodeId &child, PollNumber poll, const RelayView &view, const ChildNeed &need,
+                    MonotonicTime now);
 
     /// \brief Removes and returns the children that missed polls for childTimeout.
     [[nodiscard]] std::vector<LostChild> expire(MonotonicTime now);
@@ -99,6 +107,7 @@
     struct Child
     {
         Incarnation incarnation;
+        PollNumber poll;
         RegionName region;
         Address controlAddress;
         RevisionNumber revision;
@@ -110,6 +119,8 @@
         std::optional<ChangeCursor> endpointsSent;
         std::vector<RolloutRecord> rolloutsSent;
         std::optional<std::vector<NodeId>> pathSent;
+
+        void forgetSent();
     };
 
     [[nodiscard]] PollRefusal refusalOf(const PollRequest &request) const;
--- a/include/dandeliondock/http/call.h
+++ b/include/dandeliondock/http/call.h
@@ -85,6 +85,7 @@
 
 private:
     friend class HttpClient;
+    friend class InterruptScope;
     void advance();
 
     std::unique_ptr<impl::CallState> m_state;
--- a/include/dandeliondock/http/client.h
+++ b/include/dandeliondock/http/client.h
@@ -4,6 +4,7 @@
 #include <dandeliondock/core/time_source.h>
 #include <dandeliondock/core/units.h>
 #include <dandeliondock/http/call.h>
+#include <dandeliondock/http/interrupt.h>
 #include <dandeliondock/http/message.h>
 
 #include <absl/status/status.h>
@@ -25,6 +26,7 @@
     Milliseconds connectTimeout{250};
     bool freshConnection = false;               ///< never reuse a connection
     std::optional<Milliseconds> provenWithin{}; ///< reuse only a connection that carried an answer this recently
+    CallInterrupt *interrupt = nullptr;         ///< ends send() with Interrupted; may be null
 };
 
 /// \brief Bounds of the client's connection pool.
--- /dev/null
+++ b/include/dandeliondock/http/interrupt.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <mutex>
+
+namespace dandeliondock {
+
+/// \brief Ends a request in progress from another thread.
+///
+/// \remark Every method is thread-safe. It serves one request at a time and must outlive it.
+class CallInterrupt
+{
+public:
+    /// \brief Ends the request in progress, or the next one that is sent before reset().
+    void raise();
+
+    /// \brief Allows requests again.
+    void reset();
+
+    [[nodiscard]] bool isRaised() const;
+
+private:
+    friend class InterruptScope;
+
+    mutable std::mutex m_mutex;
+    bool m_raised = false;
+    void *m_multi = nullptr; ///< the library's handle of the request in progress
+};
+
+} // namespace dandeliondock
--- a/include/dandeliondock/node/control_hooks.h
+++ b/include/dandeliondock/node/control_hooks.h
@@ -8,6 +8,7 @@
 #include <dandeliondock/distribution/poll.h>
 #include <dandeliondock/distribution/relay_state.h>
 #include <dandeliondock/http/client.h>
+#include <dandeliondock/rollout/outcome_window.h>
 #include <dandeliondock/store/store_hooks.h>
 
 #include <functional>
@@ -16,9 +17,6 @@
 
 namespace dandeliondock {
 
-/// \brief How much of the directory a receiver gets: all of it in the own region, a summary across the metered link.
-enum class EndpointScope { Full, Summary };
-
 /// \brief Endpoint records that changed, up to a position.
 struct EndpointChanges
 {
@@ -38,20 +36,25 @@
 
     std::function<DirectoryDigest()> directoryDigest;
     std::function<ChangeCursor()> endpointCursor;
-    std::function<EndpointChanges(ChangeCursor, EndpointScope)> endpointChanges;
-    std::function<std::vector<Endpoint>(EndpointScope)> allEndpoints;
+    /// For a node of the region: everything in the own region, a summary across the metered link.
+    std::function<EndpointChanges(ChangeCursor, const RegionName &)> endpointChanges;
+    std::function<std::vector<Endpoint>(const RegionName &)> allEndpoints;
     std::function<bool(const std::vector<Endpoint> &)> mergeEndpoints; ///< true when something changed
     std::function<std::vector<Address>()> controlAddresses;            ///< of nodes in the own region
     std::function<void(const LostChild &)> childLost;
+    std::function<std::vector<RegionName>()> regionsInContact;
+    std::function<void(const std::vector<RegionName> &)> contact; ///< news of these regions arrived
+    std::function<void()> parentAnswered;                         ///< a whole exchange with the parent
 
     std::function<std::vector<RolloutRecord>()> rollouts;
     std::function<bool(const std::vector<RolloutRecord> &)> mergeRollouts; ///< true when something changed
 
     std::function<std::optional<OutcomeBatch>()> outcomesToSend; ///< the same batch until outcomesTaken()
     std::function<void(SequenceNumber)> outcomesTaken;
-    std::function<void(const OutcomeBatch &)> takeOutcomes; ///< a child's batch, once
+    std::function<void(const ChildId &, const OutcomeBatch &)> takeOutcomes; ///< a child's batch, once
+    std::function<void()> parentChanged;                                     ///< before the next batch is sent
 
-    std::function<void()> paused; ///< this process did not run for more than pauseLimit
+    std::function<void(bool)> readyChanged; ///< whether what this node holds counts as current
 
     StoreHooks store;
     std::function<SendResult(const Address &, const HttpRequest &, const SendOptions &)> send;
--- a/include/dandeliondock/node/lease_keeper.h
+++ b/include/dandeliondock/node/lease_keeper.h
@@ -30,6 +30,9 @@
     /// \brief Releases the lease and stops; returns within the store's time limit.
     void stop();
 
+    /// \brief The fence of the root lease; empty unless it is held and its term has not ended.
+    [[nodiscard]] std::optional<Fence> rootFence();
+
     /// \brief Keys of the leases held now.
     [[nodiscard]] std::vector<RowKey> held();
 
@@ -51,6 +54,7 @@
     MonotonicTime m_nextStep;
     MonotonicTime m_nextHead;
     std::vector<RowKey> m_lastHeld;
+    std::optional<LeaseTerm> m_rootTerm; ///< guarded by m_mutex
     std::mutex m_mutex;
     std::condition_variable m_wake;
     bool m_readRequested = false;
--- a/include/dandeliondock/node/operator_api.h
+++ b/include/dandeliondock/node/operator_api.h
@@ -30,8 +30,8 @@
     std::function<absl::StatusOr<Revision>(TicketNumber)> accepted;
     /// Accepted tickets in the order of their numbers, beginning with a number, up to a limit.
     std::function<absl::StatusOr<std::vector<Revision>>(TicketNumber, std::size_t)> list;
-    /// Acknowledgements, rollouts, whether the store answers, and the time.
-    std::function<TicketStatusView()> statusView;
+    /// Acknowledgements, the rollouts of the tickets, whether the store answers, and the time.
+    std::function<TicketStatusView(const std::vector<TicketNumber> &)> statusView;
     std::function<wire::NodeStatus()> status;
     std::function<std::string()> metricsPage;
     std::function<bool(absl::string_view)> keyMatches;
--- a/include/dandeliondock/node/relay_hub.h
+++ b/include/dandeliondock/node/relay_hub.h
@@ -2,6 +2,7 @@
 
 #include <dandeliondock/distribution/relay_state.h>
 #include <dandeliondock/distribution/revision_log.h>
+#include <dandeliondock/http/interrupt.h>
 #include <dandeliondock/node/control_hooks.h>
 
 #include <condition_variable>
@@ -33,6 +34,12 @@
     /// \brief Wakes the polls held: configuration, endpoints or rollout records changed.
     void notify();
 
+    /// \brief Also has this node's own poll sent again at once, because the parent lacks the change.
+    void notifyUpward();
+
+    /// \brief Raised when the poll in progress is to be sent again.
+    [[nodiscard]] CallInterrupt &upwardInterrupt() noexcept { return m_upward; }
+
     /// \brief Puts revisions in force and into the log, in order; the first refused one ends it.
     absl::Status apply(const std::vector<Revision> &revisions);
 
@@ -48,8 +55,12 @@
     /// \brief Drops children that stopped polling and reports them.
     void expireChildren();
 
-    /// \brief Marks that this node holds what its parent, or the store, held when it joined.
-    void setReady();
+    /// \brief Marks that this node holds what its parent, or the store, held when it was asked at \c asked.
+    /// \remark An answer to a question from before the last pause proves nothing.
+    void setReady(MonotonicTime asked);
+
+    /// \brief This process did not run for a while: nothing that it holds counts as current until it has asked again.
+    void onPause();
 
     [[nodiscard]] bool ready() const;
     [[nodiscard]] LeaseKnowledge leases() const;
@@ -70,8 +81,9 @@
 
 private:
     [[nodiscard]] RelayView view() const;
-    [[nodiscard]] ChildNeed awaitNeed(const PollRequest &request, RelayView &seen);
-    void fill(const PollRequest &request, const ChildNeed &need, const RelayView &seen, PollAnswer &answer);
+    [[nodiscard]] ChildNeed awaitNeed(const PollRequest &request, PollNumber poll, RelayView &seen);
+    void fill(const PollRequest &request, PollNumber poll, const ChildNeed &need, const RelayView &seen,
+              PollAnswer &answer);
     void mergeFromChild(const PollRequest &request, bool takeOutcomes);
     void updatePath();
 
@@ -87,6 +99,8 @@
     LeaseKnowledge m_leases;
     AcknowledgementSum m_treeAcknowledgement;
     bool m_ready = false;
+    MonotonicTime m_lastPause;
+    CallInterrupt m_upward;
 };
 
 } // namespace dandeliondock
--- a/include/dandeliondock/node/uplink.h
+++ b/include/dandeliondock/node/uplink.h
@@ -25,6 +25,10 @@
     Uplink(const Uplink &) = delete;
     Uplink &operator=(const Uplink &) = delete;
 
+    /// \brief Waits until the parent has taken every endpoint change up to \c cursor.
+    /// \return False when \c limit ran out first.
+    [[nodiscard]] bool waitSent(ChangeCursor cursor, Milliseconds limit);
+
     /// \brief Tells the parent that this node leaves and stops; returns within a poll's time limit.
     void stop();
 
@@ -33,7 +37,7 @@
     void wait(MonotonicTime until);
     void poll(const ParentCandidate &candidate);
     void takeAnswer(const PollRequest &request, const PollAnswer &answer);
-    void merge(const PollRequest &request, const PollAnswer &answer);
+    void merge(const PollRequest &request, const PollAnswer &answer, MonotonicTime asked);
     void fetchSnapshot(const Address &parent);
     void sayGoodbye();
     [[nodiscard]] PollRequest buildRequest(bool attached);
@@ -48,7 +52,9 @@
     std::optional<ChangeCursor> m_endpointsSent;
     ChangeCursor m_endpointsPending;
     std::vector<RolloutRecord> m_rolloutsSent;
+    RegionName m_parentRegion;
     bool m_sendFull = true;
+    bool m_resynchronise = false; ///< the answer to the last poll was not received
     bool m_wasHolder = false;
     bool m_snapshotWanted = false;
     MonotonicTime m_nextSnapshot;
@@ -56,6 +62,8 @@
     std::mutex m_mutex;
     std::condition_variable m_stopping;
     bool m_stopRequested = false;
+    ChangeCursor m_endpointsTaken; ///< by the parent; guarded by m_mutex
+    std::condition_variable m_taken;
     std::thread m_thread;
 };
 
--- a/include/dandeliondock/store/rows.h
+++ b/include/dandeliondock/store/rows.h
@@ -10,8 +10,11 @@
 [[nodiscard]] RowKey ticketKey(TicketNumber number);
 /// \brief Key of the row of a revision; keys sort in the order of the numbers.
 [[nodiscard]] RowKey revisionKey(RevisionNumber number);
+/// \brief Key of the row with the state of a ticket's rollout.
+[[nodiscard]] RowKey rolloutKey(TicketNumber number);
 
 inline constexpr const char *ticketPrefix = "ticket/";
 inline constexpr const char *revisionPrefix = "rev/";
+inline constexpr const char *rolloutPrefix = "rollout/";
 
 } // namespace dandeliondock
--- a/src/codec/control_codec.cpp
+++ b/src/codec/control_codec.cpp
@@ -202,6 +202,7 @@
     request.leaving = message.leaving();
     request.hold = Milliseconds(message.hold_ms());
     request.fullEndpoints = message.full_endpoints();
+    request.resynchronise = message.resynchronise();
     return request;
 }
 
@@ -218,6 +219,9 @@
     answer.directoryDigest = DirectoryDigest(message.directory_digest());
     answer.retryAfter = Milliseconds(message.retry_after_ms());
     answer.grandparent = Address(message.grandparent());
+    answer.region = RegionName(message.region());
+    for (const std::string &region : message.contacts())
+        answer.contacts.emplace_back(region);
     if (message.has_acknowledgement())
         answer.acknowledgement = decodeSum(message.acknowledgement());
     return answer;
@@ -352,6 +356,7 @@
     message.set_leaving(request.leaving);
     message.set_hold_ms(static_cast<std::uint32_t>(request.hold.count()));
     message.set_full_endpoints(request.fullEndpoints);
+    message.set_resynchronise(request.resynchronise);
     return message.SerializeAsString();
 }
 
@@ -401,6 +406,9 @@
     if (answer.acknowledgement)
         encodeSum(*answer.acknowledgement, *message.mutable_acknowledgement());
     message.set_grandparent(answer.grandparent.value());
+    message.set_region(answer.region.value());
+    for (const RegionName &region : answer.contacts)
+        message.add_contacts(region.value());
     return message.SerializeAsString();
 }
 
--- a/src/core/error.cpp
+++ b/src/core/error.cpp
@@ -70,6 +70,8 @@
         KindEntry{ErrorKind::Closed, absl::StatusCode::kCancelled, "closed", "use another node; this one is stopping"},
         KindEntry{ErrorKind::LeaseLost, absl::StatusCode::kAborted, "lease_lost",
                   "leave the duty to the lease's present holder"},
+        KindEntry{ErrorKind::Interrupted, absl::StatusCode::kCancelled, "interrupted",
+                  "send the request again with the latest content"},
         KindEntry{ErrorKind::Internal, absl::StatusCode::kInternal, "internal", "report the error with its log lines"},
 };
 
--- a/src/distribution/lease_duty.cpp
+++ b/src/distribution/lease_duty.cpp
@@ -12,12 +12,17 @@
 
 } // namespace
 
+RowKey rootLeaseKey()
+{
+    return RowKey("lease/root/0");
+}
+
 std::vector<LeaseScope> leaseScopes(const RegionName &region, const DataCentreName &dataCentre,
                                     const RegionName &storeRegion)
 {
     const bool nearStore = region == storeRegion;
     std::vector<LeaseScope> scopes{
-            {RowKey("lease/root/0"), LeaseKind::Root, nearStore ? Milliseconds(0) : remoteRootReluctance}};
+            {rootLeaseKey(), LeaseKind::Root, nearStore ? Milliseconds(0) : remoteRootReluctance}};
     if (!nearStore)
         scopes.push_back({RowKey(absl::StrCat("lease/region/", region.value(), "/0")), LeaseKind::Region, {}});
     for (int i = 0; i < leasesPerDataCentre; ++i) {
@@ -90,6 +95,14 @@
     return holding && m_scopes[*holding].kind == LeaseKind::Root;
 }
 
+std::optional<LeaseTerm> LeaseDuty::rootTerm(MonotonicTime now) const
+{
+    if (!holdsRoot(now))
+        return std::nullopt;
+    const RelayLease &lease = m_leases[*held(now)];
+    return LeaseTerm{lease.fence(), *lease.heldUntil()};
+}
+
 void LeaseDuty::addHolders(LeaseKind kind, std::vector<Address> &holders) const
 {
     const auto first = static_cast<std::ptrdiff_t>(holders.size());
--- a/src/distribution/relay_state.cpp
+++ b/src/distribution/relay_state.cpp
@@ -27,6 +27,13 @@
 
 } // namespace
 
+void RelayState::Child::forgetSent()
+{
+    endpointsSent.reset();
+    rolloutsSent.clear();
+    pathSent.reset();
+}
+
 RelayState::RelayState(DeploymentName deployment, NodeId self, RegionName region, std::size_t fanOut)
     : m_deployment(std::move(deployment)), m_self(std::move(self)), m_region(std::move(region)), m_fanOut(fanOut)
 {
@@ -64,7 +71,7 @@
         return refuse(refusal);
     if (request.leaving) {
         m_children.erase(request.node);
-        return {PollResult::Attached, PollRefusal::None, {}, false, request.outcomes.has_value()};
+        return {PollResult::Attached, PollRefusal::None, {}, false, request.outcomes.has_value(), {}};
     }
     return accept(request, now);
 }
@@ -90,6 +97,10 @@
     decision.joined = inserted || child.incarnation != request.incarnation;
     if (decision.joined)
         child = Child();
+    if (request.resynchronise)
+        child.forgetSent();
+    child.poll = PollNumber(child.poll.value() + 1);
+    decision.poll = child.poll;
     child.incarnation = request.incarnation;
     child.region = request.region;
     child.controlAddress = request.controlAddress;
@@ -126,12 +137,18 @@
     return need;
 }
 
-void RelayState::onAnswered(const NodeId &node, const RelayView &view, const ChildNeed &need, MonotonicTime now)
+bool RelayState::isLatest(const NodeId &node, PollNumber poll) const
 {
     const auto found = m_children.find(node);
-    if (found == m_children.end())
+    return found != m_children.end() && found->second.poll == poll;
+}
+
+void RelayState::onAnswered(const NodeId &node, PollNumber poll, const RelayView &view, const ChildNeed &need,
+                            MonotonicTime now)
+{
+    if (!isLatest(node, poll))
         return;
-    Child &child = found->second;
+    Child &child = m_children.at(node);
     child.endpointsSent = view.endpointCursor;
     child.rolloutsSent = view.rollouts;
     child.pathSent = m_path;
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -30,6 +30,32 @@
 
 } // namespace
 
+/// \brief Lets an interrupt wake the thread that waits for a call.
+class InterruptScope
+{
+public:
+    InterruptScope(CallInterrupt *interrupt, const HttpCall &call) : m_interrupt(interrupt)
+    {
+        set(call.m_state->connection.multi.get());
+    }
+
+    ~InterruptScope() { set(nullptr); }
+
+    InterruptScope(const InterruptScope &) = delete;
+    InterruptScope &operator=(const InterruptScope &) = delete;
+
+private:
+    void set(void *multi)
+    {
+        if (m_interrupt == nullptr)
+            return;
+        const std::scoped_lock lock(m_interrupt->m_mutex);
+        m_interrupt->m_multi = multi;
+    }
+
+    CallInterrupt *m_interrupt;
+};
+
 HttpClient::HttpClient(PoolLimits limits, TimeSource time)
     : m_pool(std::make_shared<impl::ConnectionPool>(limits, std::move(time)))
 {
@@ -49,8 +75,11 @@
 SendResult HttpClient::send(const Address &address, const HttpRequest &request, const SendOptions &options)
 {
     const std::shared_ptr<HttpCall> call = start(address, request, options, unlimited);
+    const InterruptScope scope(options.interrupt, *call);
     const auto end = std::chrono::steady_clock::now() + options.timeout;
     while (!call->isFinished()) {
+        if (options.interrupt != nullptr && options.interrupt->isRaised())
+            return {call->isSent(), makeError(ErrorKind::Interrupted, address.value())};
         const auto left = std::chrono::duration_cast<Microseconds>(end - std::chrono::steady_clock::now());
         if (left.count() <= 0)
             return timedOut(*call, address);
--- a/src/node/control_hooks.cpp
+++ b/src/node/control_hooks.cpp
@@ -7,17 +7,21 @@
     ControlHooks hooks;
     hooks.directoryDigest = [] { return DirectoryDigest(); };
     hooks.endpointCursor = [] { return ChangeCursor(); };
-    hooks.endpointChanges = [](ChangeCursor, EndpointScope) { return EndpointChanges(); };
-    hooks.allEndpoints = [](EndpointScope) { return std::vector<Endpoint>(); };
+    hooks.endpointChanges = [](ChangeCursor, const RegionName &) { return EndpointChanges(); };
+    hooks.allEndpoints = [](const RegionName &) { return std::vector<Endpoint>(); };
     hooks.mergeEndpoints = [](const std::vector<Endpoint> &) { return false; };
     hooks.controlAddresses = [] { return std::vector<Address>(); };
     hooks.childLost = [](const LostChild &) {};
+    hooks.regionsInContact = [] { return std::vector<RegionName>(); };
+    hooks.contact = [](const std::vector<RegionName> &) {};
+    hooks.parentAnswered = [] {};
     hooks.rollouts = [] { return std::vector<RolloutRecord>(); };
     hooks.mergeRollouts = [](const std::vector<RolloutRecord> &) { return false; };
     hooks.outcomesToSend = [] { return std::optional<OutcomeBatch>(); };
     hooks.outcomesTaken = [](SequenceNumber) {};
-    hooks.takeOutcomes = [](const OutcomeBatch &) {};
-    hooks.paused = [] {};
+    hooks.takeOutcomes = [](const ChildId &, const OutcomeBatch &) {};
+    hooks.parentChanged = [] {};
+    hooks.readyChanged = [](bool) {};
     return hooks;
 }
 
--- a/src/node/control_listener.cpp
+++ b/src/node/control_listener.cpp
@@ -143,7 +143,7 @@
         if (detector.onTick(m_hub->hooks().time.monotonic())) {
             m_hub->hooks().metrics->counter("dandeliondock_pauses_total").add();
             LogEvent(LogLevel::Warn, "node.paused").write(m_hub->hooks().log);
-            m_hub->hooks().paused();
+            m_hub->onPause();
         }
         m_hub->expireChildren();
         lock.lock();
--- /dev/null
+++ b/src/node/endpoint_board.cpp
@@ -0,0 +1,200 @@
+#include <dandeliondock/node/endpoint_board.h>
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace dandeliondock {
+
+namespace {
+
+// Longer than a few polls, shorter than the time after which a silent region's summary is dropped.
+constexpr Milliseconds contactWindow{5'000};
+
+bool isLive(const Endpoint &record)
+{
+    return !isTerminal(record.stamp.state);
+}
+
+// Another region needs the few targets of the summary and the news that one of them goes.
+bool crossesRegions(const Endpoint &record, const std::set<TargetId> &summary)
+{
+    return summary.count(record.target) > 0 || isTerminal(record.stamp.state);
+}
+
+} // namespace
+
+EndpointBoard::EndpointBoard(RegionName region, std::shared_ptr<Router> router, EndpointBoardHooks hooks)
+    : m_region(std::move(region)), m_router(std::move(router)), m_hooks(std::move(hooks)), m_directory(m_region)
+{
+}
+
+void EndpointBoard::setLocalTarget(Endpoint self)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_self.emplace(std::move(self));
+    applyChange(m_self->current());
+}
+
+void EndpointBoard::applyChange(const Endpoint &record)
+{
+    if (m_directory.merge(record, m_hooks.time.monotonic()))
+        m_router->applyEndpoints({&record, 1});
+}
+
+void EndpointBoard::announce(EndpointState state)
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        const std::optional<Endpoint> record = m_self ? m_self->report(state) : std::nullopt;
+        if (!record)
+            return;
+        applyChange(*record);
+    }
+    m_hooks.announced();
+}
+
+bool EndpointBoard::merge(const std::vector<Endpoint> &records)
+{
+    bool refuted = false;
+    bool changed = false;
+    {
+        const std::scoped_lock lock(m_mutex);
+        const MonotonicTime now = m_hooks.time.monotonic();
+        std::vector<Endpoint> news;
+        for (const Endpoint &record : records) {
+            if (m_directory.merge(record, now))
+                news.push_back(record);
+        }
+        m_router->applyEndpoints(news);
+        changed = !news.empty();
+        for (const Endpoint &record : news) {
+            const bool isOwn = m_self && record.target == m_self->current().target;
+            const std::optional<Endpoint> answer = isOwn ? m_self->observe(record) : std::nullopt;
+            if (!answer)
+                continue;
+            applyChange(*answer);
+            refuted = true;
+        }
+        m_router->setCallers(controlAddressesHeld().size());
+    }
+    if (refuted)
+        m_hooks.announced();
+    return changed;
+}
+
+void EndpointBoard::markLost(const Address &controlAddress)
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        const std::vector<Endpoint> records = m_directory.all();
+        const auto lost = std::find_if(records.begin(), records.end(), [&](const Endpoint &record) {
+            return record.controlAddress == controlAddress && isLive(record);
+        });
+        if (lost == records.end())
+            return;
+        const std::optional<Endpoint> gone = m_directory.markGone(lost->target, m_hooks.time.monotonic());
+        if (!gone)
+            return;
+        m_router->applyEndpoints({&*gone, 1});
+    }
+    m_hooks.announced();
+}
+
+void EndpointBoard::noteContact(const std::vector<RegionName> &regions)
+{
+    const std::scoped_lock lock(m_mutex);
+    const MonotonicTime now = m_hooks.time.monotonic();
+    for (const RegionName &region : regions) {
+        m_contacts[region] = now;
+        m_directory.noteContact(region, now);
+    }
+    expire(now);
+}
+
+void EndpointBoard::expire(MonotonicTime now)
+{
+    m_directory.noteContact(m_region, now);
+    const std::vector<TargetId> dropped = m_directory.expire(now);
+    if (!dropped.empty())
+        m_router->removeEndpoints(dropped);
+}
+
+std::vector<RegionName> EndpointBoard::regionsInContact() const
+{
+    const std::scoped_lock lock(m_mutex);
+    const MonotonicTime now = m_hooks.time.monotonic();
+    std::vector<RegionName> regions = {m_region};
+    for (const auto &[region, heard] : m_contacts) {
+        if (region != m_region && now - heard < contactWindow)
+            regions.push_back(region);
+    }
+    return regions;
+}
+
+DirectoryDigest EndpointBoard::digest() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return DirectoryDigest(m_directory.digest());
+}
+
+ChangeCursor EndpointBoard::cursor() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return ChangeCursor(m_directory.version().value());
+}
+
+std::vector<Endpoint> EndpointBoard::forRegion(std::vector<Endpoint> records, const RegionName &receiver) const
+{
+    if (receiver == m_region || receiver.value().empty())
+        return records;
+    std::set<TargetId> summary;
+    for (const Endpoint &record : m_directory.summary())
+        summary.insert(record.target);
+    std::erase_if(records, [&](const Endpoint &record) {
+        if (record.region == receiver)
+            return true;
+        return record.region == m_region && !crossesRegions(record, summary);
+    });
+    return records;
+}
+
+EndpointChanges EndpointBoard::changes(ChangeCursor after, const RegionName &receiver) const
+{
+    const std::scoped_lock lock(m_mutex);
+    return {forRegion(m_directory.changesSince(DirectoryVersion(after.value())), receiver),
+            ChangeCursor(m_directory.version().value())};
+}
+
+std::vector<Endpoint> EndpointBoard::all(const RegionName &receiver) const
+{
+    const std::scoped_lock lock(m_mutex);
+    return forRegion(m_directory.all(), receiver);
+}
+
+std::vector<Address> EndpointBoard::controlAddressesHeld() const
+{
+    std::vector<Address> addresses;
+    for (const Endpoint &record : m_directory.all()) {
+        if (record.region == m_region && isLive(record))
+            addresses.push_back(record.controlAddress);
+    }
+    return addresses;
+}
+
+std::vector<Address> EndpointBoard::controlAddresses() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return controlAddressesHeld();
+}
+
+std::uint32_t EndpointBoard::serving(const ServiceName &service, const VersionName &version) const
+{
+    const std::scoped_lock lock(m_mutex);
+    const std::vector<Endpoint> records = m_directory.all();
+    return static_cast<std::uint32_t>(std::count_if(records.begin(), records.end(), [&](const Endpoint &record) {
+        return record.service == service && record.version == version && record.stamp.state == EndpointState::Serving;
+    }));
+}
+
+} // namespace dandeliondock
--- a/src/node/lease_keeper.cpp
+++ b/src/node/lease_keeper.cpp
@@ -128,6 +128,14 @@
                       result.ok() ? "condition_failed" : errorKindName(errorKind(result.status())));
 }
 
+std::optional<Fence> LeaseKeeper::rootFence()
+{
+    const std::scoped_lock lock(m_mutex);
+    if (!m_rootTerm || m_hub->hooks().time.monotonic() >= m_rootTerm->until)
+        return std::nullopt;
+    return m_rootTerm->fence;
+}
+
 std::vector<RowKey> LeaseKeeper::held()
 {
     const std::scoped_lock lock(m_mutex);
@@ -144,6 +152,7 @@
     m_hub->setLeases(
             {m_duty.superiors(now), index.has_value(), m_duty.holdsRoot(now), index.has_value() || m_duty.interim()});
     const std::scoped_lock lock(m_mutex);
+    m_rootTerm = m_duty.rootTerm(now);
     if (keys == m_lastHeld)
         return;
     for (const RowKey &key : m_lastHeld)
@@ -166,7 +175,8 @@
                       errorKindName(errorKind(status)));
         return;
     }
-    m_hub->setReady();
+    m_hub->setReady(now);
+    m_hub->hooks().parentAnswered();
     if (snapshotDue(head->head))
         takeSnapshot();
 }
--- /dev/null
+++ b/src/node/node_hooks.cpp
@@ -0,0 +1,155 @@
+#include "node_parts.h"
+
+#include <dandeliondock/codec/control_codec.h>
+
+#include <utility>
+
+namespace dandeliondock::impl {
+
+ControlHooks NodeParts::controlHooks()
+{
+    ControlHooks hooks = inertHooks();
+    hooks.config = [this] { return config.current(); };
+    hooks.applyRevision = [this](const Revision &revision) {
+        absl::Status status = config.apply(revision);
+        onConfigChange();
+        return status;
+    };
+    hooks.mergeSnapshot = [this](ConfigState state) {
+        config.mergeSnapshot(std::move(state));
+        onConfigChange();
+    };
+    hooks.directoryDigest = [this] { return endpoints.digest(); };
+    hooks.endpointCursor = [this] { return endpoints.cursor(); };
+    hooks.endpointChanges = [this](ChangeCursor after, const RegionName &receiver) {
+        return endpoints.changes(after, receiver);
+    };
+    hooks.allEndpoints = [this](const RegionName &receiver) { return endpoints.all(receiver); };
+    hooks.mergeEndpoints = [this](const std::vector<Endpoint> &records) { return endpoints.merge(records); };
+    hooks.controlAddresses = [this] { return endpoints.controlAddresses(); };
+    hooks.childLost = [this](const LostChild &child) { endpoints.markLost(child.controlAddress); };
+    hooks.regionsInContact = [this] { return endpoints.regionsInContact(); };
+    hooks.contact = [this](const std::vector<RegionName> &regions) { endpoints.noteContact(regions); };
+    hooks.parentAnswered = [this] { router->noteParentContact(); };
+    hooks.rollouts = [this] { return rolloutBoard.records(); };
+    hooks.mergeRollouts = [this](const std::vector<RolloutRecord> &records) {
+        const std::vector<RolloutRecord> changed = rolloutBoard.merge(records);
+        publishRollouts(changed);
+        return !changed.empty();
+    };
+    hooks.outcomesToSend = [this] { return rolloutBoard.outcomes(); };
+    hooks.outcomesTaken = [this](SequenceNumber sequence) {
+        if (rolloutDuty->acknowledge(sequence))
+            rolloutBoard.outcomesTaken(sequence);
+    };
+    hooks.takeOutcomes = [this](const ChildId &child, const OutcomeBatch &batch) {
+        if (!rolloutDuty->takeChild(child, batch))
+            metrics->counter("dandeliondock_outcome_batches_dropped_total").add();
+    };
+    hooks.parentChanged = [this] {
+        rolloutBoard.dropOutcomes();
+        (void)rolloutDuty->parentChanged();
+    };
+    hooks.readyChanged = [this](bool ready) { router->setReady(ready); };
+    hooks.store = store;
+    hooks.send = [this](const Address &to, const HttpRequest &request, const SendOptions &options) {
+        return client->send(to, request, options);
+    };
+    hooks.time = time;
+    hooks.random = systemRandom;
+    hooks.log = log;
+    hooks.metrics = metrics.get();
+    return hooks;
+}
+
+// The duty's ring refuses records when it is full; the board keeps them, and they are handed over with the next merge.
+void NodeParts::publishRollouts(const std::vector<RolloutRecord> &records)
+{
+    for (const RolloutRecord &record : records) {
+        if (!rolloutDuty->merge(record))
+            metrics->counter("dandeliondock_rollout_records_delayed_total").add();
+    }
+}
+
+OperatorHooks NodeParts::operatorHooks()
+{
+    OperatorHooks hooks;
+    hooks.file = [this](const Ticket &ticket) { return tickets.file(ticket); };
+    hooks.accepted = [this](TicketNumber number) { return tickets.accepted(number); };
+    hooks.list = [this](TicketNumber from, std::size_t limit) { return tickets.list(from, limit); };
+    hooks.statusView = [this](const std::vector<TicketNumber> &numbers) { return ticketView(numbers); };
+    hooks.status = [this] { return status(); };
+    hooks.metricsPage = [this] { return metrics->page(); };
+    hooks.keyMatches = [this](absl::string_view key) { return equalInConstantTime(key, settings.operatorKey); };
+    hooks.log = log;
+    return hooks;
+}
+
+Share NodeParts::shareOf(const RolloutRecord &record) const
+{
+    if (record.state == RolloutState::RolledBack)
+        return noShare;
+    if (record.state == RolloutState::Completed)
+        return fullShare;
+    const ConfigSnapshot state = config.current();
+    const Service *service = state->service(record.service);
+    const std::optional<VersionSplit> split = service == nullptr ? std::nullopt : rolloutDuty->split(*service);
+    return split && split->rollout == record.ticket ? split->newShare : noShare;
+}
+
+// The store knows every rollout's state; the tree may know of a rollback before the store does.
+TicketStatusView NodeParts::ticketView(const std::vector<TicketNumber> &numbers)
+{
+    TicketStatusView view;
+    view.now = time.wall();
+    const AcknowledgementSum sum = hub->treeAcknowledgement();
+    view.held = {sum.lowest, sum.nodes.value()};
+    if (poller)
+        view.held = {config.current()->revision(), 1};
+    const auto rows = readRolloutRows(store, numbers);
+    view.storeAvailable = rows.ok();
+    std::vector<RolloutRecord> records = rolloutBoard.records();
+    for (const RolloutRow &row : rows.ok() ? *rows : std::vector<RolloutRow>()) {
+        bool known = false;
+        for (RolloutRecord &record : records) {
+            if (record.ticket != row.record.ticket || record.service != row.record.service)
+                continue;
+            record = mergeRecords(record, row.record);
+            known = true;
+        }
+        if (!known)
+            records.push_back(row.record);
+    }
+    for (const RolloutRecord &record : records)
+        view.rollouts.push_back({record, shareOf(record)});
+    return view;
+}
+
+wire::NodeStatus NodeParts::status()
+{
+    wire::NodeStatus message;
+    message.set_node(settings.node.value());
+    message.set_deployment(settings.deployment.value());
+    message.set_region(settings.region.value());
+    message.set_data_centre(settings.dataCentre.value());
+    message.set_revision(config.current()->revision().value());
+    message.set_revision_applied_unix_ms(appliedUnixMs);
+    message.set_ready(poller != nullptr || hub->ready());
+    for (const NodeId &node : hub->path())
+        message.add_path(node.value());
+    message.set_children(static_cast<std::uint32_t>(hub->children()));
+    if (leaseKeeper) {
+        for (const RowKey &key : leaseKeeper->held())
+            message.add_leases(key.value());
+    }
+    const AcknowledgementSum sum = hub->treeAcknowledgement();
+    message.mutable_acknowledgement()->set_lowest_revision(sum.lowest.value());
+    message.mutable_acknowledgement()->set_nodes(sum.nodes.value());
+    for (const Endpoint &endpoint : endpoints.all(settings.region))
+        *message.add_endpoints() = encodeEndpoint(endpoint);
+    for (const RolloutRecord &record : rolloutBoard.records())
+        *message.add_rollouts() = encodeRollout(record);
+    return message;
+}
+
+} // namespace dandeliondock::impl
--- /dev/null
+++ b/src/node/node_parts.cpp
@@ -0,0 +1,248 @@
+#include "node_parts.h"
+
+#include <dandeliondock/node/target_probe.h>
+#include <dandeliondock/rollout/stage_plan.h>
+#include <dandeliondock/store/http_store.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <array>
+#include <utility>
+
+namespace dandeliondock::impl {
+
+namespace {
+
+constexpr Milliseconds storeTimeout{2'000};
+constexpr Milliseconds targetWatchInterval{500};
+constexpr Milliseconds announcementLimit{2'000};
+constexpr Milliseconds operatorDrain{10'000};
+constexpr std::size_t outcomeCapacity = 8'192;
+constexpr ByteCount operatorBodyLimit{16U << 20U};
+
+AnswerSign signOf(const AttemptOutcome &outcome)
+{
+    if (outcome.draining)
+        return AnswerSign::Draining;
+    return outcome.result == AttemptResult::NotSent ? AnswerSign::Refused : AnswerSign::Answered;
+}
+
+} // namespace
+
+NodeParts::NodeParts(NodeSettings givenSettings, LogSink givenLog)
+    : settings(std::move(givenSettings)), log(std::move(givenLog)),
+      store(httpStore(client, settings.store, storeTimeout)), tickets(store, time),
+      router(Router::create({settings.node, {settings.region, settings.dataCentre}, 1}, routerHooks(), *metrics)),
+      endpoints(settings.region, router, {time, [this] { hub->notifyUpward(); }}),
+      hub(std::make_shared<RelayHub>(identity(), controlHooks())),
+      rolloutStore({store, time, log, metrics.get(), rootLeaseKey()}),
+      outcomes(std::make_shared<BoundedRing<AttemptReport>>(outcomeCapacity, WhenFull::DropOldest)),
+      operatorApi(operatorHooks())
+{
+    router->setReady(false);
+    if (settings.target)
+        endpoints.setLocalTarget(localEndpoint());
+}
+
+absl::Status NodeParts::start()
+{
+    if (absl::Status status = startDistribution(); !status.ok())
+        return status;
+    startTargetWatch();
+    startDispatcher();
+    if (absl::Status status = startIngress(); !status.ok())
+        return status;
+    auto server = HttpServerBuilder()
+                          .listen(settings.operators.address, settings.operators.port)
+                          .maxBody(operatorBodyLimit)
+                          .handler([this](const HttpRequest &request) { return operatorApi.serve(request); })
+                          .start();
+    if (!server.ok())
+        return server.status();
+    operators = *std::move(server);
+    return absl::OkStatus();
+}
+
+absl::Status NodeParts::startDistribution()
+{
+    const bool polling = settings.distribution == DistributionMode::Polling;
+    if (!polling)
+        leaseKeeper = std::make_shared<LeaseKeeper>(hub);
+    rolloutDuty = RolloutDutyBuilder().hooks(rolloutHooks()).metrics(*metrics).start();
+    if (polling) {
+        const auto changed = [this] {
+            onConfigChange();
+            router->noteParentContact();
+            router->setReady(true);
+        };
+        poller = std::make_unique<StorePoller>(store, config, changed, *metrics, log);
+        return absl::OkStatus();
+    }
+    auto listener = ControlListenerBuilder().listen(settings.nodes.address, settings.nodes.port).hub(hub).start();
+    if (!listener.ok())
+        return listener.status();
+    controlListener = *std::move(listener);
+    uplink = std::make_unique<Uplink>(hub, leaseKeeper);
+    return absl::OkStatus();
+}
+
+absl::Status NodeParts::startIngress()
+{
+    auto started = IngressBuilder()
+                           .listen(settings.callers.address, settings.callers.port)
+                           .routing(router->hooks())
+                           .client(client)
+                           .outcomes(outcomes)
+                           .metrics(metrics)
+                           .time(time)
+                           .log(log)
+                           .maxBody(settings.maxBody)
+                           .start();
+    if (!started.ok())
+        return started.status();
+    ingress = *std::move(started);
+    return absl::OkStatus();
+}
+
+void NodeParts::startTargetWatch()
+{
+    if (!settings.target)
+        return;
+    TargetWatchHooks hooks;
+    hooks.time = time;
+    hooks.probe = [this] {
+        const ConfigSnapshot state = config.current();
+        const Service *service = state->service(settings.target->service);
+        const std::string drainHeader = service == nullptr ? std::string() : service->drainHeader;
+        return probeTarget(*client, {settings.target->address, settings.target->healthPath, drainHeader});
+    };
+    hooks.onChange = [this](EndpointState state) { endpoints.announce(state); };
+    targetWatch = std::make_unique<TargetWatch>(std::move(hooks), targetWatchInterval);
+}
+
+void NodeParts::startDispatcher()
+{
+    OutcomeConsumers consumers;
+    consumers.rollouts = [this](const AttemptReport &report) { rolloutDuty->report(report); };
+    if (targetWatch) {
+        consumers.local = settings.target->id;
+        consumers.localTarget = [this](const AttemptReport &report) { targetWatch->answer(signOf(report.outcome)); };
+    }
+    dispatcher = std::make_unique<OutcomeDispatcher>(outcomes, std::move(consumers), *metrics);
+}
+
+void NodeParts::onConfigChange()
+{
+    const ConfigSnapshot state = config.current();
+    Gauge &revision = metrics->gauge("dandeliondock_revision");
+    if (static_cast<std::int64_t>(state->revision().value()) == revision.value())
+        return;
+    revision.set(static_cast<std::int64_t>(state->revision().value()));
+    appliedUnixMs = time.wall().time_since_epoch().count();
+    router->applyConfig(state);
+}
+
+ControlIdentity NodeParts::identity() const
+{
+    ControlIdentity self;
+    self.deployment = settings.deployment;
+    self.node = settings.node;
+    self.incarnation = Incarnation(static_cast<std::uint64_t>(time.wall().time_since_epoch().count()));
+    self.region = settings.region;
+    self.dataCentre = settings.dataCentre;
+    self.storeRegion = settings.storeRegion;
+    self.controlAddress = Address(absl::StrCat(settings.nodes.address, ":", settings.nodes.port));
+    self.peers = settings.peers;
+    self.fanOut = settings.fanOut;
+    self.hold = settings.pollHold;
+    return self;
+}
+
+Endpoint NodeParts::localEndpoint() const
+{
+    const ControlIdentity &self = hub->identity();
+    Endpoint endpoint;
+    endpoint.target = settings.target->id;
+    endpoint.stamp.incarnation = self.incarnation;
+    endpoint.address = settings.target->address;
+    endpoint.controlAddress = self.controlAddress;
+    endpoint.service = settings.target->service;
+    endpoint.version = settings.target->version;
+    endpoint.region = settings.region;
+    endpoint.dataCentre = settings.dataCentre;
+    endpoint.slots = settings.target->slots;
+    return endpoint;
+}
+
+RouterHooks NodeParts::routerHooks()
+{
+    RouterHooks hooks;
+    hooks.time = time;
+    hooks.split = [this](const Service &service) { return rolloutDuty->split(service); };
+    hooks.random = systemRandom;
+    hooks.probe = [this](const Endpoint &endpoint) {
+        const ConfigSnapshot state = config.current();
+        const Service *service = state->service(endpoint.service);
+        if (service == nullptr)
+            return probeResultOf(probeTarget(*client, {endpoint.address, {}, {}}));
+        return probeResultOf(probeTarget(*client, {endpoint.address, service->healthPath, service->drainHeader}));
+    };
+    return hooks;
+}
+
+RolloutHooks NodeParts::rolloutHooks()
+{
+    RolloutHooks hooks;
+    hooks.config = [this] { return config.current(); };
+    hooks.targets = [this](const ServiceName &service, const VersionName &version) {
+        return endpoints.serving(service, version);
+    };
+    hooks.lease = [this] { return leaseKeeper ? leaseKeeper->rootFence() : std::nullopt; };
+    hooks.row = [this](TicketNumber ticket) { return rolloutStore.row(ticket); };
+    hooks.write = [this](const RolloutRow &row, const std::optional<RolloutRow> &expected) {
+        rolloutStore.write(row, expected);
+    };
+    hooks.sendBatch = [this](const OutcomeBatch &batch) { rolloutBoard.setOutcomes(batch); };
+    hooks.publish = [this](const std::vector<RolloutRecord> &records) {
+        if (!rolloutBoard.merge(records).empty())
+            hub->notifyUpward();
+    };
+    hooks.time = time;
+    hooks.log = log;
+    return hooks;
+}
+
+void NodeParts::announceLeaving()
+{
+    if (!settings.target)
+        return;
+    targetWatch->stop();
+    endpoints.announce(EndpointState::Leaving);
+    const bool isTop = hub->leases().top || !uplink;
+    if (!isTop && !uplink->waitSent(endpoints.cursor(), announcementLimit))
+        LogEvent(LogLevel::Warn, "node.leaving_not_announced").write(log);
+}
+
+bool NodeParts::stop()
+{
+    announceLeaving();
+    const bool drained = ingress->drain(settings.drain);
+    ingress->stop();
+    dispatcher->stop();
+    operators->quiesce();
+    const bool answered = operators->waitIdle(operatorDrain);
+    operators->stop();
+    rolloutDuty->stop();
+    rolloutStore.stop();
+    if (poller)
+        poller->stop();
+    if (uplink)
+        uplink->stop();
+    if (controlListener)
+        controlListener->stop();
+    if (leaseKeeper)
+        leaseKeeper->stop();
+    return drained && answered;
+}
+
+} // namespace dandeliondock::impl
--- a/src/node/operator_api.cpp
+++ b/src/node/operator_api.cpp
@@ -165,7 +165,8 @@
     const absl::StatusOr<Revision> accepted = m_hooks.accepted(TicketNumber(value));
     if (!accepted.ok())
         return refusalResponse(accepted.status());
-    return jsonResponse(encodeTicketStatus(*accepted, ticketStatus(*accepted, m_hooks.statusView())));
+    return jsonResponse(
+            encodeTicketStatus(*accepted, ticketStatus(*accepted, m_hooks.statusView({accepted->ticket.number}))));
 }
 
 HttpResponse OperatorApi::listTickets(absl::string_view query) const
@@ -176,7 +177,10 @@
     const absl::StatusOr<std::vector<Revision>> tickets = m_hooks.list(TicketNumber(range->from), range->limit);
     if (!tickets.ok())
         return refusalResponse(tickets.status());
-    const TicketStatusView view = m_hooks.statusView();
+    std::vector<TicketNumber> numbers;
+    for (const Revision &accepted : *tickets)
+        numbers.push_back(accepted.ticket.number);
+    const TicketStatusView view = m_hooks.statusView(numbers);
     wire::TicketList answer;
     for (const Revision &accepted : *tickets)
         *answer.add_tickets() = encodeTicketStatus(accepted, ticketStatus(accepted, view));
--- a/src/node/relay_hub.cpp
+++ b/src/node/relay_hub.cpp
@@ -79,22 +79,23 @@
     if (request.leaving)
         return answer;
     RelayView seen;
-    const ChildNeed need = awaitNeed(request, seen);
-    fill(request, need, seen, answer);
+    const ChildNeed need = awaitNeed(request, decision.poll, seen);
+    fill(request, decision.poll, need, seen, answer);
     return answer;
 }
 
 void RelayHub::mergeFromChild(const PollRequest &request, bool takeOutcomes)
 {
+    m_hooks.contact({request.region});
     if (takeOutcomes)
-        m_hooks.takeOutcomes(*request.outcomes);
+        m_hooks.takeOutcomes({request.node, request.incarnation}, *request.outcomes);
     const bool endpoints = !request.endpoints.empty() && m_hooks.mergeEndpoints(request.endpoints);
     const bool rollouts = !request.rollouts.empty() && m_hooks.mergeRollouts(request.rollouts);
     if (endpoints || rollouts)
-        notify();
+        notifyUpward();
 }
 
-ChildNeed RelayHub::awaitNeed(const PollRequest &request, RelayView &seen)
+ChildNeed RelayHub::awaitNeed(const PollRequest &request, PollNumber poll, RelayView &seen)
 {
     const MonotonicTime end = m_hooks.time.monotonic() + std::min(request.hold, longestHold);
     std::unique_lock lock(m_mutex);
@@ -105,23 +106,25 @@
         const MonotonicTime now = m_hooks.time.monotonic();
         lock.lock();
         ChildNeed need = m_relay.needOf(request.node, seen, now);
-        if (need.any() || now >= end || m_relay.leaving())
+        if (need.any() || now >= end || m_relay.leaving() || !m_relay.isLatest(request.node, poll))
             return need;
         m_changed.wait_for(lock, end - now, [&] { return m_generation != generation; });
     }
 }
 
-void RelayHub::fill(const PollRequest &request, const ChildNeed &need, const RelayView &seen, PollAnswer &answer)
+void RelayHub::fill(const PollRequest &request, PollNumber poll, const ChildNeed &need, const RelayView &seen,
+                    PollAnswer &answer)
 {
-    const EndpointScope scope = request.region == m_identity.region ? EndpointScope::Full : EndpointScope::Summary;
     if (need.fullEndpoints)
-        answer.endpoints = m_hooks.allEndpoints(scope);
+        answer.endpoints = m_hooks.allEndpoints(request.region);
     else if (need.endpointsAfter)
-        answer.endpoints = m_hooks.endpointChanges(*need.endpointsAfter, scope).records;
+        answer.endpoints = m_hooks.endpointChanges(*need.endpointsAfter, request.region).records;
     answer.rollouts = need.rollouts;
     answer.revision = seen.revision;
     answer.directoryDigest = seen.directoryDigest;
     answer.acknowledgement = treeAcknowledgement();
+    answer.region = m_identity.region;
+    answer.contacts = m_hooks.regionsInContact();
     const std::scoped_lock lock(m_mutex);
     if (m_relay.leaving())
         answer.result = PollResult::Leaving;
@@ -130,7 +133,13 @@
     answer.snapshotNeeded = delta.snapshotNeeded;
     answer.path = m_relay.path();
     answer.grandparent = m_parent;
-    m_relay.onAnswered(request.node, seen, need, m_hooks.time.monotonic());
+    m_relay.onAnswered(request.node, poll, seen, need, m_hooks.time.monotonic());
+}
+
+void RelayHub::notifyUpward()
+{
+    notify();
+    m_upward.raise();
 }
 
 void RelayHub::notify()
@@ -240,10 +249,25 @@
     m_hooks.metrics->gauge("dandeliondock_children").set(static_cast<std::int64_t>(children()));
 }
 
-void RelayHub::setReady()
+void RelayHub::setReady(MonotonicTime asked)
 {
-    const std::scoped_lock lock(m_mutex);
-    m_ready = true;
+    {
+        const std::scoped_lock lock(m_mutex);
+        if (m_ready || asked < m_lastPause)
+            return;
+        m_ready = true;
+    }
+    m_hooks.readyChanged(true);
+}
+
+void RelayHub::onPause()
+{
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_ready = false;
+        m_lastPause = m_hooks.time.monotonic();
+    }
+    m_hooks.readyChanged(false);
 }
 
 bool RelayHub::ready() const
--- /dev/null
+++ b/src/node/rollout_board.cpp
@@ -0,0 +1,70 @@
+#include <dandeliondock/node/rollout_board.h>
+
+#include <utility>
+
+namespace dandeliondock {
+
+namespace {
+
+constexpr std::size_t recordsPerService = 2;
+
+} // namespace
+
+std::vector<RolloutRecord> RolloutBoard::merge(const std::vector<RolloutRecord> &records)
+{
+    const std::scoped_lock lock(m_mutex);
+    std::vector<RolloutRecord> changed;
+    for (const RolloutRecord &record : records) {
+        std::map<TicketNumber, RolloutRecord> &held = m_records[record.service];
+        const bool isSuperseded = held.size() >= recordsPerService && record.ticket < held.begin()->first;
+        if (isSuperseded)
+            continue;
+        const auto [entry, inserted] = held.try_emplace(record.ticket, record);
+        const RolloutRecord merged = inserted ? record : mergeRecords(entry->second, record);
+        if (!inserted && merged == entry->second)
+            continue;
+        entry->second = merged;
+        changed.push_back(merged);
+        if (held.size() > recordsPerService)
+            held.erase(held.begin());
+    }
+    return changed;
+}
+
+std::vector<RolloutRecord> RolloutBoard::records() const
+{
+    const std::scoped_lock lock(m_mutex);
+    std::vector<RolloutRecord> all;
+    for (const auto &[service, held] : m_records) {
+        for (const auto &[ticket, record] : held)
+            all.push_back(record);
+    }
+    return all;
+}
+
+void RolloutBoard::setOutcomes(OutcomeBatch batch)
+{
+    const std::scoped_lock lock(m_mutex);
+    m_outcomes = std::move(batch);
+}
+
+std::optional<OutcomeBatch> RolloutBoard::outcomes() const
+{
+    const std::scoped_lock lock(m_mutex);
+    return m_outcomes;
+}
+
+void RolloutBoard::outcomesTaken(SequenceNumber sequence)
+{
+    const std::scoped_lock lock(m_mutex);
+    if (m_outcomes && m_outcomes->sequence == sequence)
+        m_outcomes.reset();
+}
+
+void RolloutBoard::dropOutcomes()
+{
+    const std::scoped_lock lock(m_mutex);
+    m_outcomes.reset();
+}
+
+} // namespace dandeliondock
--- a/src/node/uplink.cpp
+++ b/src/node/uplink.cpp
@@ -7,6 +7,7 @@
 #include <absl/strings/numbers.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace dandeliondock {
 
@@ -16,6 +17,7 @@
 constexpr Milliseconds pollMargin{500};
 constexpr Milliseconds snapshotLimit{5'000};
 constexpr Milliseconds rootCheck{250};
+constexpr Milliseconds outcomeHold{750};
 constexpr Milliseconds goodbyeLimit{500};
 
 absl::string_view outcomeName(AttachOutcome outcome)
@@ -113,12 +115,13 @@
     // A candidate that may refuse gets no records, which would be lost with the refusal.
     if (!attached)
         return request;
-    request.hold = identity.hold;
-    const EndpointChanges changes =
-            hooks.endpointChanges(m_endpointsSent.value_or(ChangeCursor()), EndpointScope::Full);
+    // Outcomes that wait for the end of a poll would make a bad version's faults known late.
+    request.hold = request.outcomes ? std::min(identity.hold, outcomeHold) : identity.hold;
+    request.resynchronise = std::exchange(m_resynchronise, false);
+    const EndpointChanges changes = hooks.endpointChanges(m_endpointsSent.value_or(ChangeCursor()), m_parentRegion);
     m_endpointsPending = changes.cursor;
     request.fullEndpoints = m_sendFull;
-    request.endpoints = m_sendFull ? hooks.allEndpoints(EndpointScope::Full) : changes.records;
+    request.endpoints = m_sendFull ? hooks.allEndpoints(m_parentRegion) : changes.records;
     for (const RolloutRecord &record : hooks.rollouts()) {
         if (std::find(m_rolloutsSent.begin(), m_rolloutsSent.end(), record) == m_rolloutsSent.end())
             request.rollouts.push_back(record);
@@ -136,6 +139,7 @@
     options.timeout = limit;
     Metrics &metrics = *m_hub->hooks().metrics;
     metrics.counter("dandeliondock_control_bytes_total", "to_parent").add(message.body.size());
+    options.interrupt = &m_hub->upwardInterrupt();
     const SendResult result = m_hub->hooks().send(to, message, options);
     if (!result.response.ok())
         return result.response.status();
@@ -148,8 +152,14 @@
 void Uplink::poll(const ParentCandidate &candidate)
 {
     const bool attached = m_selection.attached();
+    m_hub->upwardInterrupt().reset();
+    const MonotonicTime asked = m_hub->hooks().time.monotonic();
     const PollRequest request = buildRequest(attached);
     const absl::StatusOr<PollAnswer> answer = exchange(candidate.address, request, request.hold + pollMargin);
+    if (!answer.ok() && errorKind(answer.status()) == ErrorKind::Interrupted) {
+        m_resynchronise = attached;
+        return;
+    }
     if (!answer.ok()) {
         m_hub->hooks()
                 .metrics->counter("dandeliondock_poll_failures_total", errorKindName(errorKind(answer.status())))
@@ -173,12 +183,15 @@
         LogEvent(LogLevel::Info, "uplink.attached").field("parent", candidate.address).write(m_hub->hooks().log);
         m_hub->hooks().metrics->counter("dandeliondock_attachments_total").add();
         m_joinRevision = answer->revision;
+        m_parentRegion = answer->region;
+        m_hub->hooks().parentChanged();
+        m_resynchronise = true;
         m_endpointsSent.reset();
         m_rolloutsSent.clear();
         m_sendFull = true;
     }
     m_hub->setParent(m_selection.parentPath(), candidate.address);
-    merge(request, *answer);
+    merge(request, *answer, asked);
     if (attached)
         takeAnswer(request, *answer);
 }
@@ -186,15 +199,22 @@
 void Uplink::takeAnswer(const PollRequest &request, const PollAnswer &answer)
 {
     m_endpointsSent = m_endpointsPending;
+    {
+        const std::scoped_lock lock(m_mutex);
+        m_endpointsTaken = m_endpointsPending;
+    }
+    m_taken.notify_all();
     m_rolloutsSent.insert(m_rolloutsSent.end(), request.rollouts.begin(), request.rollouts.end());
     // After merging the parent's records, a difference means that the parent lacks some of this node's.
     m_sendFull = !answer.endpoints.empty() && m_hub->hooks().directoryDigest() != answer.directoryDigest
                  && !request.fullEndpoints;
 }
 
-void Uplink::merge(const PollRequest &request, const PollAnswer &answer)
+void Uplink::merge(const PollRequest &request, const PollAnswer &answer, MonotonicTime asked)
 {
     const ControlHooks &hooks = m_hub->hooks();
+    hooks.parentAnswered();
+    hooks.contact(answer.contacts);
     if (answer.acknowledgement)
         m_hub->setTreeAcknowledgement(*answer.acknowledgement);
     if (request.outcomes && answer.outcomeSequence == request.outcomes->sequence)
@@ -209,7 +229,7 @@
     if (m_snapshotWanted && hooks.time.monotonic() >= m_nextSnapshot)
         fetchSnapshot(m_selection.parent()->address);
     if (hooks.config()->revision() >= m_joinRevision)
-        m_hub->setReady();
+        m_hub->setReady(asked);
 }
 
 void Uplink::fetchSnapshot(const Address &parent)
@@ -251,6 +271,12 @@
     LogEvent(LogLevel::Info, "uplink.left").field("answered", answer.ok()).write(m_hub->hooks().log);
 }
 
+bool Uplink::waitSent(ChangeCursor cursor, Milliseconds limit)
+{
+    std::unique_lock lock(m_mutex);
+    return m_taken.wait_for(lock, limit, [&] { return m_endpointsTaken >= cursor; });
+}
+
 void Uplink::stop()
 {
     {
--- a/src/store/rows.cpp
+++ b/src/store/rows.cpp
@@ -14,6 +14,11 @@
     return RowKey(absl::StrFormat("%s%020d", ticketPrefix, number.value()));
 }
 
+RowKey rolloutKey(TicketNumber number)
+{
+    return RowKey(absl::StrFormat("%s%020d", rolloutPrefix, number.value()));
+}
+
 RowKey revisionKey(RevisionNumber number)
 {
     return RowKey(absl::StrFormat("%s%020d", revisionPrefix, number.value()));
