--- /dev/null
+++ b/include/dandeliondock/codec/proxy_codec.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <dandeliondock/membership/endpoint.h>
+#include <dandeliondock/proxy/service_versions.h>
+#include <dandeliondock/rollout/outcome_window.h>
+
+#include <absl/status/statusor.h>
+#include <absl/strings/string_view.h>
+
+#include <string>
+
+namespace dandeliondock {
+
+/// \brief Outcomes that a proxy sends to the driver of a rollout.
+struct OutcomeReport
+{
+    ChildId sender;
+    OutcomeBatch batch;
+};
+
+// Rows and messages that proxies share. All functions are thread-safe; the decoders return InvalidRow or
+// InvalidMessage.
+
+[[nodiscard]] std::string encodeTargetRow(const Endpoint &endpoint);
+[[nodiscard]] absl::StatusOr<Endpoint> decodeTargetRow(absl::string_view bytes);
+
+[[nodiscard]] std::string encodeServiceVersions(const ServiceVersions &versions);
+[[nodiscard]] absl::StatusOr<ServiceVersions> decodeServiceVersions(const ServiceName &service,
+                                                                    absl::string_view bytes);
+
+[[nodiscard]] std::string encodeOutcomeReport(const OutcomeReport &report);
+[[nodiscard]] absl::StatusOr<OutcomeReport> decodeOutcomeReport(absl::string_view bytes);
+
+} // namespace dandeliondock
--- a/include/dandeliondock/config/resources.h
+++ b/include/dandeliondock/config/resources.h
@@ -15,6 +15,15 @@
 /// \brief Load is shed from Deferrable first and from Critical last.
 enum class WorkClass { Critical, Interactive, Deferrable };
 
+/// \brief A part of a divided route.
+struct WeightedService
+{
+    ServiceName service;
+    std::uint32_t weight = 0; ///< part of the sum of the weights
+
+    bool operator==(const WeightedService &) const = default;
+};
+
 /// \brief Which requests go to which service, and on what terms.
 struct Route
 {
@@ -25,6 +34,9 @@
     bool idempotent = false;
     Milliseconds timeout{1'000};
     WorkClass workClass = WorkClass::Interactive;
+    std::vector<WeightedService> split; ///< divides the requests; empty sends all to service
+    std::uint32_t attempts = 0;         ///< most targets that one request is sent to; 0 takes the default
+    Milliseconds targetLatency{0};      ///< time within which a response is of full use; 0 for none
 
     bool operator==(const Route &) const = default;
 };
@@ -51,6 +63,7 @@
     std::uint32_t shedStatus = 0; ///< status with which a target refuses without running; 0 for none
     std::string healthPath;
     std::string drainHeader; ///< header that a draining target sets on its answers
+    bool versionFromTargets = false; ///< targets announce their versions; version is empty
 
     bool operator==(const Service &) const = default;
 };
--- a/include/dandeliondock/core/ids.h
+++ b/include/dandeliondock/core/ids.h
@@ -31,6 +31,8 @@
 using AuthorName = StrongType<struct AuthorNameTag, std::string>;
 /// \brief An IP number and a port, such as 127.0.0.1:8080.
 using Address = StrongType<struct AddressTag, std::string>;
+/// \brief Identity of one request, as its caller chose it.
+using RequestId = StrongType<struct RequestIdTag, std::string>;
 /// \brief Key of a row of the platform's table.
 using RowKey = StrongType<struct RowKeyTag, std::string>;
 
--- /dev/null
+++ b/include/dandeliondock/core/log_duty.h
@@ -0,0 +1,40 @@
+#pragma once
+
+#include <dandeliondock/core/bounded_ring.h>
+#include <dandeliondock/core/log_event.h>
+
+#include <string>
+#include <thread>
+#include <utility>
+
+namespace dandeliondock {
+
+/// \brief Lines that may wait for the log's thread; the oldest are dropped and counted when there are more.
+inline constexpr std::size_t logRingCapacity = 4'096;
+
+/// \brief Writes log lines on a thread of its own, so that no other duty waits for a slow reader of the output.
+///
+/// \remark sink() may be used from any thread as long as this object lives.
+class LogDuty
+{
+public:
+    /// \param sink writes one line; called on the log's thread only.
+    explicit LogDuty(LogSink sink);
+    ~LogDuty();
+    LogDuty(const LogDuty &) = delete;
+    LogDuty &operator=(const LogDuty &) = delete;
+
+    /// \brief A sink that never blocks. Thread-safe.
+    [[nodiscard]] LogSink sink();
+
+private:
+    void run();
+    void tellDropped();
+
+    LogSink m_sink;
+    BoundedRing<std::pair<LogLevel, std::string>> m_ring;
+    std::uint64_t m_told = 0;
+    std::thread m_thread;
+};
+
+} // namespace dandeliondock
--- a/include/dandeliondock/core/log_event.h
+++ b/include/dandeliondock/core/log_event.h
@@ -55,8 +55,11 @@
     std::string m_line;
 };
 
-/// \brief A sink to log4cplus on standard error. Call once for each process.
+/// \brief Where a process writes its log.
+enum class LogStream { Error, Output };
+
+/// \brief A sink to log4cplus on a standard stream. Call once for each process.
 /// \pre \c levelName is debug, info, warn or error.
-[[nodiscard]] LogSink consoleLog(absl::string_view levelName);
+[[nodiscard]] LogSink consoleLog(absl::string_view levelName, LogStream stream = LogStream::Error);
 
 } // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/http/loop_client.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include <dandeliondock/core/ids.h>
+#include <dandeliondock/http/event_loop.h>
+#include <dandeliondock/http/message.h>
+
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace dandeliondock {
+
+/// \brief How a call uses connections and how long it may take.
+struct LoopCallOptions
+{
+    MonotonicTime deadline;
+    /// Longest time that a reused connection may have been idle; 0 opens a new one.
+    Microseconds reuseWithin{4'000'000};
+    /// Header that a response must repeat from the request; a response with another value belongs to another request
+    /// and is skipped. Empty when responses carry none.
+    std::string echoHeader{};
+};
+
+/// \brief How a call ended.
+struct LoopCallResult
+{
+    absl::Status status;   ///< NotSent, MayHaveRun, Truncated or DeadlineExceeded unless OK
+    bool wasSent = false;  ///< false: nothing of the request left this process
+    HttpResponse response; ///< whole, when the status is OK
+};
+
+using LoopCallHandler = std::function<void(LoopCallResult)>;
+
+namespace impl {
+class ClientState;
+class ClientCall;
+} // namespace impl
+
+/// \brief A running call; destroying the handle does not end the call.
+class LoopCall
+{
+public:
+    LoopCall() = default;
+    explicit LoopCall(std::weak_ptr<impl::ClientCall> call) : m_call(std::move(call)) {}
+
+    /// \brief Closes the call's connection; the handler is not called any more.
+    /// \pre Called on the loop's thread.
+    void cancel();
+
+private:
+    std::weak_ptr<impl::ClientCall> m_call;
+};
+
+/// \brief Bounds of a client's connections.
+struct LoopClientLimits
+{
+    Milliseconds connectTime{1'000};
+    /// Time without an acknowledgement from the peer's host after which a connection counts as dead.
+    Milliseconds silence{3'000};
+    std::size_t idlePerAddress = 64;
+    ByteCount responseBytes{67'108'864};
+};
+
+/// \brief An HTTP/1.1 client on an event loop. It sends each request once and never repeats it by itself.
+///
+/// A response is passed on only when it is whole, answers the request by its echo header and is followed by nothing.
+/// A connection carries one request at a time; bytes that arrive on an idle connection close it.
+///
+/// \remark Every method is to be called on the loop's thread.
+class LoopClient
+{
+public:
+    LoopClient(EventLoop &loop, LoopClientLimits limits = {});
+    ~LoopClient();
+    LoopClient(const LoopClient &) = delete;
+    LoopClient &operator=(const LoopClient &) = delete;
+
+    /// \brief Sends a request; \c handler is called once, never from within send().
+    LoopCall send(const Address &address, const HttpRequest &request, const LoopCallOptions &options,
+                  LoopCallHandler handler);
+
+    /// \brief Connections opened so far.
+    [[nodiscard]] std::uint64_t connectionsOpened() const noexcept;
+
+private:
+    std::shared_ptr<impl::ClientState> m_state;
+};
+
+} // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/proxy/control_duty.h
@@ -0,0 +1,109 @@
+#pragma once
+
+#include <dandeliondock/core/log_event.h>
+#include <dandeliondock/core/metrics.h>
+#include <dandeliondock/core/random_source.h>
+#include <dandeliondock/http/event_loop.h>
+#include <dandeliondock/http/loop_client.h>
+#include <dandeliondock/proxy/operator_documents.h>
+#include <dandeliondock/proxy/rollout_control.h>
+#include <dandeliondock/proxy/table_watch.h>
+#include <dandeliondock/store/async_table.h>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <variant>
+
+namespace dandeliondock {
+
+/// \brief The target behind a door is not in the table any more.
+struct EndpointRemoved
+{
+    Address door;
+};
+
+/// \brief Configuration and targets were read whole for the first time.
+struct ViewComplete
+{
+};
+
+/// \brief What the control duty tells the traffic duty.
+using ControlNews = std::variant<ProxyConfigPtr, ServiceVersions, Endpoint, EndpointRemoved, ViewComplete>;
+
+/// \brief Name of the table that proxies share.
+inline constexpr absl::string_view sharedTableName = "dandeliondock";
+/// \brief Time after a failed write of the own row until the next try.
+inline constexpr Milliseconds rowRetry{400};
+
+/// \brief What the control duty works with.
+struct ControlDutyParts
+{
+    EventLoop *loop = nullptr;
+    LoopClient *client = nullptr;
+    AsyncTableHooks table;
+    OperatorDocuments documents;
+    Metrics *metrics = nullptr;
+    LogSink log;
+    RandomSource random;
+    NodeId node;
+    Incarnation incarnation;
+    Address door;
+    ServiceName service;
+    /// Hands news to the traffic duty; called on this duty's thread.
+    std::function<void(ControlNews)> tell;
+};
+
+/// \brief Follows the platform's table, keeps the row of the own target there and takes part in rollouts.
+///
+/// \remark Every method is to be called on the duty's loop.
+class ControlDuty
+{
+public:
+    explicit ControlDuty(ControlDutyParts parts);
+
+    void start();
+
+    /// \brief Announces the state of the own target to the other proxies.
+    void announce(const Endpoint &endpoint);
+
+    void record(const AttemptReport &report, TicketNumber rollout) { m_rollout.record(report, rollout); }
+
+    /// \brief Takes another proxy's outcome report; the response's body.
+    [[nodiscard]] std::string takeReport(absl::string_view body) { return m_rollout.takeReport(body); }
+
+private:
+    void readOperator(const TableReading &reading);
+    void readShared(const TableReading &reading, bool isWhole);
+    void readRow(const TableRow &row);
+    void removeRow(const RowKey &key);
+    void removeMissing(const TableReading &reading);
+    void writeOwnRow();
+    void declareVersion();
+    void noteTime(const TableReading &reading);
+    void tellWhenComplete();
+    [[nodiscard]] std::uint32_t serving(const VersionName &version) const;
+    [[nodiscard]] std::size_t rank() const;
+    [[nodiscard]] RolloutControlParts rolloutParts();
+
+    ControlDutyParts m_parts;
+    TableWatch m_operatorWatch;
+    TableWatch m_sharedWatch;
+    RolloutControl m_rollout;
+    std::map<Address, Endpoint> m_endpoints; ///< by door
+    absl::flat_hash_map<ServiceName, ServiceVersions> m_versions;
+    absl::flat_hash_map<ServiceName, RolloutOrder> m_orders;
+    std::optional<Endpoint> m_own;
+    std::optional<Endpoint> m_ownWritten;
+    LoopTimer m_rowTimer;
+    WallTime m_tableTime;
+    MonotonicTime m_tableTimeAt;
+    bool m_isWriting = false;
+    bool m_hasConfig = false;
+    bool m_isComplete = false;
+};
+
+} // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/proxy/door_load.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <cstdint>
+
+namespace dandeliondock {
+
+/// \brief Load of a target as the proxy beside it counts it.
+struct DoorLoad
+{
+    std::uint32_t running = 0;
+    std::uint32_t waiting = 0;
+    std::uint32_t slots = 0;
+
+    bool operator==(const DoorLoad &) const = default;
+};
+
+} // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/proxy/door_queue.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include <dandeliondock/config/resources.h>
+#include <dandeliondock/core/units.h>
+#include <dandeliondock/proxy/door_load.h>
+#include <dandeliondock/routing/class_queue.h>
+
+#include <cstddef>
+#include <optional>
+
+namespace dandeliondock {
+
+/// \brief Requests that may wait for one target, in multiples of its slots.
+inline constexpr std::size_t queuePerSlot = 4;
+/// \brief Smallest capacity of the queue.
+inline constexpr std::size_t smallestQueue = 16;
+/// \brief Time that a request is taken to need before the first one ended.
+inline constexpr Milliseconds assumedWorkTime{100};
+
+/// \brief What becomes of a request that arrives at a target.
+enum class DoorVerdict { Run, Wait, Refuse };
+
+/// \brief Verdict on an arriving request.
+struct DoorAdmission
+{
+    DoorVerdict verdict = DoorVerdict::Run;
+    std::optional<WaiterId> displaced; ///< a waiter of a lower class that is refused in its stead
+    Microseconds retryAfter{0};        ///< of Refuse: when a slot is likely to be free
+};
+
+/// \brief Decides which requests a target works on, which wait and which are refused at once.
+///
+/// Load pattern: more requests than slots. A request that cannot end in time is refused on arrival, so that no slot is
+/// spent on it and its caller can go elsewhere.
+///
+/// \remark Not thread-safe.
+class DoorQueue
+{
+public:
+    /// \brief Sets how many requests the target works on at once.
+    void setSlots(SlotCount slots);
+
+    /// \brief Offers a request that should end by \c deadline.
+    [[nodiscard]] DoorAdmission offer(WaiterId id, WorkClass workClass, MonotonicTime deadline, MonotonicTime now);
+
+    /// \brief A running request ended; \c worked is empty when it showed nothing of the target's speed.
+    void finished(std::optional<Microseconds> worked);
+
+    /// \brief The waiter that runs next, if a slot is free for one.
+    [[nodiscard]] std::optional<WaiterId> next();
+
+    /// \brief A waiter leaves without having run.
+    void withdraw(WaiterId id) { m_queue.withdraw(id); }
+
+    [[nodiscard]] DoorLoad load() const noexcept;
+
+private:
+    [[nodiscard]] QueuePace pace() const noexcept;
+
+    std::uint32_t m_slots = 1;
+    std::uint32_t m_running = 0;
+    ClassQueue m_queue{smallestQueue};
+    Microseconds m_meanWork = assumedWorkTime;
+};
+
+} // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/proxy/door_request.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include <dandeliondock/config/resources.h>
+#include <dandeliondock/core/ids.h>
+#include <dandeliondock/core/units.h>
+#include <dandeliondock/http/message.h>
+#include <dandeliondock/proxy/door_load.h>
+#include <dandeliondock/proxy/forward_plan.h>
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <optional>
+#include <string>
+
+namespace dandeliondock {
+
+/// \brief A request on its way to the target behind a door.
+struct DoorRequest
+{
+    HttpRequest request; ///< as the target gets it, but for the headers that the door sets
+    RequestId id;
+    TargetId target; ///< the only one that may run it
+    ServiceName service;
+    RouteName route;
+    WorkClass workClass = WorkClass::Interactive;
+    bool isIdempotent = false;
+    MonotonicTime deadline;    ///< nothing is done for the request after it
+    MonotonicTime usefulUntil; ///< a response after it is worth less; the queue does not go past it
+};
+
+/// \brief Why a door did not pass a request on.
+enum class DoorRefusal { None, Late, Busy, Displaced, Leaving, OtherTarget, OtherVersion, Unreachable };
+
+/// \brief Name of a refusal, as counters and logs carry it. Thread-safe.
+[[nodiscard]] const char *doorRefusalName(DoorRefusal refusal) noexcept;
+
+/// \brief How a door ended a request.
+struct DoorReply
+{
+    DoorOutcome outcome = DoorOutcome::Refused;
+    DoorRefusal refusal = DoorRefusal::None; ///< of Refused
+    HttpResponse response;                   ///< of Answered and Failed: the target's own
+    std::optional<DoorLoad> load;
+    Microseconds retryAfter{0}; ///< of Refused: when a slot is likely to be free; 0 when unknown
+    std::string detail;         ///< for the log
+};
+
+using DoorReplyHandler = std::function<void(DoorReply)>;
+
+/// \brief Whether the target behind the door takes no further work. Thread-safe.
+[[nodiscard]] bool isLeavingRefusal(DoorRefusal refusal) noexcept;
+
+/// \brief Whether a reply carries the target's own response. Thread-safe.
+[[nodiscard]] bool hasResponse(DoorOutcome outcome) noexcept;
+
+/// \brief Name of an outcome, as messages and logs carry it. Thread-safe.
+[[nodiscard]] const char *doorOutcomeName(DoorOutcome outcome) noexcept;
+
+// Requests and replies between proxies as HTTP messages. Times travel as what is left of them. The functions are
+// thread-safe; the decoders return InvalidMessage.
+
+[[nodiscard]] HttpRequest encodeDoorRequest(const DoorRequest &request, MonotonicTime now);
+[[nodiscard]] absl::StatusOr<DoorRequest> decodeDoorRequest(HttpRequest request, MonotonicTime now);
+[[nodiscard]] HttpResponse encodeDoorReply(DoorReply reply);
+[[nodiscard]] absl::StatusOr<DoorReply> decodeDoorReply(HttpResponse response);
+
+} // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/proxy/forwarder.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include <dandeliondock/attempts/request_plan.h>
+#include <dandeliondock/attempts/retry_budget.h>
+#include <dandeliondock/core/log_event.h>
+#include <dandeliondock/core/metrics.h>
+#include <dandeliondock/core/random_source.h>
+#include <dandeliondock/http/loop_client.h>
+#include <dandeliondock/http/loop_server.h>
+#include <dandeliondock/proxy/door.h>
+#include <dandeliondock/proxy/placement.h>
+#include <dandeliondock/proxy/service_versions.h>
+#include <dandeliondock/proxy/target_protocol.h>
+#include <dandeliondock/proxy/traffic_view.h>
+#include <dandeliondock/proxy/weighted_choice.h>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <memory>
+#include <string>
+
+namespace dandeliondock {
+
+/// \brief Time after the deadline in which a door's own end of a request is still awaited.
+inline constexpr Milliseconds doorAnswerSlack{120};
+/// \brief Shortest and longest time after which a refused caller may come back: a queue drains within it.
+inline constexpr Milliseconds shortestRetryAfter{60};
+inline constexpr Milliseconds longestRetryAfter{400};
+
+/// \brief What a forwarder works with.
+struct ForwarderParts
+{
+    EventLoop *loop = nullptr;
+    LoopClient *client = nullptr;
+    Door *door = nullptr;
+    Address doorAddress;
+    Metrics *metrics = nullptr;
+    LogSink log;
+    RandomSource random;
+    TargetProtocol protocol;
+    Locality self;
+    ServiceName callerService; ///< service of the target on this instance
+    RetryBudgetLimits retries;
+};
+
+/// \brief Takes the requests of the callers on this instance and brings each to one target.
+///
+/// \remark Every method is to be called on the loop's thread.
+class Forwarder
+{
+public:
+    explicit Forwarder(ForwarderParts parts);
+    ~Forwarder();
+    Forwarder(const Forwarder &) = delete;
+    Forwarder &operator=(const Forwarder &) = delete;
+
+    /// \brief Takes a caller's request.
+    void handle(const LoopExchangePtr &exchange);
+
+    void setConfig(ProxyConfigPtr config);
+    void setVersions(const ServiceVersions &versions);
+    void setEndpoint(const Endpoint &endpoint);
+    void removeEndpoint(const Address &door);
+    void setCallerService(const ServiceName &service) { m_parts.callerService = service; }
+
+    /// \brief The versions of a service; null when nothing is known of them. Valid until the next change.
+    [[nodiscard]] const ServiceVersions *versions(const ServiceName &service) const;
+
+    [[nodiscard]] const ProxyConfigPtr &config() const noexcept { return m_config; }
+
+private:
+    class Session;
+
+    [[nodiscard]] VersionChoice chooseVersionOf(const ServiceName &service);
+    [[nodiscard]] RetryBudget &budgetOf(const ServiceName &service);
+    [[nodiscard]] Milliseconds retryAfter(Microseconds hint);
+
+    ForwarderParts m_parts;
+    ProxyConfigPtr m_config;
+    Placement m_placement;
+    WeightedChoice m_weights;
+    absl::flat_hash_map<ServiceName, ServiceVersions> m_versions;
+    absl::flat_hash_map<ServiceName, std::unique_ptr<RetryBudget>> m_budgets;
+};
+
+} // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/proxy/placement.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include <dandeliondock/core/ids.h>
+#include <dandeliondock/core/random_source.h>
+#include <dandeliondock/core/units.h>
+#include <dandeliondock/membership/endpoint.h>
+#include <dandeliondock/proxy/door_load.h>
+#include <dandeliondock/routing/locality_plan.h>
+#include <dandeliondock/routing/outlier_ejection.h>
+#include <dandeliondock/routing/version_chooser.h>
+
+#include <absl/container/flat_hash_map.h>
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace dandeliondock {
+
+/// \brief Age at which the load that a proxy reported is no longer believed.
+inline constexpr Milliseconds doorLoadLife{1'000};
+/// \brief Added to a target's load, as a part of its slots, for each step of distance: the time that the way takes,
+/// and the bytes that are paid for on it.
+inline constexpr double otherDataCentreCost = 0.06;
+inline constexpr double otherRegionCost = 0.20;
+/// \brief Added while a target is new: it works at about half of its speed.
+inline constexpr double coldTargetCost = 0.40;
+/// \brief Time for which a target counts as new.
+inline constexpr Milliseconds coldTargetTime{3'000};
+/// \brief Weight of the recent part of failures in the cost of a target.
+inline constexpr double failureCost = 1.5;
+
+/// \brief What is known of a target and its door.
+struct PlacedTarget
+{
+    Endpoint endpoint;
+    LocalityTier tier = LocalityTier::DataCentre;
+    OutlierEjection ejection;
+    DoorLoad reported;
+    MonotonicTime reportedAt;
+    std::uint32_t sentSinceReport = 0;
+    std::uint32_t inFlight = 0;
+    double failurePart = 0; ///< of the recent answers
+    MonotonicTime servingSince;
+    bool isLeaving = false; ///< its door said so, ahead of the directory
+};
+
+using PlacedTargetPtr = std::shared_ptr<PlacedTarget>;
+
+/// \brief What a placement depends on.
+struct PlacementRequest
+{
+    ServiceName service;
+    VersionChoice version;
+    std::vector<TargetId> tried; ///< used only when nothing else is left
+};
+
+/// \brief A claim on a target; it ends with Placement::finish().
+struct PlacementClaim
+{
+    PlacedTargetPtr target;
+    bool isTrial = false; ///< the one request that may end an ejection
+};
+
+/// \brief What an attempt showed of its target.
+enum class PlacementSign {
+    Served,      ///< the target answered
+    Failed,      ///< it answered with a failure, or not at all
+    Refused,     ///< it or its door had no room
+    Leaving,     ///< it takes no new work
+    Unreachable, ///< no connection could be made
+    Nothing,     ///< the attempt was given up for another reason
+};
+
+/// \brief Chooses the target of each request from what earlier answers told of all of them.
+///
+/// Load pattern: callers spread unevenly over the data centres. The target with the least known load is taken, where
+/// distance counts as load, so that work stays near until the near targets are busy.
+///
+/// \remark Not thread-safe.
+class Placement
+{
+public:
+    Placement(Locality self, RandomSource random) : m_self(std::move(self)), m_random(std::move(random)) {}
+
+    /// \brief Takes a record of the directory over; a state other than Serving takes the target out.
+    void apply(const Endpoint &endpoint, MonotonicTime now);
+
+    /// \brief Takes the target behind a door out.
+    void remove(const Address &door);
+
+    /// \brief The target for a request; empty when none can be used.
+    [[nodiscard]] std::optional<PlacementClaim> choose(const PlacementRequest &request, MonotonicTime now);
+
+    /// \brief Ends a claim.
+    void finish(const PlacementClaim &claim, PlacementSign sign, const std::optional<DoorLoad> &load,
+                MonotonicTime now);
+
+    /// \brief Serving targets of a version of a service.
+    [[nodiscard]] std::size_t serving(const ServiceName &service, const VersionName &version) const;
+
+    /// \brief What a request would find at a target, as a part of its slots. For tests and the status page.
+    [[nodiscard]] static double cost(const PlacedTarget &target, MonotonicTime now);
+
+private:
+    using Targets = std::vector<PlacedTargetPtr>;
+
+    [[nodiscard]] Targets usable(const PlacementRequest &request) const;
+    [[nodiscard]] PlacedTargetPtr cheapest(const Targets &targets, const PlacementRequest &request, bool avoidTried,
+                                           MonotonicTime now);
+    void tryEject(PlacedTarget &target, MonotonicTime now);
+
+    Locality m_self;
+    RandomSource m_random;
+    absl::flat_hash_map<ServiceName, Targets> m_services;
+};
+
+} // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/proxy/table_watch.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <dandeliondock/core/log_event.h>
+#include <dandeliondock/core/random_source.h>
+#include <dandeliondock/http/event_loop.h>
+#include <dandeliondock/store/async_table.h>
+
+#include <functional>
+
+namespace dandeliondock {
+
+/// \brief Pace of a watch.
+struct WatchPace
+{
+    Milliseconds hold{20'000};      ///< longest wait for a change
+    Milliseconds gather{150};       ///< pause after a change, in which further changes gather for one call
+    Milliseconds firstRetry{200};   ///< after a failure; doubles, with jitter
+    Milliseconds longestRetry{1'000};
+};
+
+/// \brief Follows one table: reads it whole, then its changes, and whole again when changes were missed.
+///
+/// \remark Belongs to the loop's thread.
+class TableWatch
+{
+public:
+    /// Takes a reading; \c isWhole says that rows not in it do not exist.
+    using Handler = std::function<void(const TableReading &reading, bool isWhole)>;
+
+    TableWatch(EventLoop &loop, const AsyncTableHooks &table, TableName name, WatchPace pace, RandomSource random,
+               LogSink log, Handler handler);
+
+    void start();
+
+    /// \brief Whether the last call succeeded or is still within its time.
+    [[nodiscard]] bool isCurrent() const noexcept { return m_isSynced && m_failures == 0; }
+
+    /// \brief Whether the table was read whole once.
+    [[nodiscard]] bool isSynced() const noexcept { return m_isSynced; }
+
+private:
+    void read();
+    void follow();
+    void received(absl::StatusOr<TableReading> reading, bool isWhole);
+    void failed(const absl::Status &status);
+
+    EventLoop &m_loop;
+    const AsyncTableHooks &m_table;
+    TableName m_name;
+    WatchPace m_pace;
+    RandomSource m_random;
+    LogSink m_log;
+    Handler m_handler;
+    LoopTimer m_timer;
+    RowVersion m_upTo;
+    int m_failures = 0;
+    bool m_isSynced = false;
+    bool m_mustRead = true;
+};
+
+} // namespace dandeliondock
--- /dev/null
+++ b/include/dandeliondock/proxy/traffic_view.h
@@ -0,0 +1,27 @@
+#pragma once
+
+#include <dandeliondock/config/config_state.h>
+#include <dandeliondock/core/ids.h>
+#include <dandeliondock/http/loop_server.h>
+#include <dandeliondock/routing/route_table.h>
+
+#include <memory>
+
+namespace dandeliondock {
+
+/// \brief A configuration as proxies hold it: the state, its index of routes and the limits of callers' connections.
+struct ProxyConfig
+{
+    ProxyConfig(ConfigSnapshot snapshot, ConnectionLimits callerLimits)
+        : state(std::move(snapshot)), routes(state), limits(callerLimits)
+    {
+    }
+
+    ConfigSnapshot state;
+    RouteTable routes;
+    ConnectionLimits limits;
+};
+
+using ProxyConfigPtr = std::shared_ptr<const ProxyConfig>;
+
+} // namespace dandeliondock
--- a/include/dandeliondock/routing/class_queue.h
+++ b/include/dandeliondock/routing/class_queue.h
@@ -44,6 +44,13 @@
     [[nodiscard]] Admission offer(WaiterId id, WorkClass workClass, MonotonicTime deadline, MonotonicTime now,
                                   const QueuePace &pace);
 
+    /// \brief Sets how many may wait; those that wait already stay.
+    /// \pre \c capacity is at least 4.
+    void setCapacity(std::size_t capacity) noexcept { m_capacity = capacity; }
+
+    /// \brief Takes out the waiter that is served next; empty when none waits.
+    [[nodiscard]] std::optional<WaiterId> takeFirst();
+
     /// \brief The waiters in the order in which they are served.
     [[nodiscard]] std::vector<WaiterId> order() const;
 
--- /dev/null
+++ b/include/dandeliondock/store/async_table.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <dandeliondock/core/ids.h>
+#include <dandeliondock/core/units.h>
+#include <dandeliondock/store/store_hooks.h>
+
+#include <absl/status/statusor.h>
+
+#include <functional>
+#include <string>
+#include <vector>
+
+namespace dandeliondock {
+
+using TableName = StrongType<struct TableNameTag, std::string>;
+
+/// \brief What a read of a table showed.
+struct TableReading
+{
+    std::vector<TableRow> rows;   ///< in the order of their versions; a row without a version was removed
+    std::vector<RowKey> removed;
+    RowVersion upTo;              ///< changes after this version are not in the reading
+    WallTime tableTime;           ///< the table's own clock
+};
+
+/// \brief A condition or a write of a transaction over several tables.
+struct TableCondition
+{
+    TableName table;
+    RowCondition row;
+};
+
+struct TableWrite
+{
+    TableName table;
+    RowWrite row;
+};
+
+/// \brief A conditional transaction over rows of several tables.
+struct TableTransaction
+{
+    std::vector<TableCondition> conditions;
+    std::vector<TableWrite> writes;
+};
+
+/// \brief What a commit did when its response is known.
+struct TableCommit
+{
+    bool committed = false; ///< otherwise a condition did not hold and nothing was written
+    RowVersion version;     ///< of the rows written
+};
+
+using TableReadingHandler = std::function<void(absl::StatusOr<TableReading>)>;
+using TableCommitHandler = std::function<void(absl::StatusOr<TableCommit>)>;
+
+/// \brief The platform's table as a duty with an event loop uses it.
+///
+/// \remark Hooks are called on the duty's thread and call their handler there, once, never from within the call. Errors
+/// are StoreUnavailable, RevisionGap when the changes asked for are no longer kept, and OutcomeUnknown of a commit that
+/// may have taken effect.
+struct AsyncTableHooks
+{
+    /// Every row of a table.
+    std::function<void(const TableName &, TableReadingHandler)> list;
+    /// Changes after a version; held until there is one or the time is over.
+    std::function<void(const TableName &, RowVersion after, Milliseconds hold, TableReadingHandler)> changes;
+    std::function<void(const TableTransaction &, TableCommitHandler)> commit;
+};
+
+} // namespace dandeliondock
--- a/src/codec/config_codec.cpp
+++ b/src/codec/config_codec.cpp
@@ -97,6 +97,13 @@
     message.set_idempotent(route.idempotent);
     message.set_timeout_ms(static_cast<std::uint32_t>(route.timeout.count()));
     message.set_work_class(encodeClass(route.workClass));
+    for (const WeightedService &part : route.split) {
+        wire::WeightedService &added = *message.add_split();
+        added.set_service(part.service.value());
+        added.set_weight(part.weight);
+    }
+    message.set_attempts(route.attempts);
+    message.set_target_latency_ms(static_cast<std::uint32_t>(route.targetLatency.count()));
     return message;
 }
 
@@ -113,6 +120,10 @@
     route.idempotent = message.idempotent();
     route.timeout = Milliseconds(message.timeout_ms());
     route.workClass = *workClass;
+    for (const wire::WeightedService &part : message.split())
+        route.split.push_back({ServiceName(part.service()), part.weight()});
+    route.attempts = message.attempts();
+    route.targetLatency = Milliseconds(message.target_latency_ms());
     return route;
 }
 
@@ -150,6 +161,7 @@
     message.set_shed_status(service.shedStatus);
     message.set_health_path(service.healthPath);
     message.set_drain_header(service.drainHeader);
+    message.set_version_from_targets(service.versionFromTargets);
     return message;
 }
 
@@ -167,6 +179,7 @@
     service.shedStatus = message.shed_status();
     service.healthPath = message.health_path();
     service.drainHeader = message.drain_header();
+    service.versionFromTargets = message.version_from_targets();
     return service;
 }
 
--- /dev/null
+++ b/src/codec/proxy_codec.cpp
@@ -0,0 +1,101 @@
+#include <dandeliondock/codec/bytes.h>
+#include <dandeliondock/codec/proxy_codec.h>
+#include <dandeliondock/codec/record_codec.h>
+
+#include <proxy.pb.h>
+
+namespace dandeliondock {
+
+namespace {
+
+std::int64_t toMilliseconds(WallTime time)
+{
+    return time.time_since_epoch().count();
+}
+
+WallTime fromMilliseconds(std::int64_t time)
+{
+    return WallTime(Milliseconds(time));
+}
+
+} // namespace
+
+std::string encodeTargetRow(const Endpoint &endpoint)
+{
+    return encodeEndpoint(endpoint).SerializeAsString();
+}
+
+absl::StatusOr<Endpoint> decodeTargetRow(absl::string_view bytes)
+{
+    const auto message = parseBytes<wire::EndpointRecord>(bytes, ErrorKind::InvalidRow, "the row of a target");
+    if (!message.ok())
+        return message.status();
+    return decodeEndpoint(*message);
+}
+
+std::string encodeServiceVersions(const ServiceVersions &versions)
+{
+    wire::ServiceVersionRow row;
+    row.set_current(versions.current.value());
+    if (versions.rollout) {
+        const wire::RolloutRecord record = encodeRollout(versions.rollout->record);
+        row.set_rollout(record.ticket());
+        row.set_target(versions.rollout->target.value());
+        row.set_started_ms(toMilliseconds(versions.rollout->startedAt));
+        row.set_deadline_ms(toMilliseconds(versions.rollout->deadline));
+        row.set_stage(record.stage());
+        row.set_state(record.state());
+        row.set_reason(record.reason());
+        row.set_driver(versions.rollout->driver.value());
+        row.set_fence(versions.rollout->fence.value());
+    }
+    return row.SerializeAsString();
+}
+
+absl::StatusOr<ServiceVersions> decodeServiceVersions(const ServiceName &service, absl::string_view bytes)
+{
+    const auto row = parseBytes<wire::ServiceVersionRow>(bytes, ErrorKind::InvalidRow, "the row of a service");
+    if (!row.ok())
+        return row.status();
+    ServiceVersions versions{service, VersionName(row->current()), std::nullopt};
+    if (row->rollout() == 0)
+        return versions;
+    wire::RolloutRecord message;
+    message.set_ticket(row->rollout());
+    message.set_service(service.value());
+    message.set_stage(row->stage());
+    message.set_state(row->state());
+    message.set_reason(row->reason());
+    const auto record = decodeRollout(message);
+    if (!record.ok())
+        return record.status();
+    versions.rollout = RolloutProgress{*record,
+                                       VersionName(row->target()),
+                                       fromMilliseconds(row->started_ms()),
+                                       fromMilliseconds(row->deadline_ms()),
+                                       Address(row->driver()),
+                                       Fence(row->fence())};
+    return versions;
+}
+
+std::string encodeOutcomeReport(const OutcomeReport &report)
+{
+    wire::OutcomeReport message;
+    message.set_node(report.sender.node.value());
+    message.set_incarnation(report.sender.incarnation.value());
+    *message.mutable_batch() = encodeOutcomes(report.batch);
+    return message.SerializeAsString();
+}
+
+absl::StatusOr<OutcomeReport> decodeOutcomeReport(absl::string_view bytes)
+{
+    const auto message = parseBytes<wire::OutcomeReport>(bytes, ErrorKind::InvalidMessage, "an outcome report");
+    if (!message.ok())
+        return message.status();
+    const auto batch = decodeOutcomes(message->batch());
+    if (!batch.ok())
+        return batch.status();
+    return OutcomeReport{{NodeId(message->node()), Incarnation(message->incarnation())}, *batch};
+}
+
+} // namespace dandeliondock
--- a/src/config/validation.cpp
+++ b/src/config/validation.cpp
@@ -52,6 +52,16 @@
     return validateShares(service);
 }
 
+absl::Status validateSplit(const Route &route)
+{
+    std::uint64_t sum = 0;
+    for (const WeightedService &part : route.split)
+        sum += part.weight;
+    if (!route.split.empty() && sum == 0)
+        return invalid(route, "the weights of split must not all be 0");
+    return absl::OkStatus();
+}
+
 struct ValidateVisitor
 {
     absl::Status operator()(const Route &route) const
@@ -62,7 +72,7 @@
             return invalid(route, "path_prefix must begin with '/'");
         if (route.timeout.count() <= 0)
             return invalid(route, "timeout_ms must be greater than 0");
-        return absl::OkStatus();
+        return validateSplit(route);
     }
 
     absl::Status operator()(const Service &service) const
@@ -75,6 +85,8 @@
             return invalid(service, "connections_per_target must be greater than 0");
         if (service.shedStatus != 0 && (service.shedStatus < 400 || service.shedStatus > 599))
             return invalid(service, "shed_status must be 0 or between 400 and 599");
+        if (service.versionFromTargets && !(service.version.value().empty() && !service.rollout))
+            return invalid(service, "version and rollout must be empty with version_from_targets");
         return validateRollout(service);
     }
 
@@ -105,13 +117,19 @@
 
     absl::Status operator()(const Route &route) const
     {
-        if (state.service(route.service) != nullptr)
-            return absl::OkStatus();
-        return unresolved(keyOf(route), {ResourceKind::Service, route.service.value(), {}});
+        if (state.service(route.service) == nullptr)
+            return unresolved(keyOf(route), {ResourceKind::Service, route.service.value(), {}});
+        for (const WeightedService &part : route.split) {
+            if (state.service(part.service) == nullptr)
+                return unresolved(keyOf(route), {ResourceKind::Service, part.service.value(), {}});
+        }
+        return absl::OkStatus();
     }
 
     absl::Status operator()(const Service &service) const
     {
+        if (service.versionFromTargets)
+            return absl::OkStatus();
         if (absl::Status status = resolveVersion(state, service, service.version); !status.ok())
             return status;
         if (service.previousVersion)
--- /dev/null
+++ b/src/core/log_duty.cpp
@@ -0,0 +1,38 @@
+#include <dandeliondock/core/log_duty.h>
+
+namespace dandeliondock {
+
+LogDuty::LogDuty(LogSink sink)
+    : m_sink(std::move(sink)), m_ring(logRingCapacity, WhenFull::DropOldest), m_thread([this] { run(); })
+{
+}
+
+LogDuty::~LogDuty()
+{
+    m_ring.close();
+    m_thread.join();
+}
+
+LogSink LogDuty::sink()
+{
+    return [this](LogLevel level, const std::string &line) { m_ring.push({level, line}); };
+}
+
+void LogDuty::run()
+{
+    while (auto item = m_ring.pop()) {
+        m_sink(item->first, item->second);
+        tellDropped();
+    }
+}
+
+void LogDuty::tellDropped()
+{
+    const std::uint64_t dropped = m_ring.dropped();
+    if (dropped == m_told)
+        return;
+    LogEvent(LogLevel::Warn, "log.dropped").field("lines", dropped - m_told).write(m_sink);
+    m_told = dropped;
+}
+
+} // namespace dandeliondock
--- a/src/core/log_event.cpp
+++ b/src/core/log_event.cpp
@@ -78,10 +78,10 @@
         sink(m_level, m_line);
 }
 
-LogSink consoleLog(absl::string_view levelName)
+LogSink consoleLog(absl::string_view levelName, LogStream stream)
 {
     auto initializer = std::make_shared<log4cplus::Initializer>();
-    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(true, true));
+    log4cplus::SharedAppenderPtr appender(new log4cplus::ConsoleAppender(stream == LogStream::Error, true));
     appender->setLayout(std::make_unique<log4cplus::PatternLayout>("time=%D{%Y-%m-%dT%H:%M:%S.%qZ} level=%p %m%n"));
     log4cplus::Logger root = log4cplus::Logger::getRoot();
     root.addAppender(appender);
--- /dev/null
+++ b/src/http/event_loop.cpp
@@ -0,0 +1,110 @@
+#include <dandeliondock/core/error.h>
+#include <dandeliondock/http/event_loop.h>
+
+#include "asio_state.h"
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+
+#include <netinet/tcp.h>
+
+namespace dandeliondock {
+
+namespace impl {
+
+namespace {
+
+// A silent connection ends after about three seconds.
+constexpr int probeSeconds = 1;
+constexpr int probesLost = 2;
+
+} // namespace
+
+absl::StatusOr<boost::asio::ip::tcp::endpoint> endpointOf(const Address &address)
+{
+    const std::string &text = address.value();
+    const std::size_t colon = text.rfind(':');
+    std::uint32_t port = 0;
+    if (colon == std::string::npos || !absl::SimpleAtoi(text.substr(colon + 1), &port) || port > 65'535)
+        return makeError(ErrorKind::InvalidSettings, absl::StrCat("'", text, "' is not IP:port"));
+    boost::system::error_code error;
+    const auto ip = boost::asio::ip::make_address_v4(text.substr(0, colon), error);
+    if (error)
+        return makeError(ErrorKind::InvalidSettings, absl::StrCat("'", text, "' is not IP:port"));
+    return boost::asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(port));
+}
+
+void setStreamOptions(boost::asio::ip::tcp::socket &socket, Milliseconds silence)
+{
+    // A failure shows at the next read or write of a socket that is already dead.
+    boost::system::error_code ignored;
+    socket.set_option(boost::asio::ip::tcp::no_delay(true), ignored);
+    using UserTimeout = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+    socket.set_option(UserTimeout(static_cast<int>(silence.count())), ignored);
+    // Probes show a peer that is silent while only a response is awaited.
+    using ProbeIdle = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
+    using ProbeInterval = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
+    using ProbeCount = boost::asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
+    socket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+    socket.set_option(ProbeIdle(probeSeconds), ignored);
+    socket.set_option(ProbeInterval(probeSeconds), ignored);
+    socket.set_option(ProbeCount(probesLost), ignored);
+}
+
+} // namespace impl
+
+LoopTimer &LoopTimer::operator=(LoopTimer &&other) noexcept
+{
+    if (this != &other) {
+        cancel();
+        m_state = std::move(other.m_state);
+    }
+    return *this;
+}
+
+void LoopTimer::cancel() noexcept
+{
+    if (!m_state)
+        return;
+    m_state->isCancelled = true;
+    m_state->timer.cancel();
+    m_state.reset();
+}
+
+EventLoop::EventLoop() : m_state(std::make_unique<impl::EventLoopState>()) {}
+
+EventLoop::~EventLoop() = default;
+
+void EventLoop::run()
+{
+    const auto guard = boost::asio::make_work_guard(m_state->context);
+    m_state->context.run();
+}
+
+void EventLoop::stop()
+{
+    m_state->context.stop();
+}
+
+void EventLoop::post(std::function<void()> work)
+{
+    boost::asio::post(m_state->context, std::move(work));
+}
+
+LoopTimer EventLoop::after(Microseconds delay, std::function<void()> work)
+{
+    auto state = std::make_shared<impl::TimerState>(m_state->context);
+    state->timer.expires_after(delay);
+    state->timer.async_wait([state, work = std::move(work)](const boost::system::error_code &error) {
+        if (!error && !state->isCancelled)
+            work();
+    });
+    return LoopTimer(state);
+}
+
+MonotonicTime EventLoop::now() noexcept
+{
+    return std::chrono::time_point_cast<Microseconds>(std::chrono::steady_clock::now());
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/proxy/door_request.cpp
@@ -0,0 +1,176 @@
+#include <dandeliondock/core/error.h>
+#include <dandeliondock/proxy/door_request.h>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace dandeliondock {
+
+namespace {
+
+// Header names of the proxies' own messages. They are short because they cross the metered link.
+constexpr absl::string_view targetHeader = "Dock-Target";
+constexpr absl::string_view serviceHeader = "Dock-Service";
+constexpr absl::string_view routeHeader = "Dock-Route";
+constexpr absl::string_view idHeader = "Dock-Id";
+constexpr absl::string_view termsHeader = "Dock-Terms"; // class, idempotent, ms to the deadline, ms of use
+constexpr absl::string_view outcomeHeader = "Dock-Outcome";
+constexpr absl::string_view refusalHeader = "Dock-Refusal";
+constexpr absl::string_view loadHeader = "Dock-Load"; // running, waiting, slots
+constexpr absl::string_view retryHeader = "Dock-Retry-Ms";
+constexpr absl::string_view detailHeader = "Dock-Detail";
+
+constexpr std::array<const char *, 7> outcomeNames = {"answered", "failed",       "refused",  "not_sent",
+                                                      "not_run",  "may_have_run", "timed_out"};
+constexpr std::array<const char *, 8> refusalNames = {"none",    "late",         "busy",          "displaced",
+                                                      "leaving", "other_target", "other_version", "unreachable"};
+constexpr int refusedStatus = 503;
+
+absl::Status invalid(absl::string_view header)
+{
+    return makeError(ErrorKind::InvalidMessage, absl::StrCat(header, " is missing or malformed"));
+}
+
+std::string takeText(HttpHeaders &headers, absl::string_view name)
+{
+    std::string value(headers.first(name).value_or(""));
+    headers.remove(name);
+    return value;
+}
+
+// Numbers in a header, separated by commas; empty unless there are exactly \c count.
+std::vector<std::int64_t> takeNumbers(HttpHeaders &headers, absl::string_view name, std::size_t count)
+{
+    std::vector<std::int64_t> numbers;
+    for (absl::string_view part : absl::StrSplit(takeText(headers, name), ',')) {
+        std::int64_t number = 0;
+        if (!absl::SimpleAtoi(part, &number))
+            return {};
+        numbers.push_back(number);
+    }
+    if (numbers.size() != count)
+        return {};
+    return numbers;
+}
+
+template <typename Names>
+std::optional<std::size_t> indexOf(const Names &names, absl::string_view name)
+{
+    const auto found = std::find(names.begin(), names.end(), name);
+    if (found == names.end())
+        return std::nullopt;
+    return static_cast<std::size_t>(found - names.begin());
+}
+
+std::int64_t millisecondsLeft(MonotonicTime until, MonotonicTime now)
+{
+    return std::chrono::duration_cast<Milliseconds>(until - now).count();
+}
+
+} // namespace
+
+const char *doorRefusalName(DoorRefusal refusal) noexcept
+{
+    return refusalNames.at(static_cast<std::size_t>(refusal));
+}
+
+bool isLeavingRefusal(DoorRefusal refusal) noexcept
+{
+    return refusal == DoorRefusal::Leaving || refusal == DoorRefusal::OtherTarget
+           || refusal == DoorRefusal::OtherVersion;
+}
+
+bool hasResponse(DoorOutcome outcome) noexcept
+{
+    return outcome == DoorOutcome::Answered || outcome == DoorOutcome::Failed;
+}
+
+const char *doorOutcomeName(DoorOutcome outcome) noexcept
+{
+    return outcomeNames.at(static_cast<std::size_t>(outcome));
+}
+
+HttpRequest encodeDoorRequest(const DoorRequest &request, MonotonicTime now)
+{
+    HttpRequest message = request.request;
+    message.headers.add(targetHeader, request.target.value());
+    message.headers.add(serviceHeader, request.service.value());
+    message.headers.add(routeHeader, request.route.value());
+    message.headers.add(idHeader, request.id.value());
+    message.headers.add(termsHeader,
+                        absl::StrCat(static_cast<int>(request.workClass), ",", request.isIdempotent ? 1 : 0, ",",
+                                     millisecondsLeft(request.deadline, now), ",",
+                                     millisecondsLeft(request.usefulUntil, now)));
+    return message;
+}
+
+absl::StatusOr<DoorRequest> decodeDoorRequest(HttpRequest request, MonotonicTime now)
+{
+    DoorRequest decoded;
+    decoded.target = TargetId(takeText(request.headers, targetHeader));
+    decoded.service = ServiceName(takeText(request.headers, serviceHeader));
+    decoded.route = RouteName(takeText(request.headers, routeHeader));
+    decoded.id = RequestId(takeText(request.headers, idHeader));
+    const std::vector<std::int64_t> terms = takeNumbers(request.headers, termsHeader, 4);
+    if (decoded.target.value().empty())
+        return invalid(targetHeader);
+    if (decoded.service.value().empty())
+        return invalid(serviceHeader);
+    if (terms.empty() || terms[0] < 0 || terms[0] > static_cast<int>(WorkClass::Deferrable))
+        return invalid(termsHeader);
+    decoded.workClass = static_cast<WorkClass>(terms[0]);
+    decoded.isIdempotent = terms[1] != 0;
+    decoded.deadline = now + Milliseconds(terms[2]);
+    decoded.usefulUntil = now + Milliseconds(terms[3]);
+    decoded.request = std::move(request);
+    return decoded;
+}
+
+HttpResponse encodeDoorReply(DoorReply reply)
+{
+    HttpResponse message = std::move(reply.response);
+    if (!hasResponse(reply.outcome))
+        message.status = refusedStatus;
+    message.headers.add(outcomeHeader, outcomeNames.at(static_cast<std::size_t>(reply.outcome)));
+    if (reply.refusal != DoorRefusal::None)
+        message.headers.add(refusalHeader, doorRefusalName(reply.refusal));
+    if (reply.load)
+        message.headers.add(loadHeader,
+                            absl::StrCat(reply.load->running, ",", reply.load->waiting, ",", reply.load->slots));
+    if (reply.retryAfter.count() > 0) {
+        message.headers.add(retryHeader,
+                            absl::StrCat(std::chrono::duration_cast<Milliseconds>(reply.retryAfter).count()));
+    }
+    if (!reply.detail.empty())
+        message.headers.add(detailHeader, reply.detail);
+    return message;
+}
+
+absl::StatusOr<DoorReply> decodeDoorReply(HttpResponse response)
+{
+    DoorReply reply;
+    const auto outcome = indexOf(outcomeNames, takeText(response.headers, outcomeHeader));
+    if (!outcome)
+        return invalid(outcomeHeader);
+    reply.outcome = static_cast<DoorOutcome>(*outcome);
+    const auto refusal = indexOf(refusalNames, takeText(response.headers, refusalHeader));
+    reply.refusal = refusal ? static_cast<DoorRefusal>(*refusal) : DoorRefusal::None;
+    const std::vector<std::int64_t> load = takeNumbers(response.headers, loadHeader, 3);
+    if (!load.empty()) {
+        reply.load = DoorLoad{static_cast<std::uint32_t>(load[0]), static_cast<std::uint32_t>(load[1]),
+                              static_cast<std::uint32_t>(load[2])};
+    }
+    const std::vector<std::int64_t> retry = takeNumbers(response.headers, retryHeader, 1);
+    if (!retry.empty())
+        reply.retryAfter = Milliseconds(retry[0]);
+    reply.detail = takeText(response.headers, detailHeader);
+    reply.response = std::move(response);
+    return reply;
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/proxy/forwarder.cpp
@@ -0,0 +1,377 @@
+#include <dandeliondock/core/error.h>
+#include <dandeliondock/proxy/forwarder.h>
+
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_format.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace dandeliondock {
+
+namespace {
+
+constexpr int badRequest = 400;
+constexpr int notFound = 404;
+constexpr int badGateway = 502;
+constexpr int unavailable = 503;
+constexpr int gatewayTimeout = 504;
+constexpr Milliseconds noConfigRetry{300};
+
+PlacementSign signOf(const DoorReply &reply)
+{
+    switch (reply.outcome) {
+    case DoorOutcome::Answered:
+        return PlacementSign::Served;
+    case DoorOutcome::Refused:
+        return isLeavingRefusal(reply.refusal) ? PlacementSign::Leaving : PlacementSign::Refused;
+    case DoorOutcome::NotSent:
+        return PlacementSign::Unreachable;
+    case DoorOutcome::Failed:
+    case DoorOutcome::NotRun:
+    case DoorOutcome::MayHaveRun:
+    case DoorOutcome::TimedOut:
+        break;
+    }
+    return PlacementSign::Failed;
+}
+
+} // namespace
+
+/// \brief One caller's request. Keeps itself alive until it is answered or its caller leaves.
+class Forwarder::Session : public std::enable_shared_from_this<Session>
+{
+public:
+    Session(Forwarder &owner, LoopExchangePtr exchange) : m_owner(owner), m_exchange(std::move(exchange)) {}
+
+    void start();
+
+private:
+    [[nodiscard]] bool readRequest();
+    void prepareRequest();
+    void attempt();
+    void sendToDoor(const DoorRequest &request);
+    void received(LoopCallResult result);
+    void concluded(DoorReply reply);
+    void answer(HttpResponse response);
+    void fail();
+    void refuse(absl::string_view reason, Microseconds retryHint);
+    void respondWith(int status, absl::string_view reason);
+    void cancelled();
+    [[nodiscard]] Metrics &metrics() { return *m_owner.m_parts.metrics; }
+
+    Forwarder &m_owner;
+    LoopExchangePtr m_exchange;
+    ProxyConfigPtr m_config;
+    RouteMatch m_match;
+    DoorRequest m_request;
+    PlacementRequest m_placement;
+    std::optional<ForwardPlan> m_plan;
+    std::optional<PlacementClaim> m_claim;
+    std::optional<HttpResponse> m_failure; ///< a target's failure, kept while another target is tried
+    DoorJobPtr m_job;
+    LoopCall m_call;
+    bool m_isTimedOut = false;
+    bool m_isDone = false;
+};
+
+void Forwarder::Session::start()
+{
+    metrics().counter("requests_total").add();
+    m_config = m_owner.m_config;
+    if (!m_config) {
+        refuse("no_config", noConfigRetry);
+        return;
+    }
+    if (!readRequest())
+        return;
+    m_exchange->onCancelled([self = shared_from_this()] { self->cancelled(); });
+    attempt();
+}
+
+bool Forwarder::Session::readRequest()
+{
+    HttpRequest &request = m_exchange->request();
+    const TargetProtocol &protocol = m_owner.m_parts.protocol;
+    const auto id = request.headers.first(protocol.requestId);
+    if (!id || id->empty()) {
+        respondWith(badRequest, "no_request_id");
+        return false;
+    }
+    m_request.id = RequestId(std::string(*id));
+    m_match = m_config->routes.match(request.headers.first("Host").value_or(""), request.target);
+    if (m_match.route == nullptr) {
+        respondWith(notFound, "no_route");
+        return false;
+    }
+    const Route &route = *m_match.route;
+    const MonotonicTime arrived = m_exchange->arrivedAt();
+    Milliseconds time = route.timeout;
+    std::int64_t budget = 0;
+    if (absl::SimpleAtoi(request.headers.first(protocol.timeBudget).value_or(""), &budget))
+        time = std::min(time, Milliseconds(std::max<std::int64_t>(0, budget)));
+    m_request.service = m_owner.m_weights.choose(route);
+    m_request.route = route.name;
+    m_request.workClass = route.workClass;
+    m_request.isIdempotent = route.idempotent;
+    m_request.deadline = arrived + time;
+    m_request.usefulUntil =
+            route.targetLatency.count() > 0 ? arrived + std::min(time, route.targetLatency) : m_request.deadline;
+    RetryBudget &retries = m_owner.budgetOf(m_request.service);
+    retries.recordRequest(arrived);
+    m_plan.emplace(ForwardTerms{route.idempotent, route.attempts == 0 ? maxAttempts : route.attempts,
+                                m_request.deadline},
+                   retries);
+    m_placement.service = m_request.service;
+    m_placement.version = m_owner.chooseVersionOf(m_request.service);
+    prepareRequest();
+    return true;
+}
+
+void Forwarder::Session::prepareRequest()
+{
+    m_request.request = std::move(m_exchange->request());
+    removeHopByHop(m_request.request.headers);
+    m_request.request.headers.remove("Expect");
+    m_request.request.headers.set(m_owner.m_parts.protocol.callerService, m_owner.m_parts.callerService.value());
+    m_request.request.headers.remove(m_owner.m_parts.protocol.expectTarget);
+}
+
+void Forwarder::Session::attempt()
+{
+    const MonotonicTime now = EventLoop::now();
+    m_claim = m_owner.m_placement.choose(m_placement, now);
+    if (!m_claim) {
+        if (m_plan->giveUp() == ForwardStep::Refuse)
+            refuse("no_target", Microseconds{0});
+        else
+            fail();
+        return;
+    }
+    const Endpoint &endpoint = m_claim->target->endpoint;
+    m_request.target = endpoint.target;
+    m_placement.tried.push_back(endpoint.target);
+    m_plan->begin();
+    if (endpoint.controlAddress == m_owner.m_parts.doorAddress) {
+        const auto job = m_owner.m_parts.door->handle(
+                m_request, [self = shared_from_this()](DoorReply reply) { self->concluded(std::move(reply)); });
+        if (!m_isDone && m_claim)
+            m_job = job;
+        return;
+    }
+    sendToDoor(m_request);
+}
+
+void Forwarder::Session::sendToDoor(const DoorRequest &request)
+{
+    LoopCallOptions options;
+    options.deadline = request.deadline + doorAnswerSlack;
+    options.reuseWithin = request.isIdempotent ? reusableConnection : provenConnection;
+    m_call = m_owner.m_parts.client->send(
+            m_claim->target->endpoint.controlAddress, encodeDoorRequest(request, EventLoop::now()), options,
+            [self = shared_from_this()](LoopCallResult result) { self->received(std::move(result)); });
+}
+
+void Forwarder::Session::received(LoopCallResult result)
+{
+    DoorReply reply;
+    if (result.status.ok()) {
+        auto decoded = decodeDoorReply(std::move(result.response));
+        if (decoded.ok()) {
+            concluded(*std::move(decoded));
+            return;
+        }
+        reply.outcome = DoorOutcome::MayHaveRun;
+        reply.detail = std::string(errorDetail(decoded.status()));
+    } else {
+        reply.detail = std::string(errorDetail(result.status));
+        if (!result.wasSent)
+            reply.outcome = DoorOutcome::NotSent;
+        else
+            reply.outcome = errorKind(result.status) == ErrorKind::DeadlineExceeded ? DoorOutcome::TimedOut
+                                                                                    : DoorOutcome::MayHaveRun;
+    }
+    concluded(std::move(reply));
+}
+
+void Forwarder::Session::concluded(DoorReply reply)
+{
+    if (m_isDone)
+        return;
+    const MonotonicTime now = EventLoop::now();
+    m_owner.m_placement.finish(*m_claim, signOf(reply), reply.load, now);
+    m_claim.reset();
+    m_job.reset();
+    m_isTimedOut = m_isTimedOut || reply.outcome == DoorOutcome::TimedOut;
+    const ForwardStep step = m_plan->conclude(reply.outcome, now);
+    if (!hasResponse(reply.outcome)) {
+        metrics().counter("attempts_unanswered_total", doorOutcomeName(reply.outcome)).add();
+        LogEvent(LogLevel::Info, "request.attempt_unanswered")
+                .field("request", m_request.id)
+                .field("route", m_request.route)
+                .field("revision", m_config->state->revision())
+                .field("target", m_request.target)
+                .field("outcome", doorOutcomeName(reply.outcome))
+                .field("refusal", doorRefusalName(reply.refusal))
+                .field("left_ms", std::chrono::duration_cast<Milliseconds>(m_request.deadline - now).count())
+                .field("detail", reply.detail)
+                .write(m_owner.m_parts.log);
+    }
+    switch (step) {
+    case ForwardStep::Send:
+        if (reply.outcome == DoorOutcome::Failed)
+            m_failure = std::move(reply.response);
+        attempt();
+        return;
+    case ForwardStep::Answer:
+        answer(std::move(reply.response));
+        return;
+    case ForwardStep::Refuse:
+        refuse(reply.outcome == DoorOutcome::Refused ? doorRefusalName(reply.refusal)
+                                                     : doorOutcomeName(reply.outcome),
+               reply.retryAfter);
+        return;
+    case ForwardStep::Fail:
+        fail();
+        return;
+    }
+}
+
+void Forwarder::Session::answer(HttpResponse response)
+{
+    m_isDone = true;
+    metrics().latency("request_seconds").record(EventLoop::now() - m_exchange->arrivedAt());
+    m_exchange->respond(std::move(response));
+}
+
+void Forwarder::Session::fail()
+{
+    if (m_failure) {
+        answer(*std::move(m_failure));
+        return;
+    }
+    const bool isLate = m_isTimedOut || EventLoop::now() >= m_request.deadline;
+    respondWith(isLate ? gatewayTimeout : badGateway, isLate ? "timed_out" : "may_have_run");
+}
+
+void Forwarder::Session::refuse(absl::string_view reason, Microseconds retryHint)
+{
+    m_isDone = true;
+    const Milliseconds wait = m_owner.retryAfter(retryHint);
+    metrics().counter("refusals_total", reason).add();
+    LogEvent(LogLevel::Info, "request.refused")
+            .field("request", m_request.id)
+            .field("route", m_request.route)
+            .field("reason", reason)
+            .field("retry_after_ms", wait.count())
+            .write(m_owner.m_parts.log);
+    HttpResponse response;
+    response.status = unavailable;
+    response.headers.add("Retry-After",
+                         absl::StrFormat("%.3f", std::chrono::duration<double>(wait).count()));
+    m_exchange->respond(std::move(response));
+}
+
+void Forwarder::Session::respondWith(int status, absl::string_view reason)
+{
+    m_isDone = true;
+    metrics().counter("failures_total", reason).add();
+    LogEvent(LogLevel::Info, "request.failed")
+            .field("request", m_request.id)
+            .field("route", m_request.route)
+            .field("revision", m_config->state->revision())
+            .field("status", status)
+            .field("reason", reason)
+            .write(m_owner.m_parts.log);
+    HttpResponse response;
+    response.status = status;
+    m_exchange->respond(std::move(response));
+}
+
+void Forwarder::Session::cancelled()
+{
+    if (std::exchange(m_isDone, true))
+        return;
+    metrics().counter("callers_left_total").add();
+    if (m_job)
+        m_owner.m_parts.door->cancel(m_job);
+    m_job.reset();
+    m_call.cancel();
+    if (m_claim)
+        m_owner.m_placement.finish(*m_claim, PlacementSign::Nothing, std::nullopt, EventLoop::now());
+    m_claim.reset();
+}
+
+Forwarder::Forwarder(ForwarderParts parts)
+    : m_parts(std::move(parts)), m_placement(m_parts.self, m_parts.random)
+{
+}
+
+Forwarder::~Forwarder() = default;
+
+void Forwarder::handle(const LoopExchangePtr &exchange)
+{
+    std::make_shared<Session>(*this, exchange)->start();
+}
+
+void Forwarder::setConfig(ProxyConfigPtr config)
+{
+    if (!m_config || config->state->revision() > m_config->state->revision())
+        m_config = std::move(config);
+}
+
+void Forwarder::setVersions(const ServiceVersions &versions)
+{
+    m_versions[versions.service] = versions;
+}
+
+void Forwarder::setEndpoint(const Endpoint &endpoint)
+{
+    m_placement.apply(endpoint, EventLoop::now());
+}
+
+void Forwarder::removeEndpoint(const Address &door)
+{
+    m_placement.remove(door);
+}
+
+const ServiceVersions *Forwarder::versions(const ServiceName &service) const
+{
+    const auto found = m_versions.find(service);
+    return found == m_versions.end() ? nullptr : &found->second;
+}
+
+VersionChoice Forwarder::chooseVersionOf(const ServiceName &service)
+{
+    const ServiceVersions *known = versions(service);
+    if (known == nullptr)
+        return {};
+    Service declared;
+    declared.version = known->current;
+    std::optional<VersionSplit> split;
+    if (known->rollout) {
+        const std::size_t targets = m_placement.serving(service, known->rollout->target);
+        split = splitOf(*known, static_cast<std::uint32_t>(targets));
+    }
+    return chooseVersion(declared, split, uniformBelow(m_parts.random, fullShare.value()), std::nullopt);
+}
+
+RetryBudget &Forwarder::budgetOf(const ServiceName &service)
+{
+    std::unique_ptr<RetryBudget> &budget = m_budgets[service];
+    if (!budget)
+        budget = std::make_unique<RetryBudget>(m_parts.retries);
+    return *budget;
+}
+
+Milliseconds Forwarder::retryAfter(Microseconds hint)
+{
+    const auto base = std::clamp(std::chrono::duration_cast<Milliseconds>(hint), shortestRetryAfter,
+                                 longestRetryAfter);
+    // Half of the time is drawn, so that callers refused together do not return together.
+    return base + Milliseconds(uniformBelow(m_parts.random, static_cast<std::uint64_t>(base.count())));
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/proxy/proxy_settings.cpp
@@ -0,0 +1,102 @@
+#include <dandeliondock/proxy/proxy_settings.h>
+#include <dandeliondock/settings/ip_address.h>
+#include <dandeliondock/settings/json_reader.h>
+#include <dandeliondock/settings/settings_errors.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <settings.pb.h>
+
+#include <set>
+
+namespace dandeliondock {
+
+namespace {
+
+// The proxies use half of the share that targets bear, as their windows and those of the targets do not coincide.
+constexpr double retryShareUsed = 0.5;
+constexpr std::uint32_t retryFloor = 2;
+constexpr double mostGraceSeconds = 600;
+const std::set<std::string> logLevels{"debug", "info", "warn", "error"};
+
+class ProxySettingsReader
+{
+public:
+    ProxySettingsReader(const wire::ProxySettings &message, const GivenKeys &given, SettingsErrors &errors)
+        : m_message(message), m_given(given), m_errors(errors)
+    {
+    }
+
+    ProxySettings read()
+    {
+        ProxySettings settings;
+        settings.node = NodeId(readName("node", m_message.node()));
+        settings.region = RegionName(readName("region", m_message.region()));
+        settings.dataCentre = DataCentreName(readName("data_centre", m_message.data_centre()));
+        settings.callers = readAddress("callers", m_message.callers());
+        settings.door = readAddress("door", m_message.door());
+        settings.health = readAddress("health", m_message.health());
+        settings.announcements = readAddress("announcements", m_message.announcements());
+        settings.metrics = readAddress("metrics", m_message.metrics());
+        settings.target = readAddress("target", m_message.target());
+        settings.service = ServiceName(readName("service", m_message.service()));
+        settings.store = readAddress("store", m_message.store());
+        readLimits(settings);
+        return settings;
+    }
+
+private:
+    std::string readName(const std::string &key, const std::string &value)
+    {
+        m_errors.require(!value.empty(), key, absl::StrCat("\"", value, "\""), "give a name");
+        return value;
+    }
+
+    Address readAddress(const std::string &key, const std::string &value)
+    {
+        m_errors.require(parseIpEndpoint(value).has_value(), key, absl::StrCat("\"", value, "\""),
+                         "give an IP number and a port, such as 10.0.0.1:8080");
+        return Address(value);
+    }
+
+    void readLimits(ProxySettings &settings)
+    {
+        if (m_given.contains("grace_s")) {
+            const double grace = m_message.grace_s();
+            m_errors.require(grace > 0 && grace <= mostGraceSeconds, "grace_s", absl::StrCat(grace),
+                             "give seconds above 0, at most 600");
+            settings.grace = Milliseconds(static_cast<std::int64_t>(grace * 1'000));
+        }
+        double share = 0.2;
+        if (m_given.contains("retry_share")) {
+            share = m_message.retry_share();
+            m_errors.require(share >= 0 && share <= 1, "retry_share", absl::StrCat(share), "give a part from 0 to 1");
+        }
+        settings.retries.ofRequests =
+                Share(static_cast<std::uint32_t>(share * retryShareUsed * fullShare.value()));
+        settings.retries.floor = retryFloor;
+        if (!m_message.log_level().empty())
+            settings.logLevel = m_message.log_level();
+        m_errors.require(logLevels.contains(settings.logLevel), "log_level", settings.logLevel,
+                         "give debug, info, warn or error");
+    }
+
+    const wire::ProxySettings &m_message;
+    const GivenKeys &m_given;
+    SettingsErrors &m_errors;
+};
+
+} // namespace
+
+absl::StatusOr<ProxySettings> parseProxySettings(const std::string &json)
+{
+    wire::ProxySettings message;
+    SettingsErrors errors;
+    const GivenKeys given = readSettingsJson(json, message, errors);
+    ProxySettings settings = ProxySettingsReader(message, given, errors).read();
+    if (absl::Status status = errors.status(); !status.ok())
+        return status;
+    return settings;
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/proxy/rollout_control.cpp
@@ -0,0 +1,272 @@
+#include <dandeliondock/core/error.h>
+#include <dandeliondock/proxy/rollout_control.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <utility>
+
+namespace dandeliondock {
+
+namespace {
+
+constexpr Milliseconds reportTime{1'000};
+constexpr Milliseconds statusRetry{300};
+
+RowKey rowOf(const ServiceName &service)
+{
+    return RowKey(absl::StrCat("service/", service.value()));
+}
+
+} // namespace
+
+RolloutControl::RolloutControl(RolloutControlParts parts) : m_parts(std::move(parts)) {}
+
+bool RolloutControl::isOpen() const
+{
+    return m_stored && m_stored->rollout && m_stored->rollout->record.state == RolloutState::Running;
+}
+
+bool RolloutControl::isDriver() const
+{
+    return m_versions && m_versions->rollout && m_versions->rollout->driver == m_parts.door;
+}
+
+void RolloutControl::setRow(const ServiceVersions &versions, RowVersion version)
+{
+    if (version < m_rowVersion)
+        return;
+    m_rowVersion = version;
+    m_stored = versions;
+    adopt(versions);
+    schedule();
+}
+
+// A rollback that is known here is not undone by a row that was read before it was written.
+void RolloutControl::adopt(const ServiceVersions &versions)
+{
+    ServiceVersions next = versions;
+    if (m_versions && m_versions->rollout && next.rollout
+        && m_versions->rollout->record.ticket == next.rollout->record.ticket)
+        next.rollout->record = mergeRecords(next.rollout->record, m_versions->rollout->record);
+    const bool isNewRollout = next.rollout
+                              && (!m_versions || !m_versions->rollout
+                                  || m_versions->rollout->record.ticket != next.rollout->record.ticket
+                                  || m_versions->rollout->driver != next.rollout->driver);
+    if (isNewRollout) {
+        m_lastContact = EventLoop::now();
+        m_driver.reset();
+        m_window.parentChanged();
+    }
+    const bool hasChanged = m_versions != next;
+    m_versions = std::move(next);
+    if (hasChanged)
+        m_parts.onVersions(*m_versions);
+}
+
+void RolloutControl::setOrder(const RolloutOrder &order)
+{
+    if (m_order && m_order->number >= order.number)
+        return;
+    m_order = order;
+    m_claimFrom = EventLoop::now() + driverStagger * m_parts.rank();
+    LogEvent(LogLevel::Info, "rollout.ordered")
+            .field("service", order.service)
+            .field("target", order.target)
+            .field("order", order.number)
+            .field("duration_ms", order.duration.count())
+            .write(m_parts.log);
+    schedule();
+}
+
+void RolloutControl::record(const AttemptReport &report, TicketNumber rollout)
+{
+    m_window.record(rollout, report, EventLoop::now());
+}
+
+std::string RolloutControl::takeReport(absl::string_view body)
+{
+    const auto report = decodeOutcomeReport(body);
+    if (!report.ok())
+        LogEvent(LogLevel::Warn, "rollout.report_refused").error(report.status()).write(m_parts.log);
+    else
+        m_window.takeChild(report->sender, report->batch);
+    return m_versions ? encodeServiceVersions(*m_versions) : std::string();
+}
+
+void RolloutControl::schedule()
+{
+    const bool hasOpenOrder =
+            m_order && m_versions
+            && (!m_versions->rollout || m_versions->rollout->record.ticket < m_order->number);
+    if (!isOpen() && !hasOpenOrder)
+        return;
+    m_timer = m_parts.loop->after(rolloutTick, [this] { tick(); });
+}
+
+void RolloutControl::tick()
+{
+    considerClaim();
+    if (isOpen() && isDriver())
+        drive();
+    else if (isOpen())
+        sendReport();
+    schedule();
+}
+
+void RolloutControl::considerClaim()
+{
+    if (!m_versions || m_isWriting)
+        return;
+    const MonotonicTime now = EventLoop::now();
+    const bool isUnclaimed =
+            m_order && (!m_versions->rollout || m_versions->rollout->record.ticket < m_order->number);
+    const bool isAbandoned = isOpen() && !isDriver()
+                             && now - m_lastContact > driverSilence + driverStagger * m_parts.rank();
+    if ((isUnclaimed && now >= m_claimFrom) || isAbandoned)
+        claim();
+}
+
+void RolloutControl::claim()
+{
+    ServiceVersions next = *m_versions;
+    const Fence fence(next.rollout ? next.rollout->fence.value() + 1 : 1);
+    if (m_order && (!next.rollout || next.rollout->record.ticket < m_order->number)) {
+        const WallTime now = m_parts.tableTime();
+        RolloutProgress progress;
+        progress.record = {m_order->number, m_parts.service, StageIndex(0), RolloutState::Running, {}};
+        if (m_order->target == next.current)
+            progress.record.state = RolloutState::Completed;
+        progress.target = m_order->target;
+        progress.startedAt = now;
+        progress.deadline = now + m_order->duration;
+        next.rollout = progress;
+    }
+    next.rollout->driver = m_parts.door;
+    next.rollout->fence = fence;
+    const RolloutState state = next.rollout->record.state;
+    write(std::move(next), state);
+}
+
+void RolloutControl::drive()
+{
+    if (!m_driver)
+        m_driver.emplace(definitionOf(*m_versions));
+    for (const RouteOutcomes &outcomes : m_window.takeSums()) {
+        if (outcomes.rollout == m_versions->rollout->record.ticket)
+            m_driver->take(outcomes);
+    }
+    DriverInput input;
+    input.now = EventLoop::now();
+    input.wall = m_parts.tableTime();
+    input.lease = m_versions->rollout->fence;
+    input.view.storeAvailable = m_parts.isTableCurrent() && !m_isWriting;
+    input.view.row = RolloutRow{m_stored->rollout->record, m_stored->rollout->fence};
+    input.merged = m_versions->rollout->record;
+    input.newTargets = m_parts.serving(m_versions->rollout->target);
+    apply(m_driver->decide(input));
+}
+
+void RolloutControl::apply(const DriverDecision &decision)
+{
+    if (decision.step == DriverStep::Hold)
+        return;
+    ServiceVersions next = *m_versions;
+    next.rollout->record = decision.record;
+    LogEvent(LogLevel::Info, "rollout.decided")
+            .field("service", m_parts.service)
+            .field("target", next.rollout->target)
+            .field("order", decision.record.ticket)
+            .field("stage", decision.record.stage)
+            .field("state", static_cast<int>(decision.record.state))
+            .field("notice", decision.notice)
+            .write(m_parts.log);
+    if (decision.record.state == RolloutState::Completed)
+        next.current = next.rollout->target;
+    if (decision.publishFirst)
+        adopt(next);
+    // The notice of a completion waits until no proxy sends to the old version any more.
+    if (decision.record.state == RolloutState::Completed)
+        write(next, std::nullopt);
+    else
+        write(next, decision.record.state);
+}
+
+void RolloutControl::write(ServiceVersions next, std::optional<RolloutState> status)
+{
+    if (m_isWriting)
+        return;
+    m_isWriting = true;
+    TableTransaction transaction;
+    transaction.conditions.push_back({m_parts.ownTable, {rowOf(m_parts.service), m_rowVersion}});
+    transaction.writes.push_back({m_parts.ownTable, {rowOf(m_parts.service), encodeServiceVersions(next)}});
+    if (status)
+        transaction.writes.push_back(m_parts.documents->status(m_parts.service, next.rollout->target, *status));
+    m_parts.table->commit(transaction, [this, next, status](absl::StatusOr<TableCommit> result) {
+        m_isWriting = false;
+        if (!result.ok() || !result->committed) {
+            LogEvent event(LogLevel::Info, "rollout.write_failed");
+            event.field("service", m_parts.service).field("row_version", m_rowVersion);
+            if (!result.ok())
+                event.error(result.status());
+            event.write(m_parts.log);
+            // A rollback that is known here is written again, as the driver repeats the decision.
+            schedule();
+            return;
+        }
+        setRow(next, result->version);
+        if (!status && next.rollout->record.state == RolloutState::Completed) {
+            m_noticeTimer = m_parts.loop->after(completionNotice, [this, target = next.rollout->target] {
+                writeStatus(RolloutState::Completed, target);
+            });
+        }
+    });
+}
+
+void RolloutControl::writeStatus(RolloutState state, const VersionName &target)
+{
+    TableTransaction transaction;
+    transaction.writes.push_back(m_parts.documents->status(m_parts.service, target, state));
+    m_parts.table->commit(transaction, [this, state, target](absl::StatusOr<TableCommit> result) {
+        if (result.ok())
+            return;
+        LogEvent(LogLevel::Warn, "rollout.status_failed").error(result.status()).write(m_parts.log);
+        m_noticeTimer = m_parts.loop->after(statusRetry, [this, state, target] { writeStatus(state, target); });
+    });
+}
+
+void RolloutControl::sendReport()
+{
+    if (m_isReporting)
+        return;
+    m_isReporting = true;
+    OutcomeReport report;
+    report.sender = {m_parts.node, m_parts.incarnation};
+    report.batch = m_window.batch().value_or(OutcomeBatch{});
+    HttpRequest request;
+    request.method = "POST";
+    request.target = std::string(outcomesPath);
+    request.body = encodeOutcomeReport(report);
+    LoopCallOptions options;
+    options.deadline = EventLoop::now() + reportTime;
+    m_parts.client->send(m_versions->rollout->driver, request, options,
+                         [this, sequence = report.batch.sequence](const LoopCallResult &result) {
+                             m_isReporting = false;
+                             reportSent(result, sequence);
+                         });
+}
+
+void RolloutControl::reportSent(const LoopCallResult &result, SequenceNumber sequence)
+{
+    if (!result.status.ok() || result.response.status != 200)
+        return;
+    m_lastContact = EventLoop::now();
+    m_window.acknowledge(sequence);
+    const auto known = decodeServiceVersions(m_parts.service, result.response.body);
+    // The driver may know of a rollback that is not in the table yet.
+    if (known.ok() && m_versions && known->rollout && m_versions->rollout
+        && known->rollout->record.ticket == m_versions->rollout->record.ticket
+        && known->rollout->record.state == RolloutState::RolledBack)
+        adopt(*known);
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/proxy/service_versions.cpp
@@ -0,0 +1,45 @@
+#include <dandeliondock/proxy/service_versions.h>
+
+namespace dandeliondock {
+
+namespace {
+
+// Few requests meet a version that fails at once; the second stage loads one of six targets as it will be loaded at the
+// end, which shows a fault under load.
+const std::vector<Share> rolloutShares{Share(400), Share(1'600), Share(5'000), fullShare};
+
+} // namespace
+
+RolloutDefinition definitionOf(const ServiceVersions &versions)
+{
+    const RolloutProgress &rollout = *versions.rollout;
+    RolloutDefinition definition;
+    definition.ticket = rollout.record.ticket;
+    definition.service = versions.service;
+    definition.oldVersion = versions.current;
+    definition.newVersion = rollout.target;
+    definition.plan.deadline = rollout.deadline;
+    definition.plan.stageShares = rolloutShares;
+    definition.plan.observation = (rollout.deadline - rollout.startedAt) * observationPercent / 100;
+    return definition;
+}
+
+std::optional<VersionSplit> splitOf(const ServiceVersions &versions, std::uint32_t newTargets)
+{
+    if (!versions.rollout || versions.rollout->record.state != RolloutState::Running || newTargets == 0)
+        return std::nullopt;
+    const RolloutDefinition definition = definitionOf(versions);
+    const Stage &stage = StagePlan(definition.plan, newTargets).stage(versions.rollout->record.stage);
+    return VersionSplit{definition.ticket, definition.oldVersion, definition.newVersion, stage.share,
+                        stage.newTargets};
+}
+
+bool mayServe(const ServiceVersions &versions, const VersionName &version)
+{
+    if (version == versions.current)
+        return true;
+    return versions.rollout && versions.rollout->record.state == RolloutState::Running
+           && versions.rollout->target == version;
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/proxy/table_watch.cpp
@@ -0,0 +1,78 @@
+#include <dandeliondock/core/error.h>
+#include <dandeliondock/proxy/table_watch.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace dandeliondock {
+
+namespace {
+
+constexpr int mostDoublings = 6;
+
+} // namespace
+
+TableWatch::TableWatch(EventLoop &loop, const AsyncTableHooks &table, TableName name, WatchPace pace,
+                       RandomSource random, LogSink log, Handler handler)
+    : m_loop(loop), m_table(table), m_name(std::move(name)), m_pace(pace), m_random(std::move(random)),
+      m_log(std::move(log)), m_handler(std::move(handler))
+{
+}
+
+void TableWatch::start()
+{
+    read();
+}
+
+void TableWatch::read()
+{
+    m_table.list(m_name, [this](absl::StatusOr<TableReading> reading) { received(std::move(reading), true); });
+}
+
+void TableWatch::follow()
+{
+    m_table.changes(m_name, m_upTo, m_pace.hold,
+                    [this](absl::StatusOr<TableReading> reading) { received(std::move(reading), false); });
+}
+
+void TableWatch::received(absl::StatusOr<TableReading> reading, bool isWhole)
+{
+    if (!reading.ok()) {
+        failed(reading.status());
+        return;
+    }
+    if (m_failures > 0 || !m_isSynced) {
+        LogEvent(LogLevel::Info, "table.regained")
+                .field("table", m_name)
+                .field("version", reading->upTo)
+                .field("failures", m_failures)
+                .write(m_log);
+    }
+    m_failures = 0;
+    m_isSynced = true;
+    m_mustRead = false;
+    m_upTo = std::max(m_upTo, reading->upTo);
+    const bool hasNews = !reading->rows.empty() || !reading->removed.empty();
+    m_handler(*reading, isWhole);
+    m_timer = m_loop.after(hasNews ? m_pace.gather : Milliseconds{0}, [this] { follow(); });
+}
+
+void TableWatch::failed(const absl::Status &status)
+{
+    // After a gap the table is read whole; a connection that broke may have cost nothing.
+    if (errorKind(status) == ErrorKind::RevisionGap)
+        m_mustRead = true;
+    if (m_failures == 0)
+        LogEvent(LogLevel::Warn, "table.lost").field("table", m_name).error(status).write(m_log);
+    const Milliseconds base = std::min(m_pace.longestRetry, m_pace.firstRetry * (1 << std::min(m_failures, mostDoublings)));
+    ++m_failures;
+    const auto wait = Milliseconds(uniformBelow(m_random, static_cast<std::uint64_t>(base.count()))) + base / 2;
+    m_timer = m_loop.after(wait, [this] {
+        if (m_mustRead)
+            read();
+        else
+            follow();
+    });
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/src/proxy/traffic_duty.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <dandeliondock/core/metrics.h>
+#include <dandeliondock/http/loop_server.h>
+#include <dandeliondock/proxy/control_duty.h>
+#include <dandeliondock/proxy/door.h>
+#include <dandeliondock/proxy/forwarder.h>
+#include <dandeliondock/proxy/proxy.h>
+
+#include <functional>
+#include <variant>
+
+namespace dandeliondock {
+
+/// \brief An attempt at the own target while a rollout runs.
+struct RolloutAttempt
+{
+    AttemptReport report;
+    TicketNumber rollout;
+};
+
+/// \brief Another proxy's outcome report; \c respond may be called on any thread.
+struct ReceivedReport
+{
+    std::string body;
+    std::function<void(std::string)> respond;
+};
+
+/// \brief What the traffic duty tells the control duty.
+using TrafficNews = std::variant<Endpoint, RolloutAttempt, ReceivedReport>;
+
+/// \brief Time for which a proxy that ends still takes callers' requests: readiness is asked for every second, and two
+/// misses keep callers away.
+inline constexpr Milliseconds callersLeave{3'000};
+/// \brief Part of the grace time that is left unused.
+inline constexpr Milliseconds graceReserve{500};
+/// \brief Time between two looks at what is still open while the proxy ends.
+inline constexpr Milliseconds drainCheck{100};
+
+/// \brief The duty that carries requests: every listener, the door and the forwarder, on one event loop.
+///
+/// \remark Every method is to be called on the duty's loop, or before it runs.
+class TrafficDuty
+{
+public:
+    TrafficDuty(EventLoop &loop, const ProxySettings &settings, const PlatformAdapter &adapter, Metrics &metrics,
+                LogSink log, std::function<void(TrafficNews)> tell);
+
+    [[nodiscard]] absl::Status listen();
+
+    void take(ControlNews news);
+
+    /// \brief Begins to end; \c onEnded is called when nothing is open any more, or when the time is over.
+    void drain(std::function<void()> onEnded);
+
+private:
+    void handleHealth(const LoopExchangePtr &exchange);
+    void handleTargetMessage(const LoopExchangePtr &exchange);
+    void handleDoor(const LoopExchangePtr &exchange);
+    void handleMetrics(const LoopExchangePtr &exchange);
+    void announced(AnnouncementEffect effect);
+    void checkDrained();
+    [[nodiscard]] DoorParts doorParts();
+    [[nodiscard]] ForwarderParts forwarderParts();
+    [[nodiscard]] Endpoint ownEndpoint() const;
+
+    EventLoop &m_loop;
+    const ProxySettings &m_settings;
+    const PlatformAdapter &m_adapter;
+    Metrics &m_metrics;
+    LogSink m_log;
+    std::function<void(TrafficNews)> m_tell;
+    LoopClient m_client;
+    Door m_door;
+    Forwarder m_forwarder;
+    LoopServer m_callers;
+    LoopServer m_doorServer;
+    LoopServer m_health;
+    LoopServer m_announcements;
+    LoopServer m_metricsServer;
+    LoopTimer m_drainTimer;
+    MonotonicTime m_drainSince;
+    std::function<void()> m_onEnded;
+    bool m_isComplete = false;
+    bool m_isDraining = false;
+};
+
+} // namespace dandeliondock
--- a/src/routing/class_queue.cpp
+++ b/src/routing/class_queue.cpp
@@ -38,6 +38,18 @@
     return waiters;
 }
 
+std::optional<WaiterId> ClassQueue::takeFirst()
+{
+    for (auto &ofClass : m_waiters) {
+        if (ofClass.empty())
+            continue;
+        const WaiterId first = ofClass.front();
+        ofClass.erase(ofClass.begin());
+        return first;
+    }
+    return std::nullopt;
+}
+
 void ClassQueue::withdraw(WaiterId id)
 {
     for (auto &ofClass : m_waiters)
