--- a/src/settings/json_reader.cpp
+++ b/src/settings/json_reader.cpp
@@ -92,6 +92,8 @@
         case FieldDescriptor::CPPTYPE_UINT32:
         case FieldDescriptor::CPPTYPE_UINT64:
             return readNumber(value, key, field, message);
+        case FieldDescriptor::CPPTYPE_DOUBLE:
+            return readFraction(value, key, field, message);
         default:
             return reject(key, value, "this type of key is not supported");
         }
@@ -125,6 +127,13 @@
             message.GetReflection()->SetUInt64(&message, &field, static_cast<std::uint64_t>(number));
     }
 
+    void readFraction(const Value &value, const std::string &key, const FieldDescriptor &field, Message &message)
+    {
+        if (value.kind_case() != Value::kNumberValue)
+            return reject(key, value, "give a number without quotes");
+        message.GetReflection()->SetDouble(&message, &field, value.number_value());
+    }
+
     // Lists in settings hold texts only.
     void readList(const Value &value, const std::string &key, const FieldDescriptor &field, Message &message)
     {
