--- a/include/dandeliondock/codec/proxy_codec.h
+++ b/include/dandeliondock/codec/proxy_codec.h
@@ -7,6 +7,7 @@
 #include <absl/status/statusor.h>
 #include <absl/strings/string_view.h>
 
+#include <optional>
 #include <string>
 
 namespace dandeliondock {
@@ -15,7 +16,7 @@
 struct OutcomeReport
 {
     ChildId sender;
-    OutcomeBatch batch;
+    std::optional<OutcomeBatch> batch; ///< empty when there is nothing new
 };
 
 // Rows and messages that proxies share. All functions are thread-safe; the decoders return InvalidRow or
--- a/include/dandeliondock/core/log_duty.h
+++ b/include/dandeliondock/core/log_duty.h
@@ -12,6 +12,9 @@
 /// \brief Lines that may wait for the log's thread; the oldest are dropped and counted when there are more.
 inline constexpr std::size_t logRingCapacity = 4'096;
 
+/// \brief Time for which lines gather before they are written together.
+inline constexpr Milliseconds logGather{250};
+
 /// \brief Writes log lines on a thread of its own, so that no other duty waits for a slow reader of the output.
 ///
 /// \remark sink() may be used from any thread as long as this object lives.
@@ -33,6 +36,7 @@
 
     LogSink m_sink;
     BoundedRing<std::pair<LogLevel, std::string>> m_ring;
+    BoundedRing<bool> m_stop{1, WhenFull::Reject}; ///< closed to end a wait early
     std::uint64_t m_told = 0;
     std::thread m_thread;
 };
--- a/include/dandeliondock/http/loop_server.h
+++ b/include/dandeliondock/http/loop_server.h
@@ -79,6 +79,9 @@
     /// \brief Ends each connection after its next response, and says so in the response.
     void setDraining();
 
+    /// \brief Takes no further connection, and closes those on which no request is being read or answered.
+    void stopAccepting();
+
     /// \brief Requests that were read and not answered.
     [[nodiscard]] std::size_t openExchanges() const noexcept;
 
--- a/include/dandeliondock/proxy/door.h
+++ b/include/dandeliondock/proxy/door.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliondock/core/log_event.h>
+#include <dandeliondock/core/log_limiter.h>
 #include <dandeliondock/core/metrics.h>
 #include <dandeliondock/http/loop_client.h>
 #include <dandeliondock/proxy/door_queue.h>
@@ -92,6 +93,7 @@
     absl::flat_hash_map<WaiterId, DoorJobPtr> m_waiting;
     std::uint64_t m_lastId = 0;
     std::size_t m_jobs = 0;
+    LogLimiter m_logLimiter;
     bool m_isStopped = false;
 };
 
--- a/include/dandeliondock/proxy/forwarder.h
+++ b/include/dandeliondock/proxy/forwarder.h
@@ -3,6 +3,7 @@
 #include <dandeliondock/attempts/request_plan.h>
 #include <dandeliondock/attempts/retry_budget.h>
 #include <dandeliondock/core/log_event.h>
+#include <dandeliondock/core/log_limiter.h>
 #include <dandeliondock/core/metrics.h>
 #include <dandeliondock/core/random_source.h>
 #include <dandeliondock/http/loop_client.h>
@@ -79,6 +80,8 @@
     ProxyConfigPtr m_config;
     Placement m_placement;
     WeightedChoice m_weights;
+    LogLimiter m_attemptLimiter;
+    LogLimiter m_endLimiter;
     absl::flat_hash_map<ServiceName, ServiceVersions> m_versions;
     absl::flat_hash_map<ServiceName, std::unique_ptr<RetryBudget>> m_budgets;
 };
--- a/src/codec/proxy_codec.cpp
+++ b/src/codec/proxy_codec.cpp
@@ -83,7 +83,8 @@
     wire::OutcomeReport message;
     message.set_node(report.sender.node.value());
     message.set_incarnation(report.sender.incarnation.value());
-    *message.mutable_batch() = encodeOutcomes(report.batch);
+    if (report.batch)
+        *message.mutable_batch() = encodeOutcomes(*report.batch);
     return message.SerializeAsString();
 }
 
@@ -92,10 +93,14 @@
     const auto message = parseBytes<wire::OutcomeReport>(bytes, ErrorKind::InvalidMessage, "an outcome report");
     if (!message.ok())
         return message.status();
-    const auto batch = decodeOutcomes(message->batch());
+    OutcomeReport report{{NodeId(message->node()), Incarnation(message->incarnation())}, std::nullopt};
+    if (!message->has_batch())
+        return report;
+    auto batch = decodeOutcomes(message->batch());
     if (!batch.ok())
         return batch.status();
-    return OutcomeReport{{NodeId(message->node()), Incarnation(message->incarnation())}, *batch};
+    report.batch = *std::move(batch);
+    return report;
 }
 
 } // namespace dandeliondock
--- a/src/core/log_duty.cpp
+++ b/src/core/log_duty.cpp
@@ -10,6 +10,7 @@
 LogDuty::~LogDuty()
 {
     m_ring.close();
+    m_stop.close();
     m_thread.join();
 }
 
@@ -21,7 +22,13 @@
 void LogDuty::run()
 {
     while (auto item = m_ring.pop()) {
+        // Lines gather without a wake-up for each of them.
+        static_cast<void>(m_stop.popFor(logGather));
         m_sink(item->first, item->second);
+        for (std::size_t waiting = m_ring.size(); waiting > 0; --waiting) {
+            if ((item = m_ring.popFor(Microseconds{0})))
+                m_sink(item->first, item->second);
+        }
         tellDropped();
     }
 }
--- /dev/null
+++ b/src/core/log_limiter.cpp
@@ -0,0 +1,23 @@
+#include <dandeliondock/core/log_limiter.h>
+
+namespace dandeliondock {
+
+bool LogLimiter::admits(MonotonicTime now, const LogSink &log)
+{
+    const std::int64_t second = std::chrono::floor<Seconds>(now.time_since_epoch()).count();
+    if (second != m_second) {
+        if (m_leftOut > 0)
+            LogEvent(LogLevel::Warn, "log.left_out").field("lines", m_leftOut).write(log);
+        m_second = second;
+        m_written = 0;
+        m_leftOut = 0;
+    }
+    if (m_written >= linesPerSecond) {
+        ++m_leftOut;
+        return false;
+    }
+    ++m_written;
+    return true;
+}
+
+} // namespace dandeliondock
--- a/src/http/event_loop.cpp
+++ b/src/http/event_loop.cpp
@@ -8,6 +8,9 @@
 
 #include <netinet/tcp.h>
 
+#include <algorithm>
+#include <utility>
+
 namespace dandeliondock {
 
 namespace impl {
@@ -34,7 +37,7 @@
     return boost::asio::ip::tcp::endpoint(ip, static_cast<unsigned short>(port));
 }
 
-void setStreamOptions(boost::asio::ip::tcp::socket &socket, Milliseconds silence)
+void setStreamOptions(StreamSocket &socket, Milliseconds silence)
 {
     // A failure shows at the next read or write of a socket that is already dead.
     boost::system::error_code ignored;
@@ -53,6 +56,36 @@
 
 } // namespace impl
 
+namespace impl {
+
+void EventLoopState::arm(MonotonicTime time)
+{
+    if (time >= armedFor)
+        return;
+    armedFor = time;
+    timer.expires_at(time);
+    timer.async_wait([this](const boost::system::error_code &error) {
+        if (!error)
+            runDue();
+    });
+}
+
+void EventLoopState::runDue()
+{
+    armedFor = MonotonicTime::max();
+    const MonotonicTime now = EventLoop::now();
+    while (!pending.empty() && pending.begin()->first <= now) {
+        const std::shared_ptr<TimerState> due = pending.begin()->second;
+        pending.erase(pending.begin());
+        if (const auto work = std::exchange(due->work, nullptr))
+            work();
+    }
+    if (!pending.empty())
+        arm(pending.begin()->first);
+}
+
+} // namespace impl
+
 LoopTimer &LoopTimer::operator=(LoopTimer &&other) noexcept
 {
     if (this != &other) {
@@ -66,14 +99,20 @@
 {
     if (!m_state)
         return;
-    m_state->isCancelled = true;
-    m_state->timer.cancel();
+    if (std::exchange(m_state->work, nullptr))
+        m_state->owner->pending.erase(m_state->position);
     m_state.reset();
 }
 
 EventLoop::EventLoop() : m_state(std::make_unique<impl::EventLoopState>()) {}
 
-EventLoop::~EventLoop() = default;
+EventLoop::~EventLoop()
+{
+    // Work may own timers of this loop, which then find nothing to cancel.
+    const auto dropped = std::exchange(m_state->pending, {});
+    for (const auto &[due, timer] : dropped)
+        timer->work = nullptr;
+}
 
 void EventLoop::run()
 {
@@ -93,12 +132,12 @@
 
 LoopTimer EventLoop::after(Microseconds delay, std::function<void()> work)
 {
-    auto state = std::make_shared<impl::TimerState>(m_state->context);
-    state->timer.expires_after(delay);
-    state->timer.async_wait([state, work = std::move(work)](const boost::system::error_code &error) {
-        if (!error && !state->isCancelled)
-            work();
-    });
+    const MonotonicTime due = now() + std::max(delay, Microseconds{0});
+    auto state = std::make_shared<impl::TimerState>();
+    state->owner = m_state.get();
+    state->work = std::move(work);
+    state->position = m_state->pending.emplace(due, state);
+    m_state->arm(due);
     return LoopTimer(state);
 }
 
--- a/src/http/loop_client.cpp
+++ b/src/http/loop_client.cpp
@@ -142,7 +142,7 @@
 
     std::shared_ptr<ClientState> m_client;
     Address m_address;
-    tcp::socket m_socket;
+    StreamSocket m_socket;
     boost::beast::flat_buffer m_buffer;
     std::unique_ptr<Parser> m_parser;
     std::shared_ptr<ClientCall> m_call;
--- a/src/http/loop_server.cpp
+++ b/src/http/loop_server.cpp
@@ -55,6 +55,7 @@
     }
 
     absl::Status listen(const Address &address);
+    void stopAccepting();
     void close();
 
     ConnectionLimits limits;
@@ -70,7 +71,7 @@
 
     EventLoop &m_loop;
     ExchangeHandler m_handler;
-    tcp::acceptor m_acceptor;
+    StreamAcceptor m_acceptor;
     LoopTimer m_sweepTimer;
 };
 
@@ -80,7 +81,7 @@
 class ServerSession : public std::enable_shared_from_this<ServerSession>
 {
 public:
-    ServerSession(tcp::socket socket, std::shared_ptr<ServerState> server)
+    ServerSession(StreamSocket socket, std::shared_ptr<ServerState> server)
         : m_socket(std::move(socket)), m_server(std::move(server)), m_lastActivity(EventLoop::now())
     {
         setStreamOptions(m_socket, peerSilence);
@@ -91,6 +92,9 @@
     void respond(const SessionExchange *exchange, HttpResponse response);
     void abort(const SessionExchange *exchange);
 
+    /// \brief Closes a connection that is between two requests.
+    void closeIfIdle();
+
     /// \brief Closes a connection that took too long.
     void sweep(MonotonicTime now);
 
@@ -113,7 +117,7 @@
 
     using Parser = http::request_parser<http::string_body>;
 
-    tcp::socket m_socket;
+    StreamSocket m_socket;
     std::shared_ptr<ServerState> m_server;
     boost::beast::flat_buffer m_buffer;
     std::unique_ptr<Parser> m_parser;
@@ -328,7 +332,7 @@
     if (m_isLast) {
         // The peer closes first, so that the end of the response is not lost to a reset.
         error_code ignored;
-        m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+        m_socket.shutdown(StreamSocket::shutdown_send, ignored);
         if (m_reading == Reading::Done)
             close();
         return;
@@ -362,6 +366,12 @@
         close();
 }
 
+void ServerSession::closeIfIdle()
+{
+    if (!m_exchange && !m_isWriting && m_reading == Reading::Head && m_buffer.size() == 0)
+        close();
+}
+
 void ServerSession::close()
 {
     if (std::exchange(m_isClosed, true))
@@ -395,7 +405,7 @@
 
 void ServerState::accept()
 {
-    m_acceptor.async_accept([self = shared_from_this()](const error_code &error, tcp::socket socket) {
+    m_acceptor.async_accept([self = shared_from_this()](const error_code &error, StreamSocket socket) {
         if (error == asio::error::operation_aborted || !self->m_acceptor.is_open())
             return;
         if (!error) {
@@ -421,6 +431,15 @@
     });
 }
 
+void ServerState::stopAccepting()
+{
+    error_code ignored;
+    m_acceptor.close(ignored);
+    const auto copy = sessions;
+    for (const auto &session : copy)
+        session->closeIfIdle();
+}
+
 void ServerState::close()
 {
     error_code ignored;
@@ -458,6 +477,11 @@
     m_state->isDraining = true;
 }
 
+void LoopServer::stopAccepting()
+{
+    m_state->stopAccepting();
+}
+
 std::size_t LoopServer::openExchanges() const noexcept
 {
     return m_state->openExchanges;
--- a/src/proxy/door.cpp
+++ b/src/proxy/door.cpp
@@ -209,7 +209,7 @@
         return;
     --m_jobs;
     reply.load = m_queue.load();
-    if (!hasResponse(reply.outcome)) {
+    if (!hasResponse(reply.outcome) && m_logLimiter.admits(EventLoop::now(), m_parts.log)) {
         LogEvent(LogLevel::Info, "door.not_answered")
                 .field("request", job->request.id)
                 .field("route", job->request.route)
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -57,6 +57,8 @@
     void concluded(DoorReply reply);
     void answer(HttpResponse response);
     void fail();
+    void logAttempt(const DoorReply &reply, MonotonicTime now);
+    void logEnd(int status, absl::string_view reason);
     void refuse(absl::string_view reason, Microseconds retryHint);
     void respondWith(int status, absl::string_view reason);
     void cancelled();
@@ -143,6 +145,11 @@
 {
     const MonotonicTime now = EventLoop::now();
     m_claim = m_owner.m_placement.choose(m_placement, now);
+    if (!m_claim && m_placement.version.isNew) {
+        // The targets of a version that was taken back refuse before its rollout is known here to have ended.
+        m_placement.version = {m_owner.versions(m_placement.service)->current, false, fullShare};
+        m_claim = m_owner.m_placement.choose(m_placement, now);
+    }
     if (!m_claim) {
         if (m_plan->giveUp() == ForwardStep::Refuse)
             refuse("no_target", Microseconds{0});
@@ -208,16 +215,7 @@
     const ForwardStep step = m_plan->conclude(reply.outcome, now);
     if (!hasResponse(reply.outcome)) {
         metrics().counter("attempts_unanswered_total", doorOutcomeName(reply.outcome)).add();
-        LogEvent(LogLevel::Info, "request.attempt_unanswered")
-                .field("request", m_request.id)
-                .field("route", m_request.route)
-                .field("revision", m_config->state->revision())
-                .field("target", m_request.target)
-                .field("outcome", doorOutcomeName(reply.outcome))
-                .field("refusal", doorRefusalName(reply.refusal))
-                .field("left_ms", std::chrono::duration_cast<Milliseconds>(m_request.deadline - now).count())
-                .field("detail", reply.detail)
-                .write(m_owner.m_parts.log);
+        logAttempt(reply, now);
     }
     switch (step) {
     case ForwardStep::Send:
@@ -239,6 +237,33 @@
     }
 }
 
+void Forwarder::Session::logAttempt(const DoorReply &reply, MonotonicTime now)
+{
+    if (!m_owner.m_attemptLimiter.admits(now, m_owner.m_parts.log))
+        return;
+    LogEvent(LogLevel::Info, "request.attempt_unanswered")
+            .field("request", m_request.id)
+            .field("route", m_request.route)
+            .field("revision", m_config->state->revision())
+            .field("target", m_request.target)
+            .field("outcome", doorOutcomeName(reply.outcome))
+            .field("refusal", doorRefusalName(reply.refusal))
+            .field("left_ms", std::chrono::duration_cast<Milliseconds>(m_request.deadline - now).count())
+            .field("detail", reply.detail)
+            .write(m_owner.m_parts.log);
+}
+
+void Forwarder::Session::logEnd(int status, absl::string_view reason)
+{
+    if (!m_owner.m_endLimiter.admits(EventLoop::now(), m_owner.m_parts.log))
+        return;
+    LogEvent event(LogLevel::Info, "request.ended");
+    event.field("request", m_request.id).field("route", m_request.route).field("status", status);
+    if (m_config)
+        event.field("revision", m_config->state->revision());
+    event.field("reason", reason).write(m_owner.m_parts.log);
+}
+
 void Forwarder::Session::answer(HttpResponse response)
 {
     m_isDone = true;
@@ -261,12 +286,7 @@
     m_isDone = true;
     const Milliseconds wait = m_owner.retryAfter(retryHint);
     metrics().counter("refusals_total", reason).add();
-    LogEvent(LogLevel::Info, "request.refused")
-            .field("request", m_request.id)
-            .field("route", m_request.route)
-            .field("reason", reason)
-            .field("retry_after_ms", wait.count())
-            .write(m_owner.m_parts.log);
+    logEnd(unavailable, reason);
     HttpResponse response;
     response.status = unavailable;
     response.headers.add("Retry-After",
@@ -278,13 +298,7 @@
 {
     m_isDone = true;
     metrics().counter("failures_total", reason).add();
-    LogEvent(LogLevel::Info, "request.failed")
-            .field("request", m_request.id)
-            .field("route", m_request.route)
-            .field("revision", m_config->state->revision())
-            .field("status", status)
-            .field("reason", reason)
-            .write(m_owner.m_parts.log);
+    logEnd(status, reason);
     HttpResponse response;
     response.status = status;
     m_exchange->respond(std::move(response));
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -3,6 +3,7 @@
 
 #include "traffic_duty.h"
 
+#include <algorithm>
 #include <future>
 #include <thread>
 #include <utility>
@@ -79,8 +80,10 @@
     {
         if (const auto *endpoint = std::get_if<Endpoint>(&news))
             m_control.announce(*endpoint);
-        else if (const auto *attempt = std::get_if<RolloutAttempt>(&news))
-            m_control.record(attempt->report, attempt->rollout);
+        else if (const auto *attempts = std::get_if<RolloutAttempts>(&news))
+            std::for_each(attempts->begin(), attempts->end(), [this](const RolloutAttempt &attempt) {
+                m_control.record(attempt.report, attempt.rollout);
+            });
         else if (const auto *report = std::get_if<ReceivedReport>(&news))
             report->respond(m_control.takeReport(report->body));
     }
--- a/src/proxy/rollout_control.cpp
+++ b/src/proxy/rollout_control.cpp
@@ -88,8 +88,8 @@
     const auto report = decodeOutcomeReport(body);
     if (!report.ok())
         LogEvent(LogLevel::Warn, "rollout.report_refused").error(report.status()).write(m_parts.log);
-    else
-        m_window.takeChild(report->sender, report->batch);
+    else if (report->batch)
+        m_window.takeChild(report->sender, *report->batch);
     return m_versions ? encodeServiceVersions(*m_versions) : std::string();
 }
 
@@ -241,7 +241,7 @@
     m_isReporting = true;
     OutcomeReport report;
     report.sender = {m_parts.node, m_parts.incarnation};
-    report.batch = m_window.batch().value_or(OutcomeBatch{});
+    report.batch = m_window.batch();
     HttpRequest request;
     request.method = "POST";
     request.target = std::string(outcomesPath);
@@ -249,7 +249,7 @@
     LoopCallOptions options;
     options.deadline = EventLoop::now() + reportTime;
     m_parts.client->send(m_versions->rollout->driver, request, options,
-                         [this, sequence = report.batch.sequence](const LoopCallResult &result) {
+                         [this, sequence = report.batch ? report.batch->sequence : SequenceNumber()](const LoopCallResult &result) {
                              m_isReporting = false;
                              reportSent(result, sequence);
                          });
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -46,7 +46,7 @@
     parts.protocol = m_adapter.protocol;
     parts.target = m_settings.target;
     parts.onAttempt = [this](const AttemptReport &report, TicketNumber rollout) {
-        m_tell(RolloutAttempt{report, rollout});
+        gather({report, rollout});
     };
     parts.versions = [this](const ServiceName &service) { return m_forwarder.versions(service); };
     return parts;
@@ -192,6 +192,15 @@
     exchange->onCancelled([this, job] { m_door.cancel(job); });
 }
 
+void TrafficDuty::gather(RolloutAttempt attempt)
+{
+    if (m_attempts.empty()) {
+        m_attemptsTimer = m_loop.after(attemptsGather, [this] { m_tell(std::exchange(m_attempts, {})); });
+    }
+    if (m_attempts.size() < attemptsGathered)
+        m_attempts.push_back(std::move(attempt));
+}
+
 void TrafficDuty::handleMetrics(const LoopExchangePtr &exchange)
 {
     HttpResponse response;
@@ -219,6 +228,8 @@
 void TrafficDuty::checkDrained()
 {
     const MonotonicTime::duration passed = EventLoop::now() - m_drainSince;
+    if (passed >= callersLeave && !std::exchange(m_isClosed, true))
+        m_callers.stopAccepting();
     const bool isIdle = m_callers.openExchanges() == 0 && m_door.openJobs() == 0;
     if ((isIdle && passed >= callersLeave) || passed >= m_settings.grace - graceReserve) {
         LogEvent(LogLevel::Info, "proxy.drained")
--- a/src/proxy/traffic_duty.h
+++ b/src/proxy/traffic_duty.h
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <variant>
+#include <vector>
 
 namespace dandeliondock {
 
@@ -19,6 +20,14 @@
     TicketNumber rollout;
 };
 
+/// \brief Attempts gathered over a short time, so that the control duty is not woken for each.
+using RolloutAttempts = std::vector<RolloutAttempt>;
+
+/// \brief Time over which attempts gather.
+inline constexpr Milliseconds attemptsGather{200};
+/// \brief Most attempts that gather; more are left out.
+inline constexpr std::size_t attemptsGathered = 1'024;
+
 /// \brief Another proxy's outcome report; \c respond may be called on any thread.
 struct ReceivedReport
 {
@@ -27,7 +36,7 @@
 };
 
 /// \brief What the traffic duty tells the control duty.
-using TrafficNews = std::variant<Endpoint, RolloutAttempt, ReceivedReport>;
+using TrafficNews = std::variant<Endpoint, RolloutAttempts, ReceivedReport>;
 
 /// \brief Time for which a proxy that ends still takes callers' requests: readiness is asked for every second, and two
 /// misses keep callers away.
@@ -60,6 +69,7 @@
     void handleMetrics(const LoopExchangePtr &exchange);
     void announced(AnnouncementEffect effect);
     void checkDrained();
+    void gather(RolloutAttempt attempt);
     [[nodiscard]] DoorParts doorParts();
     [[nodiscard]] ForwarderParts forwarderParts();
     [[nodiscard]] Endpoint ownEndpoint() const;
@@ -78,11 +88,14 @@
     LoopServer m_health;
     LoopServer m_announcements;
     LoopServer m_metricsServer;
+    RolloutAttempts m_attempts;
+    LoopTimer m_attemptsTimer;
     LoopTimer m_drainTimer;
     MonotonicTime m_drainSince;
     std::function<void()> m_onEnded;
     bool m_isComplete = false;
     bool m_isDraining = false;
+    bool m_isClosed = false; ///< takes no further connection of a caller
 };
 
 } // namespace dandeliondock
