--- a/include/dandeliondock/proxy/door_queue.h
+++ b/include/dandeliondock/proxy/door_queue.h
@@ -5,6 +5,8 @@
 #include <dandeliondock/proxy/door_load.h>
 #include <dandeliondock/routing/class_queue.h>
 
+#include <absl/container/flat_hash_map.h>
+
 #include <cstddef>
 #include <optional>
 
@@ -28,6 +30,13 @@
     Microseconds retryAfter{0};        ///< of Refuse: when a slot is likely to be free
 };
 
+/// \brief What the queue is told of a request.
+struct DoorWork
+{
+    RouteName route; ///< requests of one route need about the same time
+    WorkClass workClass = WorkClass::Interactive;
+};
+
 /// \brief Decides which requests a target works on, which wait and which are refused at once.
 ///
 /// Load pattern: more requests than slots. A request that cannot end in time is refused on arrival, so that no slot is
@@ -41,10 +50,10 @@
     void setSlots(SlotCount slots);
 
     /// \brief Offers a request that should end by \c deadline.
-    [[nodiscard]] DoorAdmission offer(WaiterId id, WorkClass workClass, MonotonicTime deadline, MonotonicTime now);
+    [[nodiscard]] DoorAdmission offer(WaiterId id, const DoorWork &work, MonotonicTime deadline, MonotonicTime now);
 
-    /// \brief A running request ended; \c worked is empty when it showed nothing of the target's speed.
-    void finished(std::optional<Microseconds> worked);
+    /// \brief A running request of a route ended; \c worked is empty when it showed nothing of the target's speed.
+    void finished(const RouteName &route, std::optional<Microseconds> worked);
 
     /// \brief The waiter that runs next, if a slot is free for one.
     [[nodiscard]] std::optional<WaiterId> next();
@@ -55,12 +64,13 @@
     [[nodiscard]] DoorLoad load() const noexcept;
 
 private:
-    [[nodiscard]] QueuePace pace() const noexcept;
+    [[nodiscard]] QueuePace pace(const RouteName &route) const;
 
     std::uint32_t m_slots = 1;
     std::uint32_t m_running = 0;
     ClassQueue m_queue{smallestQueue};
     Microseconds m_meanWork = assumedWorkTime;
+    absl::flat_hash_map<RouteName, Microseconds> m_routeWork; ///< mean time by route
 };
 
 } // namespace dandeliondock
--- a/include/dandeliondock/proxy/forwarder.h
+++ b/include/dandeliondock/proxy/forwarder.h
@@ -24,6 +24,9 @@
 
 /// \brief Time after the deadline in which a door's own end of a request is still awaited.
 inline constexpr Milliseconds doorAnswerSlack{120};
+/// \brief A request may wait this long for a slot even if its response is then of less use: short requests are mostly
+/// calls of running ones, whose whole work is lost with them.
+inline constexpr Milliseconds shortestPatience{250};
 /// \brief Shortest and longest time after which a refused caller may come back: a queue drains within it.
 inline constexpr Milliseconds shortestRetryAfter{60};
 inline constexpr Milliseconds longestRetryAfter{400};
@@ -74,12 +77,14 @@
 
     [[nodiscard]] VersionChoice chooseVersionOf(const ServiceName &service);
     [[nodiscard]] RetryBudget &budgetOf(const ServiceName &service);
+    void noteResponseSize(const RouteName &route, std::size_t bytes);
     [[nodiscard]] Milliseconds retryAfter(Microseconds hint);
 
     ForwarderParts m_parts;
     ProxyConfigPtr m_config;
     Placement m_placement;
     WeightedChoice m_weights;
+    absl::flat_hash_map<RouteName, double> m_responseSizes; ///< mean bytes by route
     LogLimiter m_attemptLimiter;
     LogLimiter m_endLimiter;
     absl::flat_hash_map<ServiceName, ServiceVersions> m_versions;
--- a/include/dandeliondock/proxy/placement.h
+++ b/include/dandeliondock/proxy/placement.h
@@ -23,7 +23,10 @@
 /// \brief Added to a target's load, as a part of its slots, for each step of distance: the time that the way takes,
 /// and the bytes that are paid for on it.
 inline constexpr double otherDataCentreCost = 0.06;
-inline constexpr double otherRegionCost = 0.20;
+inline constexpr double otherRegionCost = 0.30;
+/// \brief Added for a target of another region for each 10 kB of a response: the link between regions is narrow, and a
+/// long response holds up everything on it.
+inline constexpr double otherRegionCostPerTenKilobytes = 0.10;
 /// \brief Added while a target is new: it works at about half of its speed.
 inline constexpr double coldTargetCost = 0.40;
 /// \brief Time for which a target counts as new.
@@ -53,7 +56,8 @@
 {
     ServiceName service;
     VersionChoice version;
-    std::vector<TargetId> tried; ///< used only when nothing else is left
+    std::vector<TargetId> tried{}; ///< used only when nothing else is left
+    ByteCount responseSize{};      ///< mean of the route
 };
 
 /// \brief A claim on a target; it ends with Placement::finish().
@@ -101,7 +105,7 @@
     [[nodiscard]] std::size_t serving(const ServiceName &service, const VersionName &version) const;
 
     /// \brief What a request would find at a target, as a part of its slots. For tests and the status page.
-    [[nodiscard]] static double cost(const PlacedTarget &target, MonotonicTime now);
+    [[nodiscard]] static double cost(const PlacedTarget &target, ByteCount responseSize, MonotonicTime now);
 
 private:
     using Targets = std::vector<PlacedTargetPtr>;
--- a/include/dandeliondock/proxy/table_watch.h
+++ b/include/dandeliondock/proxy/table_watch.h
@@ -15,7 +15,7 @@
     Milliseconds hold{20'000};      ///< longest wait for a change
     Milliseconds gather{150};       ///< pause after a change, in which further changes gather for one call
     Milliseconds firstRetry{200};   ///< after a failure; doubles, with jitter
-    Milliseconds longestRetry{1'000};
+    Milliseconds longestRetry{500};
 };
 
 /// \brief Follows one table: reads it whole, then its changes, and whole again when changes were missed.
--- a/include/dandeliondock/routing/class_queue.h
+++ b/include/dandeliondock/routing/class_queue.h
@@ -32,6 +32,9 @@
 
 /// \brief Requests that wait for a target of one service: critical ones leave first, deferrable ones are refused first.
 ///
+/// Within a class the earliest deadline leaves first, so that a short call of a running request is not held up by long
+/// work of its own rank.
+///
 /// \remark Not thread-safe.
 class ClassQueue
 {
@@ -60,14 +63,23 @@
     /// \brief How many requests of this class or a higher one wait.
     [[nodiscard]] std::size_t ahead(WorkClass workClass) const noexcept;
 
+    /// \brief How many requests would leave before one of this class and deadline.
+    [[nodiscard]] std::size_t ahead(WorkClass workClass, MonotonicTime deadline) const noexcept;
+
     [[nodiscard]] std::size_t size() const noexcept;
 
 private:
+    struct Waiter
+    {
+        WaiterId id;
+        MonotonicTime deadline;
+    };
+
     [[nodiscard]] std::size_t bound(WorkClass workClass) const noexcept;
     [[nodiscard]] std::optional<WaiterId> displaceBelow(WorkClass workClass);
 
     std::size_t m_capacity;
-    std::array<std::vector<WaiterId>, 3> m_waiters; ///< by class; a vector takes no memory while it is empty
+    std::array<std::vector<Waiter>, 3> m_waiters; ///< by class; a vector takes no memory while it is empty
 };
 
 } // namespace dandeliondock
--- a/src/proxy/door.cpp
+++ b/src/proxy/door.cpp
@@ -60,7 +60,7 @@
     }
     job->waiter = WaiterId(++m_lastId);
     const MonotonicTime latest = std::min(job->request.deadline, job->request.usefulUntil);
-    const DoorAdmission admission = m_queue.offer(job->waiter, job->request.workClass, latest, now);
+    const DoorAdmission admission = m_queue.offer(job->waiter, {job->request.route, job->request.workClass}, latest, now);
     if (admission.verdict == DoorVerdict::Run) {
         run(job);
     } else if (admission.verdict == DoorVerdict::Refuse) {
@@ -103,7 +103,7 @@
     const auto left = std::chrono::duration_cast<Milliseconds>(request.deadline - job->startedAt).count();
     if (left <= 0) {
         job->isRunning = false;
-        m_queue.finished(std::nullopt);
+        m_queue.finished(job->request.route, std::nullopt);
         refuse(job, DoorRefusal::Late, Microseconds{0});
         runNext();
         return;
@@ -123,7 +123,7 @@
     job->isRunning = false;
     const Microseconds latency = EventLoop::now() - job->startedAt;
     DoorReply reply = replyOf(*job, std::move(result));
-    m_queue.finished(hasResponse(reply.outcome) ? std::optional(latency) : std::nullopt);
+    m_queue.finished(job->request.route, hasResponse(reply.outcome) ? std::optional(latency) : std::nullopt);
     report(*job, reply, latency);
     finish(job, std::move(reply));
     runNext();
@@ -229,7 +229,7 @@
     while (const std::optional<WaiterId> id = m_queue.next()) {
         const auto waiting = m_waiting.find(*id);
         if (waiting == m_waiting.end()) {
-            m_queue.finished(std::nullopt);
+            m_queue.finished({}, std::nullopt);
             continue;
         }
         const DoorJobPtr job = waiting->second;
@@ -249,7 +249,7 @@
         m_queue.withdraw(job->waiter);
     if (std::exchange(job->isRunning, false)) {
         job->call.cancel();
-        m_queue.finished(std::nullopt);
+        m_queue.finished(job->request.route, std::nullopt);
         runNext();
     }
 }
--- a/src/proxy/door_queue.cpp
+++ b/src/proxy/door_queue.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr int workSmoothing = 16;
+constexpr std::size_t routesKnown = 1'024; // the times are learnt again within a few requests
 
 } // namespace
 
@@ -16,29 +17,35 @@
     m_queue.setCapacity(std::max(smallestQueue, m_slots * queuePerSlot));
 }
 
-QueuePace DoorQueue::pace() const noexcept
+QueuePace DoorQueue::pace(const RouteName &route) const
 {
-    return {m_meanWork / m_slots, m_meanWork};
+    const auto known = m_routeWork.find(route);
+    return {m_meanWork / m_slots, known == m_routeWork.end() ? m_meanWork : known->second};
 }
 
-DoorAdmission DoorQueue::offer(WaiterId id, WorkClass workClass, MonotonicTime deadline, MonotonicTime now)
+DoorAdmission DoorQueue::offer(WaiterId id, const DoorWork &work, MonotonicTime deadline, MonotonicTime now)
 {
     if (m_running < m_slots) {
         ++m_running;
         return {};
     }
-    const Admission admission = m_queue.offer(id, workClass, deadline, now, pace());
+    const Admission admission = m_queue.offer(id, work.workClass, deadline, now, pace(work.route));
     if (admission.verdict == AdmissionVerdict::Queued)
         return {DoorVerdict::Wait, admission.displaced, {}};
     const auto turns = static_cast<std::int64_t>(m_queue.size()) + 1;
-    return {DoorVerdict::Refuse, std::nullopt, pace().perTurn * turns};
+    return {DoorVerdict::Refuse, std::nullopt, pace(work.route).perTurn * turns};
 }
 
-void DoorQueue::finished(std::optional<Microseconds> worked)
+void DoorQueue::finished(const RouteName &route, std::optional<Microseconds> worked)
 {
     --m_running;
-    if (worked)
-        m_meanWork += (*worked - m_meanWork) / workSmoothing;
+    if (!worked)
+        return;
+    m_meanWork += (*worked - m_meanWork) / workSmoothing;
+    if (m_routeWork.size() >= routesKnown)
+        m_routeWork.clear();
+    Microseconds &mean = m_routeWork.try_emplace(route, *worked).first->second;
+    mean += (*worked - mean) / workSmoothing;
 }
 
 std::optional<WaiterId> DoorQueue::next()
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -19,6 +19,7 @@
 constexpr int unavailable = 503;
 constexpr int gatewayTimeout = 504;
 constexpr Milliseconds noConfigRetry{300};
+constexpr double sizeSmoothing = 0.1;
 
 PlacementSign signOf(const DoorReply &reply)
 {
@@ -119,8 +120,9 @@
     m_request.workClass = route.workClass;
     m_request.isIdempotent = route.idempotent;
     m_request.deadline = arrived + time;
-    m_request.usefulUntil =
-            route.targetLatency.count() > 0 ? arrived + std::min(time, route.targetLatency) : m_request.deadline;
+    m_request.usefulUntil = route.targetLatency.count() > 0
+                                    ? arrived + std::min(time, std::max(route.targetLatency, shortestPatience))
+                                    : m_request.deadline;
     RetryBudget &retries = m_owner.budgetOf(m_request.service);
     retries.recordRequest(arrived);
     m_plan.emplace(ForwardTerms{route.idempotent, route.attempts == 0 ? maxAttempts : route.attempts,
@@ -128,6 +130,7 @@
                    retries);
     m_placement.service = m_request.service;
     m_placement.version = m_owner.chooseVersionOf(m_request.service);
+    m_placement.responseSize = ByteCount(static_cast<std::uint64_t>(m_owner.m_responseSizes[route.name]));
     prepareRequest();
     return true;
 }
@@ -267,6 +270,7 @@
 void Forwarder::Session::answer(HttpResponse response)
 {
     m_isDone = true;
+    m_owner.noteResponseSize(m_request.route, response.body.size());
     metrics().latency("request_seconds").record(EventLoop::now() - m_exchange->arrivedAt());
     m_exchange->respond(std::move(response));
 }
@@ -332,8 +336,11 @@
 
 void Forwarder::setConfig(ProxyConfigPtr config)
 {
-    if (!m_config || config->state->revision() > m_config->state->revision())
-        m_config = std::move(config);
+    if (m_config && config->state->revision() <= m_config->state->revision())
+        return;
+    m_config = std::move(config);
+    absl::erase_if(m_responseSizes,
+                   [this](const auto &item) { return m_config->state->route(item.first) == nullptr; });
 }
 
 void Forwarder::setVersions(const ServiceVersions &versions)
@@ -372,6 +379,12 @@
     return chooseVersion(declared, split, uniformBelow(m_parts.random, fullShare.value()), std::nullopt);
 }
 
+void Forwarder::noteResponseSize(const RouteName &route, std::size_t bytes)
+{
+    double &mean = m_responseSizes[route];
+    mean += (static_cast<double>(bytes) - mean) * sizeSmoothing;
+}
+
 RetryBudget &Forwarder::budgetOf(const ServiceName &service)
 {
     std::unique_ptr<RetryBudget> &budget = m_budgets[service];
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -8,10 +8,11 @@
 namespace {
 
 constexpr double failureSmoothing = 0.1;
+constexpr double tenKilobytes = 10'000;
 constexpr double tieNoise = 0.02; // keeps callers with the same knowledge from choosing alike
 constexpr std::uint64_t noiseSteps = 1'000;
 
-double distanceCost(LocalityTier tier)
+double distanceCost(LocalityTier tier, ByteCount responseSize)
 {
     switch (tier) {
     case LocalityTier::DataCentre:
@@ -19,9 +20,10 @@
     case LocalityTier::Region:
         return otherDataCentreCost;
     case LocalityTier::OtherRegion:
-        return otherRegionCost;
+        break;
     }
-    return otherRegionCost;
+    return otherRegionCost
+           + otherRegionCostPerTenKilobytes * static_cast<double>(responseSize.value()) / tenKilobytes;
 }
 
 bool isTried(const PlacementRequest &request, const TargetId &target)
@@ -31,7 +33,7 @@
 
 } // namespace
 
-double Placement::cost(const PlacedTarget &target, MonotonicTime now)
+double Placement::cost(const PlacedTarget &target, ByteCount responseSize, MonotonicTime now)
 {
     const bool isFresh = now - target.reportedAt < doorLoadLife && target.reported.slots > 0;
     const std::uint32_t announced = target.endpoint.slots.value();
@@ -39,7 +41,7 @@
     const std::uint32_t known = isFresh ? target.reported.running + target.reported.waiting + target.sentSinceReport
                                         : target.inFlight;
     double cost = static_cast<double>(known + 1) / slots;
-    cost += distanceCost(target.tier) + failureCost * target.failurePart;
+    cost += distanceCost(target.tier, responseSize) + failureCost * target.failurePart;
     if (now - target.servingSince < coldTargetTime)
         cost += coldTargetCost;
     return cost;
@@ -106,7 +108,7 @@
         if (!target->ejection.isUsable(now) || (avoidTried && isTried(request, target->endpoint.target)))
             continue;
         const double noise = tieNoise * static_cast<double>(uniformBelow(m_random, noiseSteps)) / noiseSteps;
-        const double targetCost = cost(*target, now) + noise;
+        const double targetCost = cost(*target, request.responseSize, now) + noise;
         if (!best || targetCost < bestCost) {
             best = target;
             bestCost = targetCost;
--- a/src/proxy/table_watch.cpp
+++ b/src/proxy/table_watch.cpp
@@ -60,7 +60,8 @@
 void TableWatch::failed(const absl::Status &status)
 {
     // After a gap the table is read whole; a connection that broke may have cost nothing.
-    if (errorKind(status) == ErrorKind::RevisionGap)
+    // After more than one failure the rows as they stand are fewer than all their changes.
+    if (errorKind(status) == ErrorKind::RevisionGap || m_failures > 0)
         m_mustRead = true;
     if (m_failures == 0)
         LogEvent(LogLevel::Warn, "table.lost").field("table", m_name).error(status).write(m_log);
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <ctime>
 #include <utility>
 
 namespace dandeliondock {
@@ -80,6 +81,7 @@
         if (absl::Status status = server->listen(address); !status.ok())
             return status;
     }
+    watchLoop();
     // Connections between proxies stay open while they are used now and then.
     ConnectionLimits limits;
     limits.idleTime = std::chrono::minutes(1);
@@ -201,6 +203,28 @@
         m_attempts.push_back(std::move(attempt));
 }
 
+void TrafficDuty::watchLoop()
+{
+    const MonotonicTime due = EventLoop::now() + loopWatch;
+    const std::clock_t usedBefore = std::clock();
+    m_loopTimer = m_loop.after(loopWatch, [this, due, usedBefore] {
+        const Microseconds late = EventLoop::now() - due;
+        m_metrics.latency("loop_lateness_seconds").record(late);
+        if (late >= loopLate) {
+            const auto used = static_cast<std::int64_t>(std::clock() - usedBefore) * 1'000 / CLOCKS_PER_SEC;
+            LogEvent(LogLevel::Warn, "proxy.short_of_time")
+                    .field("late_ms", std::chrono::duration_cast<Milliseconds>(late).count())
+                    .field("processor_ms", used)
+                    .field("requests", m_metrics.counter("requests_total").value())
+                    .field("callers", m_callers.connections())
+                    .field("open", m_callers.openExchanges())
+                    .field("jobs", m_door.openJobs())
+                    .write(m_log);
+        }
+        watchLoop();
+    });
+}
+
 void TrafficDuty::handleMetrics(const LoopExchangePtr &exchange)
 {
     HttpResponse response;
--- a/src/proxy/traffic_duty.h
+++ b/src/proxy/traffic_duty.h
@@ -46,6 +46,11 @@
 /// \brief Time between two looks at what is still open while the proxy ends.
 inline constexpr Milliseconds drainCheck{100};
 
+/// \brief Time between two looks at how late the loop runs.
+inline constexpr Milliseconds loopWatch{1'000};
+/// \brief Lateness from which on the loop is said to be short of processor time.
+inline constexpr Milliseconds loopLate{100};
+
 /// \brief The duty that carries requests: every listener, the door and the forwarder, on one event loop.
 ///
 /// \remark Every method is to be called on the duty's loop, or before it runs.
@@ -70,6 +75,7 @@
     void announced(AnnouncementEffect effect);
     void checkDrained();
     void gather(RolloutAttempt attempt);
+    void watchLoop();
     [[nodiscard]] DoorParts doorParts();
     [[nodiscard]] ForwarderParts forwarderParts();
     [[nodiscard]] Endpoint ownEndpoint() const;
@@ -90,6 +96,7 @@
     LoopServer m_metricsServer;
     RolloutAttempts m_attempts;
     LoopTimer m_attemptsTimer;
+    LoopTimer m_loopTimer;
     LoopTimer m_drainTimer;
     MonotonicTime m_drainSince;
     std::function<void()> m_onEnded;
--- a/src/routing/class_queue.cpp
+++ b/src/routing/class_queue.cpp
@@ -11,12 +11,15 @@
     return static_cast<std::size_t>(workClass);
 }
 
+// For std::upper_bound.
+constexpr auto isBefore = [](MonotonicTime deadline, const auto &waiter) { return deadline < waiter.deadline; };
+
 } // namespace
 
 Admission ClassQueue::offer(WaiterId id, WorkClass workClass, MonotonicTime deadline, MonotonicTime now,
                             const QueuePace &pace)
 {
-    const auto turns = static_cast<std::int64_t>(ahead(workClass)) + 1;
+    const auto turns = static_cast<std::int64_t>(ahead(workClass, deadline)) + 1;
     if (now + pace.perTurn * turns + pace.perRequest > deadline)
         return {AdmissionVerdict::TooLate, std::nullopt};
     Admission admission;
@@ -25,7 +28,9 @@
         if (!admission.displaced)
             return {AdmissionVerdict::Overloaded, std::nullopt};
     }
-    m_waiters.at(indexOf(workClass)).push_back(id);
+    auto &ofClass = m_waiters.at(indexOf(workClass));
+    const auto place = std::upper_bound(ofClass.begin(), ofClass.end(), deadline, isBefore);
+    ofClass.insert(place, {id, deadline});
     return admission;
 }
 
@@ -33,8 +38,10 @@
 {
     std::vector<WaiterId> waiters;
     waiters.reserve(size());
-    for (const auto &ofClass : m_waiters)
-        waiters.insert(waiters.end(), ofClass.begin(), ofClass.end());
+    for (const auto &ofClass : m_waiters) {
+        for (const Waiter &waiter : ofClass)
+            waiters.push_back(waiter.id);
+    }
     return waiters;
 }
 
@@ -43,7 +50,7 @@
     for (auto &ofClass : m_waiters) {
         if (ofClass.empty())
             continue;
-        const WaiterId first = ofClass.front();
+        const WaiterId first = ofClass.front().id;
         ofClass.erase(ofClass.begin());
         return first;
     }
@@ -53,7 +60,7 @@
 void ClassQueue::withdraw(WaiterId id)
 {
     for (auto &ofClass : m_waiters)
-        ofClass.erase(std::remove(ofClass.begin(), ofClass.end(), id), ofClass.end());
+        std::erase_if(ofClass, [id](const Waiter &waiter) { return waiter.id == id; });
 }
 
 std::size_t ClassQueue::ahead(WorkClass workClass) const noexcept
@@ -64,6 +71,13 @@
     return count;
 }
 
+std::size_t ClassQueue::ahead(WorkClass workClass, MonotonicTime deadline) const noexcept
+{
+    const auto &ofClass = m_waiters[indexOf(workClass)];
+    const auto later = std::upper_bound(ofClass.begin(), ofClass.end(), deadline, isBefore);
+    return ahead(workClass) - static_cast<std::size_t>(ofClass.end() - later);
+}
+
 std::size_t ClassQueue::size() const noexcept
 {
     return ahead(WorkClass::Deferrable);
@@ -89,7 +103,7 @@
         auto &ofClass = m_waiters.at(index);
         if (ofClass.empty())
             continue;
-        const WaiterId displaced = ofClass.back();
+        const WaiterId displaced = ofClass.back().id;
         ofClass.pop_back();
         return displaced;
     }
