Follow the tables through one proxy a region; own data centre first until it is busy

Cause: every proxy read each configuration (97 kB) from the platform, half of them over the link between regions; and requests were spread over the data centres by linear load, though bytes between them are dear. Change: the doors of a region form a tree by their order, whose first one reads from the platform; a proxy that lost the platform tells its followers at once, and they read for themselves.

--- a/include/dandeliondock/proxy/control_duty.h
+++ b/include/dandeliondock/proxy/control_duty.h
@@ -7,6 +7,7 @@
 #include <dandeliondock/http/loop_client.h>
 #include <dandeliondock/proxy/operator_documents.h>
 #include <dandeliondock/proxy/rollout_control.h>
+#include <dandeliondock/proxy/table_relay.h>
 #include <dandeliondock/proxy/table_watch.h>
 #include <dandeliondock/store/async_table.h>
 
@@ -52,6 +53,7 @@
     NodeId node;
     Incarnation incarnation;
     Address door;
+    RegionName region;
     ServiceName service;
     /// Hands news to the traffic duty; called on this duty's thread.
     std::function<void(ControlNews)> tell;
@@ -72,8 +74,8 @@
 
     void record(const AttemptReport &report, TicketNumber rollout) { m_rollout.record(report, rollout); }
 
-    /// \brief Takes another proxy's outcome report; the response's body.
-    [[nodiscard]] std::string takeReport(absl::string_view body) { return m_rollout.takeReport(body); }
+    /// \brief Takes another proxy's call; \c respond gets a status and a body, now or later.
+    void handle(absl::string_view path, absl::string_view body, std::function<void(int, std::string)> respond);
 
 private:
     void readOperator(const TableReading &reading);
@@ -88,8 +90,12 @@
     [[nodiscard]] std::uint32_t serving(const VersionName &version) const;
     [[nodiscard]] std::size_t rank() const;
     [[nodiscard]] RolloutControlParts rolloutParts();
+    [[nodiscard]] TableRelayParts relayParts();
+    [[nodiscard]] std::vector<Address> doorsOfRegion() const;
 
     ControlDutyParts m_parts;
+    TableRelay m_relay;
+    AsyncTableHooks m_table; ///< through the relay
     TableWatch m_operatorWatch;
     TableWatch m_sharedWatch;
     RolloutControl m_rollout;
--- a/include/dandeliondock/proxy/placement.h
+++ b/include/dandeliondock/proxy/placement.h
@@ -20,13 +20,13 @@
 
 /// \brief Age at which the load that a proxy reported is no longer believed.
 inline constexpr Milliseconds doorLoadLife{1'000};
-/// \brief Added to a target's load, as a part of its slots, for each step of distance: the time that the way takes,
-/// and the bytes that are paid for on it.
-inline constexpr double otherDataCentreCost = 0.06;
+/// \brief Costs of distance beside the cube of a target's load as a part of its slots: a target that is half busy costs
+/// little, one that is full costs 1. They stand for the time that the way takes and the bytes that are paid for on it.
+inline constexpr double otherDataCentreCost = 0.10;
 inline constexpr double otherRegionCost = 0.30;
-/// \brief Added for a target of another region for each 10 kB of a response: the link between regions is narrow, and a
-/// long response holds up everything on it.
-inline constexpr double otherRegionCostPerTenKilobytes = 0.10;
+/// \brief Added outside the own data centre for each 10 kB of a response: the link between regions is narrow, and a long
+/// response holds up everything on it.
+inline constexpr double distanceCostPerTenKilobytes = 0.10;
 /// \brief Added while a target is new: it works at about half of its speed.
 inline constexpr double coldTargetCost = 0.40;
 /// \brief Time for which a target counts as new.
--- /dev/null
+++ b/include/dandeliondock/proxy/table_relay.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <dandeliondock/core/log_event.h>
+#include <dandeliondock/core/metrics.h>
+#include <dandeliondock/http/event_loop.h>
+#include <dandeliondock/http/loop_client.h>
+#include <dandeliondock/proxy/table_cache.h>
+#include <dandeliondock/store/async_table.h>
+
+#include <absl/container/flat_hash_map.h>
+#include <absl/strings/string_view.h>
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dandeliondock {
+
+/// \brief Path on a door at which a proxy passes changes of a table on.
+inline constexpr absl::string_view tablePath = "/dock/table";
+/// \brief Proxies that follow one other proxy.
+inline constexpr std::size_t relayFanOut = 8;
+/// \brief Longest wait for a change, at the platform and at another proxy. A proxy that lost the platform in silence
+/// shows it to its followers within this time and the client's margin, well before a configuration must be in force.
+inline constexpr Milliseconds relayHold{700};
+/// \brief Time after which a held call to another proxy counts as lost.
+inline constexpr Milliseconds relayMargin{400};
+/// \brief Time for which a proxy is not followed after it failed; doubles with each failure.
+inline constexpr Milliseconds relayDistrust{3'000};
+inline constexpr Milliseconds longestDistrust{30'000};
+
+/// \brief What a relay works with.
+struct TableRelayParts
+{
+    EventLoop *loop = nullptr;
+    LoopClient *client = nullptr;
+    AsyncTableHooks platform;
+    LogSink log;
+    Address door;
+    /// Doors of the own region in their order, the own one included when it is known.
+    std::function<std::vector<Address>()> doors;
+};
+
+/// \brief Follows the tables through another proxy of the region, and lets others follow.
+///
+/// The doors of a region in the order of their addresses form a tree; the first one reads from the platform, so that one
+/// copy of a change crosses the link for each region. A proxy that fails or has lost the platform itself is passed over,
+/// and whoever has nobody to follow reads from the platform.
+///
+/// \remark Belongs to the control duty's thread.
+class TableRelay
+{
+public:
+    explicit TableRelay(TableRelayParts parts) : m_parts(std::move(parts)) {}
+
+    /// \brief The table's hooks through this relay.
+    [[nodiscard]] AsyncTableHooks hooks();
+
+    /// \brief Takes what was read, and answers the followers that wait for it.
+    void take(const TableName &table, const TableReading &reading, bool isWhole);
+
+    /// \brief Says whether a table can be followed here; when not, the followers that wait are told at once.
+    void setCurrent(const TableName &table, bool isCurrent);
+
+    /// \brief Takes a follower's call; \c respond gets a status and a body.
+    void handle(absl::string_view body, std::function<void(int, std::string)> respond);
+
+private:
+    struct Follower
+    {
+        RowVersion after;
+        std::function<void(int, std::string)> respond;
+        LoopTimer timer;
+    };
+
+    struct Table
+    {
+        TableCache cache;
+        bool isCurrent = false;
+        std::map<std::uint64_t, Follower> followers;
+    };
+
+    struct Distrust
+    {
+        MonotonicTime until;
+        Milliseconds length{0};
+    };
+
+    [[nodiscard]] std::optional<Address> parent() const;
+    void follow(const Address &parent, const TableName &table, RowVersion after, TableReadingHandler handler);
+    void readPlatform(const TableName &table, RowVersion after, TableReadingHandler handler);
+    void distrust(const Address &parent, const absl::Status &status);
+    void answer(Table &table, std::uint64_t follower);
+
+    TableRelayParts m_parts;
+    absl::flat_hash_map<TableName, Table> m_tables;
+    absl::flat_hash_map<Address, Distrust> m_distrusted;
+    std::uint64_t m_lastFollower = 0;
+};
+
+} // namespace dandeliondock
--- a/include/dandeliondock/proxy/table_watch.h
+++ b/include/dandeliondock/proxy/table_watch.h
@@ -26,9 +26,11 @@
 public:
     /// Takes a reading; \c isWhole says that rows not in it do not exist.
     using Handler = std::function<void(const TableReading &reading, bool isWhole)>;
+    /// Told when the table was lost or regained.
+    using CurrentHandler = std::function<void(bool)>;
 
     TableWatch(EventLoop &loop, const AsyncTableHooks &table, TableName name, WatchPace pace, RandomSource random,
-               LogSink log, Handler handler);
+               LogSink log, Handler handler, CurrentHandler onCurrent);
 
     void start();
 
@@ -51,6 +53,7 @@
     RandomSource m_random;
     LogSink m_log;
     Handler m_handler;
+    CurrentHandler m_onCurrent;
     LoopTimer m_timer;
     RowVersion m_upTo;
     int m_failures = 0;
--- /dev/null
+++ b/src/codec/table_codec.cpp
@@ -0,0 +1,67 @@
+#include <dandeliondock/codec/bytes.h>
+#include <dandeliondock/codec/compression.h>
+#include <dandeliondock/codec/table_codec.h>
+
+#include <proxy.pb.h>
+
+namespace dandeliondock {
+
+namespace {
+
+constexpr ByteCount largestCopy{64 * 1'024 * 1'024};
+
+} // namespace
+
+std::string encodeTablePoll(const TablePoll &poll)
+{
+    wire::TablePoll message;
+    message.set_table(poll.table.value());
+    message.set_after(poll.after.value());
+    return message.SerializeAsString();
+}
+
+absl::StatusOr<TablePoll> decodeTablePoll(absl::string_view bytes)
+{
+    const auto message = parseBytes<wire::TablePoll>(bytes, ErrorKind::InvalidMessage, "a call for changes");
+    if (!message.ok())
+        return message.status();
+    if (message->table().empty())
+        return makeError(ErrorKind::InvalidMessage, "a call for changes names no table");
+    return TablePoll{TableName(message->table()), RowVersion(message->after())};
+}
+
+std::string encodeTableReading(const TableReading &reading)
+{
+    wire::TableCopy message;
+    for (const TableRow &row : reading.rows) {
+        wire::TableRow &added = *message.add_rows();
+        added.set_key(row.key.value());
+        added.set_version(row.version.value());
+        added.set_value(row.value);
+    }
+    for (const RowKey &key : reading.removed)
+        message.add_removed(key.value());
+    message.set_up_to(reading.upTo.value());
+    message.set_table_ms(reading.tableTime.time_since_epoch().count());
+    return compressBytes(message.SerializeAsString());
+}
+
+absl::StatusOr<TableReading> decodeTableReading(absl::string_view bytes)
+{
+    const auto plain = decompressBytes(bytes, largestCopy);
+    if (!plain.ok())
+        return plain.status();
+    const auto message = parseBytes<wire::TableCopy>(*plain, ErrorKind::InvalidMessage, "a copy of a table");
+    if (!message.ok())
+        return message.status();
+    TableReading reading;
+    for (const wire::TableRow &row : message->rows())
+        reading.rows.push_back({RowKey(row.key()), RowVersion(row.version()), row.value()});
+    for (const std::string &key : message->removed())
+        reading.removed.emplace_back(key);
+    reading.upTo = RowVersion(message->up_to());
+    reading.tableTime = WallTime(Milliseconds(message->table_ms()));
+    return reading;
+}
+
+} // namespace dandeliondock
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -12,6 +12,7 @@
 
 namespace {
 
+constexpr int outcomesTaken = 200;
 constexpr absl::string_view targetPrefix = "target/";
 constexpr absl::string_view servicePrefix = "service/";
 
@@ -45,14 +46,56 @@
 
 ControlDuty::ControlDuty(ControlDutyParts parts)
     : m_parts(std::move(parts)),
-      m_operatorWatch(*m_parts.loop, m_parts.table, m_parts.documents.table, {}, m_parts.random, m_parts.log,
-                      [this](const TableReading &reading, bool) { readOperator(reading); }),
-      m_sharedWatch(*m_parts.loop, m_parts.table, sharedTable(), {}, m_parts.random, m_parts.log,
-                    [this](const TableReading &reading, bool isWhole) { readShared(reading, isWhole); }),
+      m_relay(relayParts()), m_table(m_relay.hooks()),
+      m_operatorWatch(
+              *m_parts.loop, m_table, m_parts.documents.table, {}, m_parts.random, m_parts.log,
+              [this](const TableReading &reading, bool isWhole) {
+                  m_relay.take(m_parts.documents.table, reading, isWhole);
+                  readOperator(reading);
+              },
+              [this](bool isCurrent) { m_relay.setCurrent(m_parts.documents.table, isCurrent); }),
+      m_sharedWatch(
+              *m_parts.loop, m_table, sharedTable(), {}, m_parts.random, m_parts.log,
+              [this](const TableReading &reading, bool isWhole) {
+                  m_relay.take(sharedTable(), reading, isWhole);
+                  readShared(reading, isWhole);
+              },
+              [this](bool isCurrent) { m_relay.setCurrent(sharedTable(), isCurrent); }),
       m_rollout(rolloutParts())
 {
 }
 
+TableRelayParts ControlDuty::relayParts()
+{
+    TableRelayParts parts;
+    parts.loop = m_parts.loop;
+    parts.client = m_parts.client;
+    parts.platform = m_parts.table;
+    parts.log = m_parts.log;
+    parts.door = m_parts.door;
+    parts.doors = [this] { return doorsOfRegion(); };
+    return parts;
+}
+
+std::vector<Address> ControlDuty::doorsOfRegion() const
+{
+    std::vector<Address> doors;
+    for (const auto &[door, endpoint] : m_endpoints) {
+        if (endpoint.region == m_parts.region && endpoint.stamp.state == EndpointState::Serving)
+            doors.push_back(door);
+    }
+    return doors;
+}
+
+void ControlDuty::handle(absl::string_view path, absl::string_view body,
+                         std::function<void(int, std::string)> respond)
+{
+    if (path == tablePath)
+        m_relay.handle(body, std::move(respond));
+    else
+        respond(outcomesTaken, m_rollout.takeReport(body));
+}
+
 RolloutControlParts ControlDuty::rolloutParts()
 {
     RolloutControlParts parts;
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -9,21 +9,16 @@
 
 constexpr double failureSmoothing = 0.1;
 constexpr double tenKilobytes = 10'000;
+constexpr double loadOrder = 0.1; // orders targets that are hardly busy
 constexpr double tieNoise = 0.02; // keeps callers with the same knowledge from choosing alike
 constexpr std::uint64_t noiseSteps = 1'000;
 
 double distanceCost(LocalityTier tier, ByteCount responseSize)
 {
-    switch (tier) {
-    case LocalityTier::DataCentre:
+    if (tier == LocalityTier::DataCentre)
         return 0;
-    case LocalityTier::Region:
-        return otherDataCentreCost;
-    case LocalityTier::OtherRegion:
-        break;
-    }
-    return otherRegionCost
-           + otherRegionCostPerTenKilobytes * static_cast<double>(responseSize.value()) / tenKilobytes;
+    const double way = tier == LocalityTier::Region ? otherDataCentreCost : otherRegionCost;
+    return way + distanceCostPerTenKilobytes * static_cast<double>(responseSize.value()) / tenKilobytes;
 }
 
 bool isTried(const PlacementRequest &request, const TargetId &target)
@@ -40,7 +35,8 @@
     const std::uint32_t slots = std::max<std::uint32_t>(1, isFresh ? target.reported.slots : announced);
     const std::uint32_t known = isFresh ? target.reported.running + target.reported.waiting + target.sentSinceReport
                                         : target.inFlight;
-    double cost = static_cast<double>(known + 1) / slots;
+    const double load = static_cast<double>(known + 1) / slots;
+    double cost = load * load * load + loadOrder * load;
     cost += distanceCost(target.tier, responseSize) + failureCost * target.failurePart;
     if (now - target.servingSince < coldTargetTime)
         cost += coldTargetCost;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -71,6 +71,7 @@
                 std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch())
                         .count()));
         parts.door = m_settings.door;
+        parts.region = m_settings.region;
         parts.service = m_settings.service;
         parts.tell = [this](ControlNews news) { m_controlNews.push(std::move(news)); };
         return parts;
@@ -84,8 +85,8 @@
             std::for_each(attempts->begin(), attempts->end(), [this](const RolloutAttempt &attempt) {
                 m_control.record(attempt.report, attempt.rollout);
             });
-        else if (const auto *report = std::get_if<ReceivedReport>(&news))
-            report->respond(m_control.takeReport(report->body));
+        else if (auto *call = std::get_if<PeerCall>(&news))
+            m_control.handle(call->path, call->body, std::move(call->respond));
     }
 
     const ProxySettings m_settings;
--- /dev/null
+++ b/src/proxy/table_cache.cpp
@@ -0,0 +1,51 @@
+#include <dandeliondock/proxy/table_cache.h>
+
+#include <algorithm>
+
+namespace dandeliondock {
+
+void TableCache::take(const TableReading &reading, bool isWhole)
+{
+    if (reading.upTo < m_upTo)
+        return;
+    if (isWhole) {
+        m_rows.clear();
+        m_removals.clear();
+        m_completeFrom = reading.upTo;
+    }
+    for (const TableRow &row : reading.rows) {
+        TableRow &held = m_rows[row.key];
+        if (held.version <= row.version)
+            held = row;
+    }
+    for (const RowKey &key : reading.removed) {
+        m_rows.erase(key);
+        m_removals.emplace_back(reading.upTo, key);
+    }
+    while (m_removals.size() > removalsKept) {
+        m_completeFrom = m_removals.front().first;
+        m_removals.pop_front();
+    }
+    m_upTo = reading.upTo;
+    m_tableTime = reading.tableTime;
+}
+
+std::optional<TableReading> TableCache::since(RowVersion after) const
+{
+    if (after < m_completeFrom)
+        return std::nullopt;
+    TableReading reading;
+    reading.upTo = std::max(m_upTo, after);
+    reading.tableTime = m_tableTime;
+    for (const auto &[key, row] : m_rows) {
+        if (row.version > after)
+            reading.rows.push_back(row);
+    }
+    for (const auto &[version, key] : m_removals) {
+        if (version > after && !m_rows.contains(key))
+            reading.removed.push_back(key);
+    }
+    return reading;
+}
+
+} // namespace dandeliondock
--- a/src/proxy/table_watch.cpp
+++ b/src/proxy/table_watch.cpp
@@ -13,9 +13,9 @@
 } // namespace
 
 TableWatch::TableWatch(EventLoop &loop, const AsyncTableHooks &table, TableName name, WatchPace pace,
-                       RandomSource random, LogSink log, Handler handler)
+                       RandomSource random, LogSink log, Handler handler, CurrentHandler onCurrent)
     : m_loop(loop), m_table(table), m_name(std::move(name)), m_pace(pace), m_random(std::move(random)),
-      m_log(std::move(log)), m_handler(std::move(handler))
+      m_log(std::move(log)), m_handler(std::move(handler)), m_onCurrent(std::move(onCurrent))
 {
 }
 
@@ -47,6 +47,7 @@
                 .field("version", reading->upTo)
                 .field("failures", m_failures)
                 .write(m_log);
+        m_onCurrent(true);
     }
     m_failures = 0;
     m_isSynced = true;
@@ -63,8 +64,10 @@
     // After more than one failure the rows as they stand are fewer than all their changes.
     if (errorKind(status) == ErrorKind::RevisionGap || m_failures > 0)
         m_mustRead = true;
-    if (m_failures == 0)
+    if (m_failures == 0) {
         LogEvent(LogLevel::Warn, "table.lost").field("table", m_name).error(status).write(m_log);
+        m_onCurrent(false);
+    }
     const Milliseconds base = std::min(m_pace.longestRetry, m_pace.firstRetry * (1 << std::min(m_failures, mostDoublings)));
     ++m_failures;
     const auto wait = Milliseconds(uniformBelow(m_random, static_cast<std::uint64_t>(base.count()))) + base / 2;
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -172,14 +172,16 @@
 
 void TrafficDuty::handleDoor(const LoopExchangePtr &exchange)
 {
-    if (exchange->request().target == outcomesPath) {
-        m_tell(ReceivedReport{std::move(exchange->request().body), [this, exchange](std::string body) {
-                                  m_loop.post([exchange, body = std::move(body)]() mutable {
-                                      HttpResponse response;
-                                      response.body = std::move(body);
-                                      exchange->respond(std::move(response));
-                                  });
-                              }});
+    const std::string &path = exchange->request().target;
+    if (path == outcomesPath || path == tablePath) {
+        m_tell(PeerCall{path, std::move(exchange->request().body), [this, exchange](int status, std::string body) {
+                            m_loop.post([exchange, status, body = std::move(body)]() mutable {
+                                HttpResponse response;
+                                response.status = status;
+                                response.body = std::move(body);
+                                exchange->respond(std::move(response));
+                            });
+                        }});
         return;
     }
     auto request = decodeDoorRequest(std::move(exchange->request()), exchange->arrivedAt());
--- a/src/proxy/traffic_duty.h
+++ b/src/proxy/traffic_duty.h
@@ -28,15 +28,16 @@
 /// \brief Most attempts that gather; more are left out.
 inline constexpr std::size_t attemptsGathered = 1'024;
 
-/// \brief Another proxy's outcome report; \c respond may be called on any thread.
-struct ReceivedReport
+/// \brief Another proxy's call to the control duty; \c respond may be called on any thread.
+struct PeerCall
 {
+    std::string path;
     std::string body;
-    std::function<void(std::string)> respond;
+    std::function<void(int, std::string)> respond;
 };
 
 /// \brief What the traffic duty tells the control duty.
-using TrafficNews = std::variant<Endpoint, RolloutAttempts, ReceivedReport>;
+using TrafficNews = std::variant<Endpoint, RolloutAttempts, PeerCall>;
 
 /// \brief Time for which a proxy that ends still takes callers' requests: readiness is asked for every second, and two
 /// misses keep callers away.
--- /dev/null
+++ b/tests/platform/operator_rows_test.cpp
@@ -0,0 +1,92 @@
+#include <platform/operator_rows.h>
+
+#include <dandeliondock/core/error.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+
+namespace dandeliondock::platform {
+namespace {
+
+const std::string whole =
+        R"({"version":"r7","routes":{)"
+        R"("a":{"host":"h","prefix":"/a/","kind":"safe","timeout_ms":1000,"target_latency_ms":300,"priority":2,)"
+        R"("weighted_services":[{"service":"s","weight":90},{"service":"t","weight":10}],"max_attempts":2},)"
+        R"("b":{"host":"h","prefix":"/a/b/","kind":"unsafe","timeout_ms":1200,"priority":1,"service":"t"}},)"
+        R"("services":{"s":{"health_path":"/health","max_connections":130},"t":{"health_path":"/h"}},)"
+        R"("limits":{"max_header_bytes":100,"max_body_bytes":200,"header_timeout_ms":300,"idle_timeout_ms":400}})";
+
+absl::StatusOr<OperatorDocument> readConfigText(const std::string &text)
+{
+    return operatorRows().read({RowKey("config"), RowVersion(3), text});
+}
+
+std::string with(const std::string &from, const std::string &to)
+{
+    std::string text = whole;
+    text.replace(text.find(from), from.size(), to);
+    return text;
+}
+
+} // namespace
+
+TEST_CASE("a configuration is read into routes, services and limits", "[platform]")
+{
+    const auto document = readConfigText(whole);
+    REQUIRE(document.ok());
+    const ProxyConfigPtr config = std::get<ProxyConfigPtr>(*document);
+    CHECK(config->state->revision() == RevisionNumber(7));
+    CHECK(config->limits
+          == ConnectionLimits{ByteCount(100), ByteCount(200), Milliseconds(300), Milliseconds(400)});
+    const RouteMatch lookup = config->routes.match("H", "/a/1?x=/a/b/");
+    REQUIRE(lookup.route != nullptr);
+    CHECK(lookup.route->idempotent);
+    CHECK(lookup.route->attempts == 2);
+    CHECK(lookup.route->split.size() == 2);
+    CHECK(lookup.route->workClass == WorkClass::Deferrable);
+    CHECK(lookup.route->targetLatency == Milliseconds(300));
+    const RouteMatch order = config->routes.match("h", "/a/b/1");
+    REQUIRE(order.route != nullptr);
+    CHECK_FALSE(order.route->idempotent);
+    CHECK(order.route->workClass == WorkClass::Interactive);
+    CHECK(config->routes.match("h", "/b/").route == nullptr);
+    CHECK(config->routes.match("other", "/a/").route == nullptr);
+}
+
+// Guards against a configuration that is applied in part, or that names a service which does not exist.
+TEST_CASE("a configuration with a fault is refused whole", "[platform]")
+{
+    for (const std::string &text :
+         {whole.substr(0, whole.size() / 2), with("\"r7\"", "7"), with("\"r7\"", "\"7\""), with("\"r7\"", "\"r0\""),
+          with("\"service\":\"t\"}},", "\"service\":\"u\"}},"), with("\"weight\":90", "\"weight\":\"90\""),
+          with("\"/a/b/\"", "\"/a/b\""), with("\"unsafe\"", "\"other\""), with("\"timeout_ms\":1200", "\"timeout_ms\":0"),
+          with("\"weight\":10", "\"weight\":-10"), with("{\"service\":\"t\",\"weight\":10}", "{\"service\":\"u\",\"weight\":10}")}) {
+        INFO(text);
+        const auto document = readConfigText(text);
+        CHECK_FALSE(document.ok());
+    }
+}
+
+TEST_CASE("a rollout's order is numbered by its row, and answered in the status table", "[platform]")
+{
+    const OperatorDocuments rows = operatorRows();
+    const auto document = rows.read({RowKey("rollout/s"), RowVersion(9),
+                                     R"({"service":"s","target":"v2","duration_s":12.5})"});
+    REQUIRE(document.ok());
+    const auto &order = std::get<RolloutOrder>(*document);
+    CHECK(order.number == TicketNumber(9));
+    CHECK(order.target == VersionName("v2"));
+    CHECK(order.duration == Milliseconds(12'500));
+    CHECK_FALSE(rows.read({RowKey("rollout/s"), RowVersion(9), R"({"service":"t","target":"v2","duration_s":1})"}).ok());
+    CHECK_FALSE(rows.read({RowKey("rollout/s"), RowVersion(9), R"({"service":"s","target":"v2"})"}).ok());
+    const TableWrite status = rows.status(ServiceName("s"), VersionName("v2"), RolloutState::RolledBack);
+    CHECK(status.table == TableName("status"));
+    CHECK(status.row.key == RowKey("rollout/s"));
+    CHECK(*status.row.value == R"({"service":"s","state":"rolled_back","target":"v2"})");
+    const auto other = rows.read({RowKey("else"), RowVersion(1), "anything"});
+    REQUIRE(other.ok());
+    CHECK(std::holds_alternative<std::monostate>(*other));
+}
+
+} // namespace dandeliondock::platform
--- /dev/null
+++ b/tests/proxy/door_queue_test.cpp
@@ -0,0 +1,114 @@
+#include <dandeliondock/proxy/door_queue.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <map>
+#include <set>
+
+namespace dandeliondock {
+namespace {
+
+const DoorWork order{RouteName("order"), WorkClass::Interactive};
+const DoorWork lookup{RouteName("lookup"), WorkClass::Interactive};
+const DoorWork document{RouteName("document"), WorkClass::Deferrable};
+
+MonotonicTime at(int milliseconds)
+{
+    return MonotonicTime(Milliseconds(milliseconds));
+}
+
+// A queue with one slot that is taken, where orders take 100 ms and lookups 10 ms.
+DoorQueue busyQueue()
+{
+    DoorQueue queue;
+    queue.setSlots(SlotCount(1));
+    std::uint64_t id = 1'000;
+    for (int round = 0; round < 200; ++round) {
+        CHECK(queue.offer(WaiterId(++id), order, at(10'000), at(0)).verdict == DoorVerdict::Run);
+        queue.finished(order.route, Milliseconds(100));
+        CHECK(queue.offer(WaiterId(++id), lookup, at(10'000), at(0)).verdict == DoorVerdict::Run);
+        queue.finished(lookup.route, Milliseconds(10));
+    }
+    CHECK(queue.offer(WaiterId(1), order, at(10'000), at(0)).verdict == DoorVerdict::Run);
+    return queue;
+}
+
+} // namespace
+
+// Guards against short calls of running requests that are refused because long work shares their target: with one mean
+// for all routes, a lookup with 120 ms left was refused although it needs 10.
+TEST_CASE("a request is refused as late by the time that its own route needs", "[proxy]")
+{
+    DoorQueue queue = busyQueue();
+    CHECK(queue.offer(WaiterId(2), lookup, at(120), at(0)).verdict == DoorVerdict::Wait);
+    CHECK(queue.offer(WaiterId(3), order, at(120), at(0)).verdict == DoorVerdict::Refuse);
+}
+
+// Guards against short calls that wait behind long work of the same class.
+TEST_CASE("within a class the earliest deadline runs next", "[proxy]")
+{
+    DoorQueue queue = busyQueue();
+    CHECK(queue.offer(WaiterId(2), order, at(1'000), at(0)).verdict == DoorVerdict::Wait);
+    CHECK(queue.offer(WaiterId(3), lookup, at(300), at(0)).verdict == DoorVerdict::Wait);
+    CHECK(queue.offer(WaiterId(4), document, at(250), at(0)).verdict == DoorVerdict::Wait);
+    queue.finished(order.route, Milliseconds(100));
+    CHECK(queue.next() == WaiterId(3));
+    CHECK_FALSE(queue.next().has_value());
+}
+
+// Guards against more work at a target than it has slots, and against slots that are lost.
+TEST_CASE("no more requests run than there are slots, and a free slot does not stay free", "[proxy]")
+{
+    rc::prop("arrivals, ends and withdrawals in any order", [] {
+        constexpr std::uint32_t slots = 3;
+        DoorQueue queue;
+        queue.setSlots(SlotCount(slots));
+        std::set<WaiterId> waiting;
+        std::uint32_t running = 0;
+        std::uint64_t last = 0;
+        const auto runNext = [&] {
+            while (const auto id = queue.next()) {
+                RC_ASSERT(waiting.erase(*id) == 1U);
+                ++running;
+            }
+        };
+        const auto steps = *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 5));
+        for (const int step : steps) {
+            if (step == 4 && running > 0) {
+                --running;
+                queue.finished(order.route, Milliseconds(10));
+                runNext();
+            } else if (step == 3 && !waiting.empty()) {
+                queue.withdraw(*waiting.begin());
+                waiting.erase(waiting.begin());
+            } else if (step < 3) {
+                const DoorWork work{order.route, static_cast<WorkClass>(step)};
+                const WaiterId id(++last);
+                const DoorAdmission admission = queue.offer(id, work, at(100'000), at(0));
+                if (admission.displaced)
+                    RC_ASSERT(waiting.erase(*admission.displaced) == 1U);
+                if (admission.verdict == DoorVerdict::Run)
+                    ++running;
+                else if (admission.verdict == DoorVerdict::Wait)
+                    waiting.insert(id);
+            }
+            RC_ASSERT(running <= slots);
+            RC_ASSERT(waiting.empty() || running == slots);
+            const DoorLoad load = queue.load();
+            RC_ASSERT(load.running == running);
+            RC_ASSERT(load.waiting == waiting.size());
+        }
+    });
+}
+
+// Guards against callers that are told to come back at once to a full queue.
+TEST_CASE("a refusal tells when a slot is likely to be free", "[proxy]")
+{
+    DoorQueue queue = busyQueue();
+    const DoorAdmission refused = queue.offer(WaiterId(2), order, at(20), at(0));
+    REQUIRE(refused.verdict == DoorVerdict::Refuse);
+    CHECK(refused.retryAfter >= Milliseconds(10));
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/tests/proxy/local_target_test.cpp
@@ -0,0 +1,91 @@
+#include <dandeliondock/proxy/local_target.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <algorithm>
+#include <vector>
+
+namespace dandeliondock {
+namespace {
+
+TargetAnnouncement announcement(const char *id, std::uint64_t startedAt, std::uint64_t sequence,
+                                EndpointState state = EndpointState::Serving)
+{
+    TargetAnnouncement item;
+    item.target = TargetId(id);
+    item.startedAt = Incarnation(startedAt);
+    item.sequence = SequenceNumber(sequence);
+    item.state = state;
+    item.slots = SlotCount(4);
+    item.version = VersionName("v1");
+    return item;
+}
+
+} // namespace
+
+// Guards against new work for a target that leaves because a ready announcement arrives late.
+TEST_CASE("a target that leaves takes no work again in the same life", "[proxy]")
+{
+    LocalTarget target;
+    REQUIRE(target.announce(announcement("a", 10, 1), MonotonicTime{}) == AnnouncementEffect::Changed);
+    REQUIRE(target.announce(announcement("a", 10, 3, EndpointState::Leaving), MonotonicTime{})
+            == AnnouncementEffect::Changed);
+    CHECK(target.announce(announcement("a", 10, 2), MonotonicTime{}) == AnnouncementEffect::Stale);
+    CHECK_FALSE(target.takesWork());
+    target.announce(announcement("a", 10, 4), MonotonicTime{});
+    CHECK_FALSE(target.takesWork());
+}
+
+// Guards against the announcement of a dead target, held up by a cut, that replaces the one now at its address.
+TEST_CASE("an announcement of an earlier start is stale whatever its id and sequence", "[proxy]")
+{
+    LocalTarget target;
+    target.announce(announcement("new", 20, 1), MonotonicTime{});
+    CHECK(target.announce(announcement("old", 10, 9), MonotonicTime{}) == AnnouncementEffect::Stale);
+    CHECK(target.announce(announcement("new", 10, 9), MonotonicTime{}) == AnnouncementEffect::Stale);
+    CHECK(target.announce(announcement("untimed", 0, 9), MonotonicTime{}) == AnnouncementEffect::Stale);
+    CHECK(target.current()->target == TargetId("new"));
+    CHECK(target.takesWork());
+}
+
+// Guards against a late goodbye of a former life that ends the present one.
+TEST_CASE("a departure ends only the life it names", "[proxy]")
+{
+    LocalTarget target;
+    target.announce(announcement("a", 20, 1), MonotonicTime{});
+    CHECK(target.leave(TargetId("a"), Incarnation(10)) == AnnouncementEffect::Stale);
+    CHECK(target.leave(TargetId("b"), std::nullopt) == AnnouncementEffect::Stale);
+    CHECK(target.takesWork());
+    CHECK(target.leave(TargetId("a"), Incarnation(20)) == AnnouncementEffect::Changed);
+    CHECK_FALSE(target.takesWork());
+    CHECK(target.announce(announcement("a", 30, 1), MonotonicTime{}) == AnnouncementEffect::Changed);
+    CHECK(target.takesWork());
+}
+
+// Guards against an order of arrival that decides what is believed.
+TEST_CASE("the latest start wins in whatever order announcements arrive", "[proxy]")
+{
+    rc::prop("announcements of several lives", [] {
+        std::vector<TargetAnnouncement> items;
+        for (std::uint64_t life = 1; life <= 3; ++life) {
+            for (std::uint64_t sequence = 1; sequence <= 3; ++sequence)
+                items.push_back(announcement("a", life * 10, sequence,
+                                             life < 3 && sequence == 3 ? EndpointState::Leaving
+                                                                       : EndpointState::Serving));
+        }
+        const auto keys = *rc::gen::container<std::vector<int>>(items.size(), rc::gen::arbitrary<int>());
+        std::vector<std::size_t> order(items.size());
+        for (std::size_t index = 0; index < order.size(); ++index)
+            order[index] = index;
+        std::stable_sort(order.begin(), order.end(),
+                         [&keys](std::size_t left, std::size_t right) { return keys[left] < keys[right]; });
+        LocalTarget target;
+        for (const std::size_t index : order)
+            target.announce(items[index], MonotonicTime{});
+        RC_ASSERT(target.current()->startedAt == Incarnation(30));
+        RC_ASSERT(target.takesWork());
+    });
+}
+
+} // namespace dandeliondock
--- /dev/null
+++ b/tests/support/loop_thread.h
@@ -0,0 +1,44 @@
+#pragma once
+
+#include <dandeliondock/http/event_loop.h>
+
+#include <functional>
+#include <future>
+#include <thread>
+
+namespace dandeliondock::testing {
+
+/// \brief An event loop on a thread of its own, for the length of a test.
+class LoopThread
+{
+public:
+    LoopThread() : m_thread([this] { m_loop.run(); }) {}
+
+    ~LoopThread()
+    {
+        m_loop.stop();
+        m_thread.join();
+    }
+
+    LoopThread(const LoopThread &) = delete;
+    LoopThread &operator=(const LoopThread &) = delete;
+
+    [[nodiscard]] EventLoop &loop() noexcept { return m_loop; }
+
+    /// \brief Runs \c work on the loop and waits for its end.
+    void run(const std::function<void()> &work)
+    {
+        std::promise<void> done;
+        m_loop.post([&] {
+            work();
+            done.set_value();
+        });
+        done.get_future().wait();
+    }
+
+private:
+    EventLoop m_loop;
+    std::thread m_thread;
+};
+
+} // namespace dandeliondock::testing
