--- a/include/dandeliondock/proxy/door_queue.h
+++ b/include/dandeliondock/proxy/door_queue.h
@@ -30,6 +30,10 @@
     Microseconds retryAfter{0};        ///< of Refuse: when a slot is likely to be free
 };
 
+/// \brief Deviations above the mean within which nearly every request of a route ends: one that is let in with less time
+/// left would take a slot and end too late.
+inline constexpr int workDeviations = 2;
+
 /// \brief What the queue is told of a request.
 struct DoorWork
 {
@@ -64,13 +68,19 @@
     [[nodiscard]] DoorLoad load() const noexcept;
 
 private:
+    struct WorkTime
+    {
+        Microseconds mean{0};
+        Microseconds deviation{0}; ///< mean of the distance from the mean
+    };
+
     [[nodiscard]] QueuePace pace(const RouteName &route) const;
 
     std::uint32_t m_slots = 1;
     std::uint32_t m_running = 0;
     ClassQueue m_queue{smallestQueue};
     Microseconds m_meanWork = assumedWorkTime;
-    absl::flat_hash_map<RouteName, Microseconds> m_routeWork; ///< mean time by route
+    absl::flat_hash_map<RouteName, WorkTime> m_routeWork;
 };
 
 } // namespace dandeliondock
--- a/src/proxy/door_queue.cpp
+++ b/src/proxy/door_queue.cpp
@@ -20,7 +20,9 @@
 QueuePace DoorQueue::pace(const RouteName &route) const
 {
     const auto known = m_routeWork.find(route);
-    return {m_meanWork / m_slots, known == m_routeWork.end() ? m_meanWork : known->second};
+    const Microseconds work =
+            known == m_routeWork.end() ? m_meanWork : known->second.mean + known->second.deviation * workDeviations;
+    return {m_meanWork / m_slots, work};
 }
 
 DoorAdmission DoorQueue::offer(WaiterId id, const DoorWork &work, MonotonicTime deadline, MonotonicTime now)
@@ -44,8 +46,10 @@
     m_meanWork += (*worked - m_meanWork) / workSmoothing;
     if (m_routeWork.size() >= routesKnown)
         m_routeWork.clear();
-    Microseconds &mean = m_routeWork.try_emplace(route, *worked).first->second;
-    mean += (*worked - mean) / workSmoothing;
+    WorkTime &time = m_routeWork.try_emplace(route, WorkTime{*worked, {}}).first->second;
+    const Microseconds distance = std::chrono::abs(*worked - time.mean);
+    time.mean += (*worked - time.mean) / workSmoothing;
+    time.deviation += (distance - time.deviation) / workSmoothing;
 }
 
 std::optional<WaiterId> DoorQueue::next()
