End the process when it has drained; handle signals in the event loop; admit by three deviations

Cause: a proxy that got SIGTERM at 12.71 s logged proxy.stopped at 15.72 s and was killed at the end of its grace time: log4cplus waited for its worker threads at exit. Change: the log's own thread is finished and the process ends without log4cplus's shutdown; signals come through the event loop, SIGHUP reads the settings again and tells whether they changed.

--- a/include/dandeliondock/attempts/retry_budget.h
+++ b/include/dandeliondock/attempts/retry_budget.h
@@ -13,6 +13,8 @@
 {
     Share ofRequests{1'000};  ///< of the requests in the window
     std::uint32_t floor = 10; ///< extra attempts a window that are always allowed, for nodes with few requests
+
+    bool operator==(const RetryBudgetLimits &) const = default;
 };
 
 /// \brief Bounds retries and hedges together to a share of the requests of the last 10 s.
--- a/include/dandeliondock/core/log_duty.h
+++ b/include/dandeliondock/core/log_duty.h
@@ -27,6 +27,9 @@
     LogDuty(const LogDuty &) = delete;
     LogDuty &operator=(const LogDuty &) = delete;
 
+    /// \brief Writes what waits and ends the thread; later lines are dropped. Call from one thread.
+    void finish();
+
     /// \brief A sink that never blocks. Thread-safe.
     [[nodiscard]] LogSink sink();
 
--- a/include/dandeliondock/http/event_loop.h
+++ b/include/dandeliondock/http/event_loop.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <memory>
+#include <vector>
 
 namespace dandeliondock {
 
@@ -57,6 +58,10 @@
     /// \pre Called on the loop's thread, or before run().
     [[nodiscard]] LoopTimer after(Microseconds delay, std::function<void()> work);
 
+    /// \brief Calls \c handler on the loop's thread for each of the signals, as long as the loop runs.
+    /// \pre Called once, before any other thread is started.
+    void onSignals(const std::vector<int> &signals, std::function<void(int)> handler);
+
     /// \brief Present time on the monotonic clock. Thread-safe.
     [[nodiscard]] static MonotonicTime now() noexcept;
 
--- a/include/dandeliondock/proxy/door_queue.h
+++ b/include/dandeliondock/proxy/door_queue.h
@@ -32,7 +32,7 @@
 
 /// \brief Deviations above the mean within which nearly every request of a route ends: one that is let in with less time
 /// left would take a slot and end too late.
-inline constexpr int workDeviations = 2;
+inline constexpr int workDeviations = 3;
 
 /// \brief What the queue is told of a request.
 struct DoorWork
--- a/include/dandeliondock/proxy/proxy_settings.h
+++ b/include/dandeliondock/proxy/proxy_settings.h
@@ -27,6 +27,8 @@
     Milliseconds grace{6'000}; ///< from SIGTERM until the process is killed
     RetryBudgetLimits retries;
     std::string logLevel = "info";
+
+    bool operator==(const ProxySettings &) const = default;
 };
 
 /// \brief Parses and checks a settings file; InvalidSettings lists every error. Thread-safe.
--- a/programs/proxy.cpp
+++ b/programs/proxy.cpp
@@ -1,7 +1,7 @@
 #include "command_line.h"
 
 #include <dandeliondock/core/log_duty.h>
-#include <dandeliondock/core/stop_signals.h>
+#include <dandeliondock/http/event_loop.h>
 #include <dandeliondock/proxy/proxy.h>
 #include <dandeliondock/settings/node_settings.h>
 
@@ -9,6 +9,7 @@
 
 #include <gflags/gflags.h>
 
+#include <csignal>
 #include <cstdlib>
 #include <iostream>
 
@@ -24,6 +25,20 @@
     return path == nullptr ? "" : path;
 }
 
+// Addresses and names of a proxy last as long as its process, so that a change is only told.
+void rereadSettings(const dandeliondock::ProxySettings &inForce, const dandeliondock::LogSink &log)
+{
+    using namespace dandeliondock;
+    LogEvent event(LogLevel::Info, "settings.reread");
+    const absl::StatusOr<std::string> text = readFile(settingsPath());
+    const absl::StatusOr<ProxySettings> settings = text.ok() ? parseProxySettings(*text) : text.status();
+    if (!settings.ok())
+        event.error(settings.status());
+    else
+        event.field("changed", !(*settings == inForce)).field("effect", "at the next start");
+    event.write(log);
+}
+
 } // namespace
 
 int main(int argc, char **argv)
@@ -37,9 +52,16 @@
         std::cerr << "dandeliondock-proxy: " << settings.status().message() << "\n";
         return exitUsage;
     }
-    StopSignals signals;
     LogDuty log(consoleLog(settings->logLevel, LogStream::Output));
     const LogSink sink = log.sink();
+    std::signal(SIGPIPE, SIG_IGN);
+    EventLoop signals;
+    signals.onSignals({SIGTERM, SIGINT, SIGHUP}, [&](int signal) {
+        if (signal == SIGHUP)
+            rereadSettings(*settings, sink);
+        else
+            signals.stop();
+    });
     LogEvent(LogLevel::Info, "proxy.started")
             .field("node", settings->node)
             .field("service", settings->service)
@@ -50,8 +72,10 @@
         std::cerr << "dandeliondock-proxy: " << proxy.status().message() << "\n";
         return exitFailed;
     }
-    signals.wait();
+    signals.run();
     (*proxy)->stop();
     LogEvent(LogLevel::Info, "proxy.stopped").field("node", settings->node).write(sink);
-    return exitDone;
+    log.finish();
+    // Everything is written and closed. log4cplus would now wait for its own worker threads, which was seen not to end.
+    std::quick_exit(exitDone);
 }
--- a/src/core/log_duty.cpp
+++ b/src/core/log_duty.cpp
@@ -8,10 +8,16 @@
 }
 
 LogDuty::~LogDuty()
+{
+    finish();
+}
+
+void LogDuty::finish()
 {
     m_ring.close();
     m_stop.close();
-    m_thread.join();
+    if (m_thread.joinable())
+        m_thread.join();
 }
 
 LogSink LogDuty::sink()
--- a/src/http/asio_state.h
+++ b/src/http/asio_state.h
@@ -34,9 +34,12 @@
 {
     boost::asio::io_context context{1};
     boost::asio::steady_timer timer{context};
+    boost::asio::signal_set signals{context};
+    std::function<void(int)> onSignal;
     std::multimap<MonotonicTime, std::shared_ptr<TimerState>> pending;
     MonotonicTime armedFor = MonotonicTime::max();
 
+    void awaitSignal();
     void arm(MonotonicTime time);
     void runDue();
 };
--- a/src/http/event_loop.cpp
+++ b/src/http/event_loop.cpp
@@ -58,6 +58,16 @@
 
 namespace impl {
 
+void EventLoopState::awaitSignal()
+{
+    signals.async_wait([this](const boost::system::error_code &error, int signal) {
+        if (error)
+            return;
+        onSignal(signal);
+        awaitSignal();
+    });
+}
+
 void EventLoopState::arm(MonotonicTime time)
 {
     if (time >= armedFor)
@@ -141,6 +151,14 @@
     return LoopTimer(state);
 }
 
+void EventLoop::onSignals(const std::vector<int> &signals, std::function<void(int)> handler)
+{
+    for (const int signal : signals)
+        m_state->signals.add(signal);
+    m_state->onSignal = std::move(handler);
+    m_state->awaitSignal();
+}
+
 MonotonicTime EventLoop::now() noexcept
 {
     return std::chrono::time_point_cast<Microseconds>(std::chrono::steady_clock::now());
