Take a rollout's shares from a plan that lives; count its time from the order

Ruled out: late evidence, as the driver decided within 0.4 s of the 20th failure. Change: the plan is kept while its stage is read.

--- a/include/dandeliondock/proxy/rollout_control.h
+++ b/include/dandeliondock/proxy/rollout_control.h
@@ -26,6 +26,8 @@
 /// \brief Time between the last request to the old version and the notice that the rollout is completed, in which
 /// requests in progress end.
 inline constexpr Milliseconds completionNotice{1'300};
+/// \brief Part of a rollout's time that is left for that notice and for its way to the operator.
+inline constexpr Milliseconds noticeReserve{1'500};
 /// \brief Path on a door at which the driver takes outcomes.
 inline constexpr absl::string_view outcomesPath = "/dock/outcomes";
 
@@ -100,6 +102,7 @@
     std::optional<RolloutOrder> m_order;
     OutcomeWindow m_window;
     std::optional<RolloutDriver> m_driver;
+    WallTime m_orderedAt; ///< when the order was seen, on the table's clock
     MonotonicTime m_claimFrom;
     MonotonicTime m_lastContact;
     LoopTimer m_timer;
--- a/include/dandeliondock/store/async_table.h
+++ b/include/dandeliondock/store/async_table.h
@@ -8,19 +8,36 @@
 
 #include <functional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dandeliondock {
 
 using TableName = StrongType<struct TableNameTag, std::string>;
 
-/// \brief What a read of a table showed.
+/// \brief What a read of a table showed. A key stands in rows or in removed, by its last change.
 struct TableReading
 {
-    std::vector<TableRow> rows;   ///< in the order of their versions; a row without a version was removed
+    std::vector<TableRow> rows;
     std::vector<RowKey> removed;
-    RowVersion upTo;              ///< changes after this version are not in the reading
-    WallTime tableTime;           ///< the table's own clock
+    RowVersion upTo;    ///< changes after this version are not in the reading
+    WallTime tableTime; ///< the table's own clock
+
+    /// \brief Adds a change of a row after those added before.
+    void put(TableRow row)
+    {
+        std::erase(removed, row.key);
+        std::erase_if(rows, [&row](const TableRow &held) { return held.key == row.key; });
+        rows.push_back(std::move(row));
+    }
+
+    /// \brief Adds a removal after the changes added before.
+    void remove(const RowKey &key)
+    {
+        std::erase_if(rows, [&key](const TableRow &held) { return held.key == key; });
+        std::erase(removed, key);
+        removed.push_back(key);
+    }
 };
 
 /// \brief A condition or a write of a transaction over several tables.
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -21,22 +21,6 @@
     return RowKey(absl::StrCat(targetPrefix, door.value()));
 }
 
-// A reading holds every change of a row; only the last one counts.
-std::vector<TableRow> newestRows(const TableReading &reading)
-{
-    std::map<RowKey, const TableRow *> newest;
-    for (const TableRow &row : reading.rows) {
-        const TableRow *&held = newest[row.key];
-        if (held == nullptr || held->version < row.version)
-            held = &row;
-    }
-    std::vector<TableRow> rows;
-    rows.reserve(newest.size());
-    for (const auto &[key, row] : newest)
-        rows.push_back(*row);
-    return rows;
-}
-
 TableName sharedTable()
 {
     return TableName(std::string(sharedTableName));
@@ -184,7 +168,7 @@
 void ControlDuty::readOperator(const TableReading &reading)
 {
     noteTime(reading);
-    for (const TableRow &row : newestRows(reading)) {
+    for (const TableRow &row : reading.rows) {
         auto document = m_parts.documents.read(row);
         if (!document.ok()) {
             m_parts.metrics->counter("operator_rows_refused_total").add();
@@ -214,7 +198,7 @@
 void ControlDuty::readShared(const TableReading &reading, bool isWhole)
 {
     noteTime(reading);
-    for (const TableRow &row : newestRows(reading))
+    for (const TableRow &row : reading.rows)
         readRow(row);
     for (const RowKey &key : reading.removed)
         removeRow(key);
--- a/src/proxy/rollout_control.cpp
+++ b/src/proxy/rollout_control.cpp
@@ -3,6 +3,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace dandeliondock {
@@ -68,6 +69,7 @@
     if (m_order && m_order->number >= order.number)
         return;
     m_order = order;
+    m_orderedAt = m_parts.tableTime();
     m_claimFrom = EventLoop::now() + driverStagger * m_parts.rank();
     LogEvent(LogLevel::Info, "rollout.ordered")
             .field("service", order.service)
@@ -131,14 +133,13 @@
     ServiceVersions next = *m_versions;
     const Fence fence(next.rollout ? next.rollout->fence.value() + 1 : 1);
     if (m_order && (!next.rollout || next.rollout->record.ticket < m_order->number)) {
-        const WallTime now = m_parts.tableTime();
         RolloutProgress progress;
         progress.record = {m_order->number, m_parts.service, StageIndex(0), RolloutState::Running, {}};
         if (m_order->target == next.current)
             progress.record.state = RolloutState::Completed;
         progress.target = m_order->target;
-        progress.startedAt = now;
-        progress.deadline = now + m_order->duration;
+        progress.startedAt = m_orderedAt;
+        progress.deadline = m_orderedAt + m_order->duration - std::min(noticeReserve, m_order->duration / 2);
         next.rollout = progress;
     }
     next.rollout->driver = m_parts.door;
--- a/src/proxy/service_versions.cpp
+++ b/src/proxy/service_versions.cpp
@@ -29,7 +29,8 @@
     if (!versions.rollout || versions.rollout->record.state != RolloutState::Running || newTargets == 0)
         return std::nullopt;
     const RolloutDefinition definition = definitionOf(versions);
-    const Stage &stage = StagePlan(definition.plan, newTargets).stage(versions.rollout->record.stage);
+    const StagePlan plan(definition.plan, newTargets);
+    const Stage &stage = plan.stage(versions.rollout->record.stage);
     return VersionSplit{definition.ticket, definition.oldVersion, definition.newVersion, stage.share,
                         stage.newTargets};
 }
--- a/tests/http/loop_client_test.cpp
+++ b/tests/http/loop_client_test.cpp
@@ -62,10 +62,10 @@
 {
     std::atomic<int> requests{0};
     RawListener listener([&requests](const RawConnection &connection, int) {
-        connection.readUntil("body");
+        static_cast<void>(connection.readUntil("body"));
         ++requests;
         connection.write(responseTo("1", "first"));
-        connection.readUntil("body");
+        static_cast<void>(connection.readUntil("body"));
         ++requests;
     });
     Caller caller;
@@ -81,9 +81,9 @@
 TEST_CASE("a response to another request is skipped", "[http]")
 {
     RawListener listener([](const RawConnection &connection, int) {
-        connection.readUntil("body");
+        static_cast<void>(connection.readUntil("body"));
         connection.write(responseTo("another", "wrong") + responseTo("1", "right"));
-        connection.readAll();
+        static_cast<void>(connection.readAll());
     });
     Caller caller;
     const LoopCallResult result = caller.call(listener.address(), "1");
@@ -95,9 +95,9 @@
 TEST_CASE("a connection with bytes after a response is not used again", "[http]")
 {
     RawListener listener([](const RawConnection &connection, int number) {
-        connection.readUntil("body");
+        static_cast<void>(connection.readUntil("body"));
         connection.write(responseTo(number == 0 ? "1" : "2", "whole") + (number == 0 ? "stray" : ""));
-        connection.readAll();
+        static_cast<void>(connection.readAll());
     });
     Caller caller;
     REQUIRE(caller.call(listener.address(), "1").status.ok());
@@ -111,11 +111,11 @@
 TEST_CASE("a response that ends before its length is an error, one without a length ends with its connection", "[http]")
 {
     RawListener cut([](const RawConnection &connection, int) {
-        connection.readUntil("body");
+        static_cast<void>(connection.readUntil("body"));
         connection.write("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 100\r\n\r\nhalf");
     });
     RawListener unframed([](const RawConnection &connection, int) {
-        connection.readUntil("body");
+        static_cast<void>(connection.readUntil("body"));
         connection.write("HTTP/1.1 200 OK\r\nId: 1\r\n\r\nto the end");
     });
     Caller caller;
@@ -132,7 +132,7 @@
     const LoopCallResult refused = caller.call(Address("127.0.0.1:1"), "1");
     CHECK(errorKind(refused.status) == ErrorKind::NotSent);
     CHECK_FALSE(refused.wasSent);
-    RawListener silent([](const RawConnection &connection, int) { connection.readAll(); });
+    RawListener silent([](const RawConnection &connection, int) { static_cast<void>(connection.readAll()); });
     const LoopCallResult late = caller.call(silent.address(), "1", "POST", Milliseconds(150));
     CHECK(errorKind(late.status) == ErrorKind::DeadlineExceeded);
     CHECK(late.wasSent);
@@ -142,9 +142,9 @@
 TEST_CASE("responses of status 100 are passed over", "[http]")
 {
     RawListener listener([](const RawConnection &connection, int) {
-        connection.readUntil("body");
+        static_cast<void>(connection.readUntil("body"));
         connection.write("HTTP/1.1 100 Continue\r\n\r\n" + responseTo("1", "final"));
-        connection.readAll();
+        static_cast<void>(connection.readAll());
     });
     Caller caller;
     const LoopCallResult result = caller.call(listener.address(), "1");
--- a/tests/proxy/table_cache_test.cpp
+++ b/tests/proxy/table_cache_test.cpp
@@ -40,12 +40,11 @@
             if (action <= 1) {
                 ++version;
                 table[key] = version;
-                reading.rows.push_back({RowKey(key), RowVersion(version), "x"});
+                reading.put({RowKey(key), RowVersion(version), "x"});
             } else if (action == 2) {
                 ++version;
                 table.erase(key);
-                std::erase_if(reading.rows, [&key](const TableRow &row) { return row.key.value() == key; });
-                reading.removed.emplace_back(key);
+                reading.remove(RowKey(key));
             } else {
                 reading.upTo = RowVersion(version);
                 cache.take(reading, false);
--- a/tests/proxy/weighted_choice_test.cpp
+++ b/tests/proxy/weighted_choice_test.cpp
@@ -42,7 +42,7 @@
     WeightedChoice choice;
     CHECK(choice.choose(route) == ServiceName("whole"));
     route.split = {{ServiceName("a"), 1}, {ServiceName("b"), 99}};
-    choice.choose(route);
+    static_cast<void>(choice.choose(route));
     route.split = {{ServiceName("a"), 100}, {ServiceName("b"), 0}};
     for (int index = 0; index < 10; ++index)
         CHECK(choice.choose(route) == ServiceName("a"));
