--- a/tests/http/loop_client_test.cpp
+++ b/tests/http/loop_client_test.cpp
@@ -37,7 +37,7 @@
     LoopCallResult call(const Address &address, const std::string &id, const std::string &method = "POST",
                         Milliseconds time = patience)
     {
-        std::promise<LoopCallResult> result;
+        const auto result = std::make_shared<std::promise<LoopCallResult>>();
         m_thread.run([&] {
             HttpRequest request{method, "/a", {}, method == "POST" ? "body" : ""};
             request.headers.add("Id", id);
@@ -45,9 +45,9 @@
             options.deadline = EventLoop::now() + time;
             options.echoHeader = "Id";
             m_client->send(address, request, options,
-                           [&result](LoopCallResult ended) { result.set_value(std::move(ended)); });
+                           [result](LoopCallResult ended) { result->set_value(std::move(ended)); });
         });
-        return result.get_future().get();
+        return result->get_future().get();
     }
 
 private:
--- /dev/null
+++ b/tests/platform/proxy_test.cpp
@@ -0,0 +1,294 @@
+#include "support/platform_store.h"
+#include "support/child_process.h"
+#include "support/loop_thread.h"
+
+#include <platform/adapter.h>
+
+#include <dandeliondock/http/loop_client.h>
+#include <dandeliondock/proxy/proxy.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <chrono>
+#include <future>
+#include <thread>
+
+namespace dandeliondock::testing {
+namespace {
+
+constexpr Seconds patience{6};
+
+std::string configText(int version, const std::string &prefix)
+{
+    return absl::StrCat(R"({"version":"r)", version, R"(","routes":{)",
+                        R"("lookup":{"host":"h","prefix":")", prefix,
+                        R"(","kind":"safe","timeout_ms":2000,"priority":2,"service":"s","max_attempts":2},)",
+                        R"("order":{"host":"h","prefix":"/order/","kind":"unsafe","timeout_ms":2000,"priority":1,)",
+                        R"("service":"s","max_attempts":2}},"services":{"s":{"health_path":"/health",)",
+                        R"("max_connections":130}},"limits":{}})");
+}
+
+/// A target that counts what it runs and may lose its answers.
+class Target
+{
+public:
+    Target() : m_port(freePort())
+    {
+        m_thread.run([this] {
+            m_server = std::make_unique<LoopServer>(m_thread.loop(),
+                                                    [this](const LoopExchangePtr &exchange) { run(exchange); });
+            REQUIRE(m_server->listen(address()).ok());
+        });
+    }
+
+    ~Target()
+    {
+        m_thread.run([this] { m_server.reset(); });
+    }
+
+    [[nodiscard]] Address address() const { return Address(absl::StrCat("127.0.0.1:", m_port)); }
+
+    std::atomic<int> runs{0};
+    std::atomic<bool> losesAnswers{false};
+
+private:
+    void run(const LoopExchangePtr &exchange)
+    {
+        ++runs;
+        if (losesAnswers) {
+            exchange->abort();
+            return;
+        }
+        HttpResponse response;
+        const auto &headers = exchange->request().headers;
+        response.headers.add("X-Dandeliondock-Attempt-Id",
+                             headers.first("X-Dandeliondock-Attempt-Id").value_or(""));
+        response.headers.add("X-Dandeliondock-Server-Seal", "seal");
+        response.body = absl::StrCat(headers.first("X-Dandeliondock-Caller-Service").value_or("none"), " ",
+                                     exchange->request().target);
+        exchange->respond(std::move(response));
+    }
+
+    std::uint16_t m_port;
+    LoopThread m_thread;
+    std::unique_ptr<LoopServer> m_server;
+};
+
+/// A proxy with its target.
+struct Instance
+{
+    Instance(const std::string &name, const Address &store)
+    {
+        const auto local = [] { return Address(absl::StrCat("127.0.0.1:", freePort())); };
+        settings.node = NodeId(name);
+        settings.region = RegionName("east");
+        settings.dataCentre = DataCentreName("a");
+        settings.callers = local();
+        settings.door = local();
+        settings.health = local();
+        settings.announcements = local();
+        settings.metrics = local();
+        settings.target = target.address();
+        settings.service = ServiceName("s");
+        settings.store = store;
+        settings.grace = Milliseconds(1'500);
+        auto started = Proxy::start(settings, platform::adapter(), nullptr);
+        REQUIRE(started.ok());
+        proxy = *std::move(started);
+    }
+
+    Target target;
+    ProxySettings settings;
+    std::unique_ptr<Proxy> proxy;
+};
+
+/// Two instances, the platform's store and a client.
+class Deployment
+{
+public:
+    Deployment() : first("one", store.address()), second("two", store.address())
+    {
+        store.put("op", "config", configText(1, "/a/"));
+        m_thread.run([this] { m_client = std::make_unique<LoopClient>(m_thread.loop()); });
+    }
+
+    ~Deployment()
+    {
+        m_thread.run([this] { m_client.reset(); });
+    }
+
+    HttpResponse call(const Address &address, HttpRequest request)
+    {
+        const auto result = std::make_shared<std::promise<LoopCallResult>>();
+        m_thread.run([&] {
+            m_client->send(address, request, {EventLoop::now() + patience, Microseconds{0}},
+                           [result](LoopCallResult ended) { result->set_value(std::move(ended)); });
+        });
+        LoopCallResult ended = result->get_future().get();
+        if (!ended.status.ok())
+            ended.response.status = 0;
+        return std::move(ended.response);
+    }
+
+    HttpResponse ask(const Instance &instance, const std::string &path, const std::string &method = "GET")
+    {
+        HttpRequest request{method, path, {}, method == "GET" ? "" : "body"};
+        request.headers.add("Host", "h");
+        request.headers.add("X-Dandeliondock-Attempt-Id", absl::StrCat("id", ++m_ids));
+        request.headers.add("X-Dandeliondock-Time-Budget", "2000");
+        return call(instance.settings.callers, request);
+    }
+
+    int announce(const Instance &instance, const std::string &state, int sequence)
+    {
+        HttpRequest request{"POST", "/api/rpc?call=instances.heartbeat&of=" + instance.settings.node.value(), {}, {}};
+        request.body = absl::StrCat(R"({"service":"s","address":")", instance.settings.target.value(),
+                                    R"(","zone":"a","version":"v1","slots":4,"state":")", state,
+                                    R"(","cold_remaining_ms":0,"sequence":)", sequence, R"(,"born":1000})");
+        return call(instance.settings.announcements, request).status;
+    }
+
+    /// Waits until \c holds; false when it does not within the patience.
+    static bool eventually(const std::function<bool()> &holds)
+    {
+        const auto end = std::chrono::steady_clock::now() + patience;
+        while (std::chrono::steady_clock::now() < end) {
+            if (holds())
+                return true;
+            std::this_thread::sleep_for(Milliseconds(50));
+        }
+        return false;
+    }
+
+    bool isReady(const Instance &instance)
+    {
+        return call(instance.settings.health, {"GET", "/api/readiness", {}, {}}).status == 200;
+    }
+
+    bool serves(const Instance &instance, const std::string &path = "/a/1")
+    {
+        return ask(instance, path).status == 200;
+    }
+
+    PlatformStore store;
+    Instance first;
+    Instance second;
+
+private:
+    LoopThread m_thread;
+    std::unique_ptr<LoopClient> m_client;
+    int m_ids = 0;
+};
+
+} // namespace
+
+// Guards against a path that holds only on one instance: the caller's proxy has no target of its own here.
+TEST_CASE("a request reaches a target beside another proxy, and leaving ends that", "[platform]")
+{
+    Deployment deployment;
+    CHECK(deployment.ask(deployment.first, "/a/1").status == 503);
+    REQUIRE(deployment.announce(deployment.second, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.first); }));
+    CHECK(deployment.isReady(deployment.first));
+    CHECK(deployment.ask(deployment.first, "/a/x%2Fy?q=1").body == "s /a/x%2Fy?q=1");
+    CHECK(deployment.ask(deployment.first, "/none/").status == 404);
+    REQUIRE(deployment.announce(deployment.second, "draining", 2) == 200);
+    const int runs = deployment.second.target.runs;
+    const HttpResponse refused = deployment.ask(deployment.first, "/a/1");
+    CHECK(refused.status == 503);
+    CHECK(refused.headers.first("Retry-After").has_value());
+    CHECK(deployment.announce(deployment.second, "ready", 1) == 200); // late
+    CHECK(deployment.ask(deployment.first, "/a/1").status == 503);
+    CHECK(deployment.second.target.runs == runs);
+}
+
+// Guards against an order that runs twice, or is said not to have run, when its answer is lost.
+TEST_CASE("a lost answer is tried elsewhere only for a request that may run twice", "[platform]")
+{
+    Deployment deployment;
+    REQUIRE(deployment.announce(deployment.first, "ready", 1) == 200);
+    REQUIRE(deployment.announce(deployment.second, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.first); }));
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.second); }));
+    deployment.first.target.losesAnswers = true;
+    deployment.second.target.losesAnswers = true;
+    const int before = deployment.first.target.runs + deployment.second.target.runs;
+    CHECK(deployment.ask(deployment.first, "/order/1", "POST").status == 502);
+    CHECK(deployment.first.target.runs + deployment.second.target.runs == before + 1);
+    CHECK(deployment.ask(deployment.first, "/a/1").status == 502);
+    CHECK(deployment.first.target.runs + deployment.second.target.runs == before + 3);
+}
+
+// Guards against a configuration that reaches only some proxies, goes back, or is lost with the store.
+TEST_CASE("a configuration comes into force everywhere, never goes back, and outlives the store", "[platform]")
+{
+    Deployment deployment;
+    REQUIRE(deployment.announce(deployment.first, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.second); }));
+    deployment.store.put("op", "config", configText(5, "/b/"));
+    for (Instance *instance : {&deployment.first, &deployment.second})
+        CHECK(deployment.eventually([&] { return deployment.serves(*instance, "/b/1"); }));
+    CHECK(deployment.ask(deployment.first, "/a/1").status == 404);
+    deployment.store.put("op", "config", configText(4, "/a/"));
+    deployment.store.put("op", "config", "{\"version\":\"r9\",\"routes\":{\"broken\":{}}}");
+    std::this_thread::sleep_for(Milliseconds(600));
+    CHECK(deployment.serves(deployment.second, "/b/1"));
+    CHECK(deployment.ask(deployment.second, "/a/1").status == 404);
+    PlatformStoreFaults faults;
+    faults.refusesAll = true;
+    deployment.store.setFaults(faults);
+    std::this_thread::sleep_for(Milliseconds(1'500));
+    CHECK(deployment.serves(deployment.second, "/b/1"));
+    CHECK(deployment.isReady(deployment.second));
+    deployment.store.setFaults({});
+    deployment.store.put("op", "config", configText(12, "/c/"));
+    for (Instance *instance : {&deployment.first, &deployment.second})
+        CHECK(deployment.eventually([&] { return deployment.serves(*instance, "/c/1"); }));
+}
+
+// Guards against changes that are missed when the store drops its history.
+TEST_CASE("a change behind a dropped history is found by reading the table whole", "[platform]")
+{
+    Deployment deployment;
+    REQUIRE(deployment.announce(deployment.first, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.second); }));
+    PlatformStoreFaults faults;
+    faults.hasNoHistory = true;
+    deployment.store.setFaults(faults);
+    deployment.store.put("op", "config", configText(7, "/d/"));
+    CHECK(deployment.eventually([&] { return deployment.serves(deployment.second, "/d/1"); }));
+}
+
+// Guards against a row of the own target that is lost because the answer to its write was.
+TEST_CASE("the own row is written although answers are lost, and again when it is removed", "[platform]")
+{
+    Deployment deployment;
+    PlatformStoreFaults faults;
+    faults.losesWriteAnswers = true;
+    deployment.store.setFaults(faults);
+    REQUIRE(deployment.announce(deployment.first, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.second); }));
+    deployment.store.setFaults({});
+    const std::string key = "target/" + deployment.first.settings.door.value();
+    REQUIRE(deployment.eventually([&] { return !deployment.store.value("dandeliondock", key).empty(); }));
+    std::this_thread::sleep_for(Seconds(1));
+    deployment.store.remove("dandeliondock", key);
+    CHECK(deployment.eventually([&] { return !deployment.store.value("dandeliondock", key).empty(); }));
+}
+
+// Guards against a stop that lets callers run into it.
+TEST_CASE("a proxy that stops is not ready at once and refuses work for its target", "[platform]")
+{
+    Deployment deployment;
+    REQUIRE(deployment.announce(deployment.second, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.first); }));
+    auto stopped = std::async(std::launch::async, [&] { deployment.second.proxy->stop(); });
+    CHECK(deployment.eventually([&] { return !deployment.isReady(deployment.second); }));
+    CHECK(deployment.ask(deployment.first, "/a/1").status == 503);
+    CHECK(stopped.wait_for(patience) == std::future_status::ready);
+}
+
+} // namespace dandeliondock::testing
--- a/tests/support/loop_thread.h
+++ b/tests/support/loop_thread.h
@@ -4,6 +4,7 @@
 
 #include <functional>
 #include <future>
+#include <memory>
 #include <thread>
 
 namespace dandeliondock::testing {
@@ -28,12 +29,13 @@
     /// \brief Runs \c work on the loop and waits for its end.
     void run(const std::function<void()> &work)
     {
-        std::promise<void> done;
-        m_loop.post([&] {
+        // Shared, as the loop may still be within set_value() when the wait is over.
+        const auto done = std::make_shared<std::promise<void>>();
+        m_loop.post([&work, done] {
             work();
-            done.set_value();
+            done->set_value();
         });
-        done.get_future().wait();
+        done->get_future().wait();
     }
 
 private:
--- /dev/null
+++ b/tests/support/platform_store.cpp
@@ -0,0 +1,246 @@
+#include "support/platform_store.h"
+
+#include "support/child_process.h"
+
+#include <absl/strings/escaping.h>
+#include <absl/strings/numbers.h>
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_split.h>
+
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+
+namespace dandeliondock::testing {
+
+namespace {
+
+using nlohmann::json;
+
+std::string unescape(absl::string_view text)
+{
+    std::string plain;
+    for (std::size_t index = 0; index < text.size(); ++index) {
+        if (text[index] == '%' && index + 2 < text.size()) {
+            plain.push_back(static_cast<char>(std::stoi(std::string(text.substr(index + 1, 2)), nullptr, 16)));
+            index += 2;
+        } else {
+            plain.push_back(text[index]);
+        }
+    }
+    return plain;
+}
+
+std::uint64_t numberOf(const std::string &text)
+{
+    std::uint64_t number = 0;
+    return absl::SimpleAtoi(text, &number) ? number : 0;
+}
+
+void answer(const LoopExchangePtr &exchange, int status, const std::string &body = {})
+{
+    HttpResponse response;
+    response.status = status;
+    response.body = body;
+    exchange->respond(std::move(response));
+}
+
+std::uint64_t nowMilliseconds()
+{
+    return static_cast<std::uint64_t>(
+            std::chrono::duration_cast<Milliseconds>(EventLoop::now().time_since_epoch()).count());
+}
+
+} // namespace
+
+PlatformStore::PlatformStore() : m_port(freePort())
+{
+    m_thread.run([this] {
+        m_server = std::make_unique<LoopServer>(m_thread.loop(),
+                                                [this](const LoopExchangePtr &exchange) { handle(exchange); });
+        if (!m_server->listen(address()).ok())
+            std::abort();
+    });
+}
+
+PlatformStore::~PlatformStore()
+{
+    m_thread.run([this] {
+        m_waiting.clear();
+        m_unanswered.clear();
+        m_server.reset();
+    });
+}
+
+Address PlatformStore::address() const
+{
+    return Address(absl::StrCat("127.0.0.1:", m_port));
+}
+
+void PlatformStore::put(const std::string &table, const std::string &key, const std::string &value)
+{
+    m_thread.run([&] {
+        write(table, key, {value, ++m_version, false});
+        answerWaiting();
+    });
+}
+
+void PlatformStore::remove(const std::string &table, const std::string &key)
+{
+    m_thread.run([&] {
+        write(table, key, {{}, ++m_version, true});
+        answerWaiting();
+    });
+}
+
+std::string PlatformStore::value(const std::string &table, const std::string &key)
+{
+    std::string found;
+    m_thread.run([&] {
+        const auto row = m_rows.find({table, key});
+        if (row != m_rows.end() && !row->second.isRemoved)
+            found = row->second.value;
+    });
+    return found;
+}
+
+void PlatformStore::setFaults(const PlatformStoreFaults &faults)
+{
+    m_thread.run([&] {
+        m_faults = faults;
+        // Held calls meet the fault as well.
+        const auto waiting = std::exchange(m_waiting, {});
+        for (const Waiting &item : waiting)
+            handle(item.exchange);
+    });
+}
+
+std::uint64_t PlatformStore::calls()
+{
+    std::uint64_t calls = 0;
+    m_thread.run([&] { calls = m_calls; });
+    return calls;
+}
+
+void PlatformStore::handle(const LoopExchangePtr &exchange)
+{
+    ++m_calls;
+    if (m_faults.isSilent) {
+        m_unanswered.push_back(exchange);
+        return;
+    }
+    if (m_faults.refusesAll) {
+        answer(exchange, 503);
+        return;
+    }
+    const std::pair<std::string, std::string> parts =
+            absl::StrSplit(exchange->request().target, absl::MaxSplits('?', 1));
+    Query query;
+    for (absl::string_view item : absl::StrSplit(parts.second, '&')) {
+        const std::pair<std::string, std::string> pair = absl::StrSplit(item, absl::MaxSplits('=', 1));
+        query[pair.first] = unescape(pair.second);
+    }
+    if (parts.first == "/api/rows-get")
+        get(exchange, query);
+    else if (parts.first == "/api/rows-feed")
+        feed(exchange, query);
+    else if (parts.first == "/api/rows-tx")
+        transact(exchange);
+    else
+        answer(exchange, 404);
+}
+
+std::string PlatformStore::rowsAfter(const std::string &table, std::uint64_t after, bool withRemoved, bool &isEmpty)
+{
+    json rows = json::array();
+    std::map<std::uint64_t, json> byVersion;
+    for (const auto &[name, row] : m_rows) {
+        if (name.first != table || row.version <= after || (row.isRemoved && !withRemoved))
+            continue;
+        json item = {{"table", table}, {"part", ""}, {"key", name.second}, {"ver", row.version}};
+        if (row.isRemoved)
+            item["removed"] = true;
+        else
+            item["value"] = absl::Base64Escape(row.value);
+        byVersion[row.version] = item;
+    }
+    for (const auto &[version, item] : byVersion)
+        rows.push_back(item);
+    isEmpty = rows.empty();
+    return json{{"rows", rows}, {"has_more", false}, {"ver", m_version}, {"now_ms", nowMilliseconds()}}.dump();
+}
+
+void PlatformStore::get(const LoopExchangePtr &exchange, Query &query)
+{
+    bool isEmpty = false;
+    answer(exchange, 200, rowsAfter(query["table"], 0, false, isEmpty));
+}
+
+void PlatformStore::feed(const LoopExchangePtr &exchange, Query &query)
+{
+    if (m_faults.hasNoHistory) {
+        answer(exchange, 410);
+        return;
+    }
+    bool isEmpty = false;
+    const std::string body = rowsAfter(query["table"], numberOf(query["after"]), true, isEmpty);
+    if (!isEmpty) {
+        answer(exchange, 200, body);
+        return;
+    }
+    Waiting waiting{exchange, query["table"], numberOf(query["after"]), nullptr};
+    waiting.timer = std::make_shared<LoopTimer>(
+            m_thread.loop().after(Milliseconds(numberOf(query["wait_ms"])), [this, exchange] {
+                bool nothing = false;
+                std::erase_if(m_waiting, [&exchange](const Waiting &item) { return item.exchange == exchange; });
+                answer(exchange, 200, rowsAfter("", m_version, true, nothing));
+            }));
+    m_waiting.push_back(std::move(waiting));
+}
+
+void PlatformStore::transact(const LoopExchangePtr &exchange)
+{
+    const json body = json::parse(exchange->request().body);
+    for (const json &condition : body["expected_rev"]) {
+        const auto row = m_rows.find({condition["table"], condition["key"]});
+        const std::uint64_t held = row == m_rows.end() || row->second.isRemoved ? 0 : row->second.version;
+        if (held != condition["ver"].get<std::uint64_t>()) {
+            answer(exchange, 412, json{{"rows", json::array()}, {"ver", m_version}, {"now_ms", 1}}.dump());
+            return;
+        }
+    }
+    ++m_version;
+    for (const json &row : body["put"]) {
+        std::string value;
+        absl::Base64Unescape(row["value"].get<std::string>(), &value);
+        write(row["table"], row["key"], {value, m_version, false});
+    }
+    for (const json &row : body["remove"])
+        write(row["table"], row["key"], {{}, m_version, true});
+    if (m_faults.losesWriteAnswers)
+        exchange->abort();
+    else
+        answer(exchange, 200, json{{"ver", m_version}, {"now_ms", nowMilliseconds()}}.dump());
+    answerWaiting();
+}
+
+void PlatformStore::write(const std::string &table, const std::string &key, Row row)
+{
+    m_rows[{table, key}] = std::move(row);
+}
+
+void PlatformStore::answerWaiting()
+{
+    std::vector<Waiting> still;
+    for (Waiting &item : m_waiting) {
+        bool isEmpty = false;
+        const std::string body = rowsAfter(item.table, item.after, true, isEmpty);
+        if (isEmpty)
+            still.push_back(std::move(item));
+        else
+            answer(item.exchange, 200, body);
+    }
+    m_waiting = std::move(still);
+}
+
+} // namespace dandeliondock::testing
--- /dev/null
+++ b/tests/support/platform_store.h
@@ -0,0 +1,89 @@
+#pragma once
+
+#include "support/loop_thread.h"
+
+#include <dandeliondock/http/loop_server.h>
+
+#include <absl/strings/string_view.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace dandeliondock::testing {
+
+/// \brief Faults of a PlatformStore, each off at first.
+struct PlatformStoreFaults
+{
+    bool refusesAll = false;       ///< 503, nothing is done
+    bool isSilent = false;         ///< no call is answered
+    bool losesWriteAnswers = false; ///< writes are done, their connection closes without an answer
+    bool hasNoHistory = false;     ///< 410 to every call for changes
+};
+
+/// \brief A stand-in for the platform's metadata store that speaks its published protocol on a loopback port.
+///
+/// \remark Every method may be called from the test's thread.
+class PlatformStore
+{
+public:
+    PlatformStore();
+    ~PlatformStore();
+    PlatformStore(const PlatformStore &) = delete;
+    PlatformStore &operator=(const PlatformStore &) = delete;
+
+    [[nodiscard]] Address address() const;
+
+    /// \brief Writes a row as the operator or another process would.
+    void put(const std::string &table, const std::string &key, const std::string &value);
+    void remove(const std::string &table, const std::string &key);
+
+    /// \brief The value of a row; empty when there is none.
+    [[nodiscard]] std::string value(const std::string &table, const std::string &key);
+
+    void setFaults(const PlatformStoreFaults &faults);
+
+    /// \brief Calls answered so far.
+    [[nodiscard]] std::uint64_t calls();
+
+private:
+    struct Row
+    {
+        std::string value;
+        std::uint64_t version = 0;
+        bool isRemoved = false;
+    };
+
+    struct Waiting
+    {
+        LoopExchangePtr exchange;
+        std::string table;
+        std::uint64_t after = 0;
+        std::shared_ptr<LoopTimer> timer;
+    };
+
+    using Query = std::map<std::string, std::string>;
+
+    void handle(const LoopExchangePtr &exchange);
+    void get(const LoopExchangePtr &exchange, Query &query);
+    void feed(const LoopExchangePtr &exchange, Query &query);
+    void transact(const LoopExchangePtr &exchange);
+    void write(const std::string &table, const std::string &key, Row row);
+    void answerWaiting();
+    [[nodiscard]] std::string rowsAfter(const std::string &table, std::uint64_t after, bool withRemoved, bool &isEmpty);
+
+    std::uint16_t m_port;
+    LoopThread m_thread;
+    std::unique_ptr<LoopServer> m_server;
+    std::map<std::pair<std::string, std::string>, Row> m_rows;
+    std::vector<Waiting> m_waiting;
+    std::vector<LoopExchangePtr> m_unanswered;
+    PlatformStoreFaults m_faults;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_calls = 0;
+};
+
+} // namespace dandeliondock::testing
