--- a/bench/proxy_hop.cpp
+++ b/bench/proxy_hop.cpp
@@ -93,8 +93,9 @@
     if (!target.listen(targetAddress).ok() || !callers.listen(callersAddress).ok()
         || !doorServer.listen(doorAddress).ok())
         return 1;
-    TargetAnnouncement announcement{TargetId("t"), Incarnation(1), SequenceNumber(1), EndpointState::Serving,
-                                    targetAddress, ServiceName("s"), VersionName("v1"), SlotCount(16), {}};
+    TargetAnnouncement announcement{TargetId("t"),          Incarnation(1), SequenceNumber(1),
+                                    EndpointState::Serving, targetAddress,  ServiceName("s"),
+                                    VersionName("v1"),      SlotCount(16),  {}};
     door.announce(announcement);
     Endpoint endpoint;
     endpoint.target = announcement.target;
@@ -132,8 +133,7 @@
     const double before = processorSeconds();
     loop.run();
     const double used = processorSeconds() - before;
-    std::cout << wanted << " requests, " << failed << " failed, "
-              << used * 1e6 / static_cast<double>(wanted)
+    std::cout << wanted << " requests, " << failed << " failed, " << used * 1e6 / static_cast<double>(wanted)
               << " us of processor time each: caller, forwarder, door and target together\n";
     return 0;
 }
--- a/include/dandeliondock/config/resources.h
+++ b/include/dandeliondock/config/resources.h
@@ -62,7 +62,7 @@
     ConnectionCount connectionsPerTarget{130};
     std::uint32_t shedStatus = 0; ///< status with which a target refuses without running; 0 for none
     std::string healthPath;
-    std::string drainHeader; ///< header that a draining target sets on its answers
+    std::string drainHeader;         ///< header that a draining target sets on its answers
     bool versionFromTargets = false; ///< targets announce their versions; version is empty
 
     bool operator==(const Service &) const = default;
--- a/include/dandeliondock/http/loop_client.h
+++ b/include/dandeliondock/http/loop_client.h
@@ -19,6 +19,8 @@
     MonotonicTime deadline;
     /// Longest time that a reused connection may have been idle; 0 opens a new one.
     Microseconds reuseWithin{4'000'000};
+    /// Added to the deadline once, when the response has begun to arrive by then.
+    Milliseconds transferTime{0};
     /// Header that a response must repeat from the request; a response with another value belongs to another request
     /// and is skipped. Empty when responses carry none.
     std::string echoHeader{};
--- a/include/dandeliondock/proxy/control_duty.h
+++ b/include/dandeliondock/proxy/control_duty.h
@@ -91,7 +91,8 @@
     [[nodiscard]] std::size_t rank() const;
     [[nodiscard]] RolloutControlParts rolloutParts();
     [[nodiscard]] TableRelayParts relayParts();
-    [[nodiscard]] std::vector<Address> doorsOfRegion() const;
+    [[nodiscard]] std::vector<Address> doorsOf(const RegionName &region) const;
+    [[nodiscard]] std::vector<Address> firstRegionDoors() const;
 
     ControlDutyParts m_parts;
     TableRelay m_relay;
--- a/include/dandeliondock/proxy/door_queue.h
+++ b/include/dandeliondock/proxy/door_queue.h
@@ -30,8 +30,8 @@
     Microseconds retryAfter{0};        ///< of Refuse: when a slot is likely to be free
 };
 
-/// \brief Deviations above the mean within which nearly every request of a route ends: one that is let in with less time
-/// left would take a slot and end too late.
+/// \brief Deviations above the mean within which nearly every request of a route ends: one that is let in with less
+/// time left would take a slot and end too late.
 inline constexpr int workDeviations = 3;
 
 /// \brief What the queue is told of a request.
--- a/include/dandeliondock/proxy/door_request.h
+++ b/include/dandeliondock/proxy/door_request.h
@@ -42,6 +42,7 @@
     DoorRefusal refusal = DoorRefusal::None; ///< of Refused
     HttpResponse response;                   ///< of Answered and Failed: the target's own
     std::optional<DoorLoad> load;
+    Microseconds atDoor{0};     ///< from the request's arrival at the door to this reply
     Microseconds retryAfter{0}; ///< of Refused: when a slot is likely to be free; 0 when unknown
     std::string detail;         ///< for the log
 };
--- a/include/dandeliondock/proxy/forward_plan.h
+++ b/include/dandeliondock/proxy/forward_plan.h
@@ -15,13 +15,13 @@
 
 /// \brief How an attempt through a door ended.
 enum class DoorOutcome {
-    Answered,    ///< the target answered
-    Failed,      ///< the target answered with a failure of its own
-    Refused,     ///< the door did not pass the request on
-    NotSent,     ///< the door was not reached
-    NotRun,      ///< the target said that it did not run the request
-    MayHaveRun,  ///< passed on, and no whole answer came
-    TimedOut,    ///< the deadline passed
+    Answered,   ///< the target answered
+    Failed,     ///< the target answered with a failure of its own
+    Refused,    ///< the door did not pass the request on
+    NotSent,    ///< the door was not reached
+    NotRun,     ///< the target said that it did not run the request
+    MayHaveRun, ///< passed on, and no whole answer came
+    TimedOut,   ///< the deadline passed
 };
 
 /// \brief What happens next to a request.
--- a/include/dandeliondock/proxy/placement.h
+++ b/include/dandeliondock/proxy/placement.h
@@ -5,6 +5,7 @@
 #include <dandeliondock/core/units.h>
 #include <dandeliondock/membership/endpoint.h>
 #include <dandeliondock/proxy/door_load.h>
+#include <dandeliondock/proxy/link_window.h>
 #include <dandeliondock/routing/locality_plan.h>
 #include <dandeliondock/routing/outlier_ejection.h>
 #include <dandeliondock/routing/version_chooser.h>
@@ -24,13 +25,16 @@
 /// little, one that is full costs 1. They stand for the time that the way takes and the bytes that are paid for on it.
 inline constexpr double otherDataCentreCost = 0.10;
 inline constexpr double otherRegionCost = 0.30;
-/// \brief Added outside the own data centre for each 10 kB of a response: the link between regions is narrow, and a long
-/// response holds up everything on it.
+/// \brief Added outside the own data centre for each 10 kB of a response: the link between regions is narrow, and a
+/// long response holds up everything on it.
 inline constexpr double distanceCostPerTenKilobytes = 0.10;
 /// \brief Added while a target is new: it works at about half of its speed.
 inline constexpr double coldTargetCost = 0.40;
 /// \brief Time for which a target counts as new.
 inline constexpr Milliseconds coldTargetTime{3'000};
+/// \brief Time on the way that costs as much as a full target. On a link that is full, responses wait for hundreds of
+/// milliseconds, whatever the load of the target.
+inline constexpr Milliseconds fullWay{250};
 /// \brief Weight of the recent part of failures in the cost of a target.
 inline constexpr double failureCost = 1.5;
 
@@ -45,6 +49,7 @@
     std::uint32_t sentSinceReport = 0;
     std::uint32_t inFlight = 0;
     double failurePart = 0; ///< of the recent answers
+    Microseconds way{0};    ///< recent time of requests and responses on the way between the proxies
     MonotonicTime servingSince;
     bool isLeaving = false; ///< its door said so, ahead of the directory
 };
@@ -97,6 +102,9 @@
     /// \brief The target for a request; empty when none can be used.
     [[nodiscard]] std::optional<PlacementClaim> choose(const PlacementRequest &request, MonotonicTime now);
 
+    /// \brief Notes the time that a request and its response were on the way.
+    void noteWay(const PlacementClaim &claim, Microseconds way, MonotonicTime now);
+
     /// \brief Ends a claim.
     void finish(const PlacementClaim &claim, PlacementSign sign, const std::optional<DoorLoad> &load,
                 MonotonicTime now);
@@ -116,6 +124,7 @@
     void tryEject(PlacedTarget &target, MonotonicTime now);
 
     Locality m_self;
+    LinkWindow m_link; ///< to other regions
     RandomSource m_random;
     absl::flat_hash_map<ServiceName, Targets> m_services;
 };
--- a/include/dandeliondock/proxy/proxy.h
+++ b/include/dandeliondock/proxy/proxy.h
@@ -38,8 +38,8 @@
     Proxy(const Proxy &) = delete;
     Proxy &operator=(const Proxy &) = delete;
 
-    /// \brief Ends without cutting a request: says that it is not ready, waits until callers have left and requests have
-    /// ended, at most the grace time.
+    /// \brief Ends without cutting a request: says that it is not ready, waits until callers have left and requests
+    /// have ended, at most the grace time.
     void stop();
 
 private:
--- a/include/dandeliondock/proxy/rollout_control.h
+++ b/include/dandeliondock/proxy/rollout_control.h
@@ -1,10 +1,10 @@
 #pragma once
 
+#include <dandeliondock/codec/proxy_codec.h>
 #include <dandeliondock/core/log_event.h>
 #include <dandeliondock/core/metrics.h>
 #include <dandeliondock/http/event_loop.h>
 #include <dandeliondock/http/loop_client.h>
-#include <dandeliondock/codec/proxy_codec.h>
 #include <dandeliondock/proxy/operator_documents.h>
 #include <dandeliondock/proxy/service_versions.h>
 #include <dandeliondock/rollout/outcome_window.h>
--- a/include/dandeliondock/proxy/table_cache.h
+++ b/include/dandeliondock/proxy/table_cache.h
@@ -29,6 +29,8 @@
     [[nodiscard]] RowVersion upTo() const noexcept { return m_upTo; }
 
 private:
+    void removeMissing(const TableReading &reading);
+
     std::map<RowKey, TableRow> m_rows;
     std::deque<std::pair<RowVersion, RowKey>> m_removals;
     RowVersion m_completeFrom; ///< every removal after this version is remembered
--- a/include/dandeliondock/proxy/table_relay.h
+++ b/include/dandeliondock/proxy/table_relay.h
@@ -27,6 +27,8 @@
 inline constexpr Milliseconds relayHold{700};
 /// \brief Time after which a held call to another proxy counts as lost.
 inline constexpr Milliseconds relayMargin{400};
+/// \brief Time for the rest of a response that has begun to arrive.
+inline constexpr Milliseconds relayTransfer{1'000};
 /// \brief Time for which a proxy is not followed after it failed; doubles with each failure.
 inline constexpr Milliseconds relayDistrust{3'000};
 inline constexpr Milliseconds longestDistrust{30'000};
@@ -41,13 +43,16 @@
     Address door;
     /// Doors of the own region in their order, the own one included when it is known.
     std::function<std::vector<Address>()> doors;
+    /// Doors of the region whose first one reads from the platform; none when that is the own region.
+    std::function<std::vector<Address>()> firstRegionDoors;
 };
 
 /// \brief Follows the tables through another proxy of the region, and lets others follow.
 ///
-/// The doors of a region in the order of their addresses form a tree; the first one reads from the platform, so that one
-/// copy of a change crosses the link for each region. A proxy that fails or has lost the platform itself is passed over,
-/// and whoever has nobody to follow reads from the platform.
+/// The doors of a region in the order of their addresses form a tree. The first door of the first region reads from the
+/// platform, and the first one of every other region follows it, so that one compressed copy of a change crosses the
+/// link to each. A proxy that fails or has lost the platform itself is passed over, and whoever has nobody to follow
+/// reads from the platform.
 ///
 /// \remark Belongs to the control duty's thread.
 class TableRelay
@@ -89,6 +94,7 @@
     };
 
     [[nodiscard]] std::optional<Address> parent() const;
+    [[nodiscard]] bool isTrusted(const Address &door) const;
     void follow(const Address &parent, const TableName &table, RowVersion after, TableReadingHandler handler);
     void readPlatform(const TableName &table, RowVersion after, TableReadingHandler handler);
     void distrust(const Address &parent, const absl::Status &status);
--- a/include/dandeliondock/proxy/table_watch.h
+++ b/include/dandeliondock/proxy/table_watch.h
@@ -12,12 +12,16 @@
 /// \brief Pace of a watch.
 struct WatchPace
 {
-    Milliseconds hold{20'000};      ///< longest wait for a change
-    Milliseconds gather{150};       ///< pause after a change, in which further changes gather for one call
-    Milliseconds firstRetry{200};   ///< after a failure; doubles, with jitter
+    Milliseconds hold{20'000};    ///< longest wait for a change
+    Milliseconds gather{250};     ///< pause after a change, in which further changes gather for one call
+    Milliseconds firstRetry{200}; ///< after a failure; doubles, with jitter
     Milliseconds longestRetry{500};
 };
 
+/// \brief Changes of one reading that a later one replaced from which on the rows as they stand are read instead: each
+/// change carries its whole row, and a reader that lags would fall back further.
+inline constexpr std::size_t replacedChanges = 2;
+
 /// \brief Follows one table: reads it whole, then its changes, and whole again when changes were missed.
 ///
 /// \remark Belongs to the loop's thread.
@@ -41,6 +45,7 @@
     [[nodiscard]] bool isSynced() const noexcept { return m_isSynced; }
 
 private:
+    void next();
     void read();
     void follow();
     void received(absl::StatusOr<TableReading> reading, bool isWhole);
@@ -58,7 +63,7 @@
     RowVersion m_upTo;
     int m_failures = 0;
     bool m_isSynced = false;
-    bool m_mustRead = true;
+    bool m_mustRead = true; ///< the table is read whole next
 };
 
 } // namespace dandeliondock
--- a/include/dandeliondock/store/async_table.h
+++ b/include/dandeliondock/store/async_table.h
@@ -20,12 +20,14 @@
 {
     std::vector<TableRow> rows;
     std::vector<RowKey> removed;
-    RowVersion upTo;    ///< changes after this version are not in the reading
-    WallTime tableTime; ///< the table's own clock
+    std::size_t changes = 0; ///< number of changes added, those that a later one replaced included
+    RowVersion upTo;         ///< changes after this version are not in the reading
+    WallTime tableTime;      ///< the table's own clock
 
     /// \brief Adds a change of a row after those added before.
     void put(TableRow row)
     {
+        ++changes;
         std::erase(removed, row.key);
         std::erase_if(rows, [&row](const TableRow &held) { return held.key == row.key; });
         rows.push_back(std::move(row));
@@ -34,6 +36,7 @@
     /// \brief Adds a removal after the changes added before.
     void remove(const RowKey &key)
     {
+        ++changes;
         std::erase_if(rows, [&key](const TableRow &held) { return held.key == key; });
         std::erase(removed, key);
         removed.push_back(key);
--- a/src/codec/table_codec.cpp
+++ b/src/codec/table_codec.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-constexpr ByteCount largestCopy{64 * 1'024 * 1'024};
+constexpr ByteCount largestCopy{67'108'864};
 
 } // namespace
 
--- a/src/http/asio_state.h
+++ b/src/http/asio_state.h
@@ -18,8 +18,7 @@
 
 // Sockets name the loop's executor: the default one is erased, and copied with every handler.
 using StreamSocket = boost::asio::basic_stream_socket<boost::asio::ip::tcp, boost::asio::io_context::executor_type>;
-using StreamAcceptor =
-        boost::asio::basic_socket_acceptor<boost::asio::ip::tcp, boost::asio::io_context::executor_type>;
+using StreamAcceptor = boost::asio::basic_socket_acceptor<boost::asio::ip::tcp, boost::asio::io_context::executor_type>;
 
 struct TimerState
 {
--- a/src/http/loop_client.cpp
+++ b/src/http/loop_client.cpp
@@ -73,6 +73,7 @@
 
     void startDeadline();
     void cancel();
+    [[nodiscard]] bool extendForTransfer();
     void finish(LoopCallResult result);
 
     [[nodiscard]] bool isFinished() const noexcept { return !m_handler; }
@@ -124,6 +125,10 @@
     void close();
 
     [[nodiscard]] bool isClosed() const noexcept { return m_isClosed; }
+
+    /// \brief Whether the first bytes of the response have arrived.
+    [[nodiscard]] bool hasResponseBegun() const noexcept { return m_parser && m_parser->got_some(); }
+
     [[nodiscard]] bool isReusable(MonotonicTime now, Microseconds within) const noexcept
     {
         return !m_isClosed && now - m_idleSince <= std::min<Microseconds>(within, m_keepAlive);
@@ -160,11 +165,24 @@
         const auto self = weak.lock();
         if (!self || self->isFinished())
             return;
+        if (self->extendForTransfer())
+            return;
         self->dropConnection();
         self->finish({makeError(ErrorKind::DeadlineExceeded, "no response in time"), self->wasSent, {}});
     });
 }
 
+bool ClientCall::extendForTransfer()
+{
+    const auto held = connection.lock();
+    if (options.transferTime.count() == 0 || !held || !held->hasResponseBegun())
+        return false;
+    options.deadline += options.transferTime;
+    options.transferTime = Milliseconds{0};
+    startDeadline();
+    return true;
+}
+
 void ClientCall::dropConnection()
 {
     if (const auto held = connection.lock())
@@ -243,8 +261,7 @@
         if (const auto self = weak.lock())
             self->failed(ErrorKind::NotSent, "no connection in time");
     });
-    m_socket.async_connect(*endpoint,
-                           [self = shared_from_this()](const error_code &error) { self->connected(error); });
+    m_socket.async_connect(*endpoint, [self = shared_from_this()](const error_code &error) { self->connected(error); });
 }
 
 void ClientConnection::connected(const error_code &error)
--- a/src/http/loop_server.cpp
+++ b/src/http/loop_server.cpp
@@ -126,7 +126,7 @@
     Reading m_reading = Reading::Idle;
     MonotonicTime m_lastActivity;
     bool m_isWriting = false;
-    bool m_isLast = false;   ///< nothing is read after the response in progress
+    bool m_isLast = false; ///< nothing is read after the response in progress
     bool m_isClosed = false;
 };
 
@@ -313,9 +313,8 @@
 {
     m_message = std::make_unique<http::response<http::string_body>>(std::move(message));
     m_isWriting = true;
-    http::async_write(m_socket, *m_message, [self = shared_from_this()](const error_code &error, std::size_t) {
-        self->written(error);
-    });
+    http::async_write(m_socket, *m_message,
+                      [self = shared_from_this()](const error_code &error, std::size_t) { self->written(error); });
 }
 
 void ServerSession::written(const error_code &error)
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -5,6 +5,7 @@
 #include <absl/strings/str_cat.h>
 #include <absl/strings/strip.h>
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -29,8 +30,7 @@
 } // namespace
 
 ControlDuty::ControlDuty(ControlDutyParts parts)
-    : m_parts(std::move(parts)),
-      m_relay(relayParts()), m_table(m_relay.hooks()),
+    : m_parts(std::move(parts)), m_relay(relayParts()), m_table(m_relay.hooks()),
       m_operatorWatch(
               *m_parts.loop, m_table, m_parts.documents.table, {}, m_parts.random, m_parts.log,
               [this](const TableReading &reading, bool isWhole) {
@@ -57,22 +57,31 @@
     parts.platform = m_parts.table;
     parts.log = m_parts.log;
     parts.door = m_parts.door;
-    parts.doors = [this] { return doorsOfRegion(); };
+    parts.doors = [this] { return doorsOf(m_parts.region); };
+    parts.firstRegionDoors = [this] { return firstRegionDoors(); };
     return parts;
 }
 
-std::vector<Address> ControlDuty::doorsOfRegion() const
+std::vector<Address> ControlDuty::doorsOf(const RegionName &region) const
 {
     std::vector<Address> doors;
     for (const auto &[door, endpoint] : m_endpoints) {
-        if (endpoint.region == m_parts.region && endpoint.stamp.state == EndpointState::Serving)
+        if (endpoint.region == region && endpoint.stamp.state == EndpointState::Serving)
             doors.push_back(door);
     }
     return doors;
 }
 
-void ControlDuty::handle(absl::string_view path, absl::string_view body,
-                         std::function<void(int, std::string)> respond)
+std::vector<Address> ControlDuty::firstRegionDoors() const
+{
+    const auto before = [](const auto &left, const auto &right) { return left.second.region < right.second.region; };
+    const auto first = std::min_element(m_endpoints.begin(), m_endpoints.end(), before);
+    if (first == m_endpoints.end() || first->second.region == m_parts.region)
+        return {};
+    return doorsOf(first->second.region);
+}
+
+void ControlDuty::handle(absl::string_view path, absl::string_view body, std::function<void(int, std::string)> respond)
 {
     if (path == tablePath)
         m_relay.handle(body, std::move(respond));
--- a/src/proxy/door.cpp
+++ b/src/proxy/door.cpp
@@ -17,6 +17,7 @@
     WaiterId waiter;
     LoopTimer queueTimer;
     LoopCall call;
+    MonotonicTime arrivedAt;
     MonotonicTime startedAt;
     bool isRunning = false;
 };
@@ -49,18 +50,20 @@
 
 DoorJobPtr Door::handle(DoorRequest request, DoorReplyHandler handler)
 {
-    const auto job = std::make_shared<impl::DoorJob>();
+    auto job = std::make_shared<impl::DoorJob>();
     job->request = std::move(request);
     job->handler = std::move(handler);
     ++m_jobs;
     const MonotonicTime now = EventLoop::now();
+    job->arrivedAt = now;
     if (const DoorRefusal refusal = refusalFor(job->request, now); refusal != DoorRefusal::None) {
         refuse(job, refusal, Microseconds{0});
         return job;
     }
     job->waiter = WaiterId(++m_lastId);
     const MonotonicTime latest = std::min(job->request.deadline, job->request.usefulUntil);
-    const DoorAdmission admission = m_queue.offer(job->waiter, {job->request.route, job->request.workClass}, latest, now);
+    const DoorAdmission admission =
+            m_queue.offer(job->waiter, {job->request.route, job->request.workClass}, latest, now);
     if (admission.verdict == DoorVerdict::Run) {
         run(job);
     } else if (admission.verdict == DoorVerdict::Refuse) {
@@ -209,6 +212,7 @@
         return;
     --m_jobs;
     reply.load = m_queue.load();
+    reply.atDoor = EventLoop::now() - job->arrivedAt;
     if (!hasResponse(reply.outcome) && m_logLimiter.admits(EventLoop::now(), m_parts.log)) {
         LogEvent(LogLevel::Info, "door.not_answered")
                 .field("request", job->request.id)
--- a/src/proxy/door_request.cpp
+++ b/src/proxy/door_request.cpp
@@ -22,6 +22,7 @@
 constexpr absl::string_view outcomeHeader = "Dock-Outcome";
 constexpr absl::string_view refusalHeader = "Dock-Refusal";
 constexpr absl::string_view loadHeader = "Dock-Load"; // running, waiting, slots
+constexpr absl::string_view timeHeader = "Dock-Time-Ms";
 constexpr absl::string_view retryHeader = "Dock-Retry-Ms";
 constexpr absl::string_view detailHeader = "Dock-Detail";
 
@@ -142,6 +143,7 @@
     if (reply.load)
         message.headers.add(loadHeader,
                             absl::StrCat(reply.load->running, ",", reply.load->waiting, ",", reply.load->slots));
+    message.headers.add(timeHeader, absl::StrCat(std::chrono::duration_cast<Milliseconds>(reply.atDoor).count()));
     if (reply.retryAfter.count() > 0) {
         message.headers.add(retryHeader,
                             absl::StrCat(std::chrono::duration_cast<Milliseconds>(reply.retryAfter).count()));
@@ -165,6 +167,9 @@
         reply.load = DoorLoad{static_cast<std::uint32_t>(load[0]), static_cast<std::uint32_t>(load[1]),
                               static_cast<std::uint32_t>(load[2])};
     }
+    const std::vector<std::int64_t> time = takeNumbers(response.headers, timeHeader, 1);
+    if (!time.empty())
+        reply.atDoor = Milliseconds(time[0]);
     const std::vector<std::int64_t> retry = takeNumbers(response.headers, retryHeader, 1);
     if (!retry.empty())
         reply.retryAfter = Milliseconds(retry[0]);
--- a/src/proxy/forward_plan.cpp
+++ b/src/proxy/forward_plan.cpp
@@ -25,8 +25,7 @@
         return m_terms.isIdempotent && mayReachAnotherTarget(now) ? ForwardStep::Send : ForwardStep::Answer;
     case DoorOutcome::NotSent:
     case DoorOutcome::Refused:
-        m_ledger.conclude(m_current,
-                          outcome == DoorOutcome::NotSent ? AttemptResult::NotSent : AttemptResult::Shed);
+        m_ledger.conclude(m_current, outcome == DoorOutcome::NotSent ? AttemptResult::NotSent : AttemptResult::Shed);
         ++m_offers;
         if (m_offers < maxOffers && now < m_terms.deadline && m_ledger.permitsAnother())
             return ForwardStep::Send;
@@ -48,8 +47,7 @@
 
 bool ForwardPlan::mayReachAnotherTarget(MonotonicTime now)
 {
-    return m_reached < m_terms.attempts && now < m_terms.deadline && m_ledger.permitsAnother()
-           && m_budget.tryTake(now);
+    return m_reached < m_terms.attempts && now < m_terms.deadline && m_ledger.permitsAnother() && m_budget.tryTake(now);
 }
 
 ForwardStep ForwardPlan::giveUp() const
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -55,6 +55,7 @@
     void attempt();
     void sendToDoor(const DoorRequest &request);
     void received(LoopCallResult result);
+    void noteSilence();
     void concluded(DoorReply reply);
     void answer(HttpResponse response);
     void fail();
@@ -76,6 +77,7 @@
     std::optional<HttpResponse> m_failure; ///< a target's failure, kept while another target is tried
     DoorJobPtr m_job;
     LoopCall m_call;
+    MonotonicTime m_sentAt; ///< to another proxy; the epoch while the own door has the request
     bool m_isTimedOut = false;
     bool m_isDone = false;
 };
@@ -125,9 +127,9 @@
                                     : m_request.deadline;
     RetryBudget &retries = m_owner.budgetOf(m_request.service);
     retries.recordRequest(arrived);
-    m_plan.emplace(ForwardTerms{route.idempotent, route.attempts == 0 ? maxAttempts : route.attempts,
-                                m_request.deadline},
-                   retries);
+    m_plan.emplace(
+            ForwardTerms{route.idempotent, route.attempts == 0 ? maxAttempts : route.attempts, m_request.deadline},
+            retries);
     m_placement.service = m_request.service;
     m_placement.version = m_owner.chooseVersionOf(m_request.service);
     m_placement.responseSize = ByteCount(static_cast<std::uint64_t>(m_owner.m_responseSizes[route.name]));
@@ -164,6 +166,7 @@
     m_request.target = endpoint.target;
     m_placement.tried.push_back(endpoint.target);
     m_plan->begin();
+    m_sentAt = MonotonicTime();
     if (endpoint.controlAddress == m_owner.m_parts.doorAddress) {
         const auto job = m_owner.m_parts.door->handle(
                 m_request, [self = shared_from_this()](DoorReply reply) { self->concluded(std::move(reply)); });
@@ -176,6 +179,7 @@
 
 void Forwarder::Session::sendToDoor(const DoorRequest &request)
 {
+    m_sentAt = EventLoop::now();
     LoopCallOptions options;
     options.deadline = request.deadline + doorAnswerSlack;
     options.reuseWithin = request.isIdempotent ? reusableConnection : provenConnection;
@@ -190,6 +194,8 @@
     if (result.status.ok()) {
         auto decoded = decodeDoorReply(std::move(result.response));
         if (decoded.ok()) {
+            const MonotonicTime now = EventLoop::now();
+            m_owner.m_placement.noteWay(*m_claim, now - m_sentAt - decoded->atDoor, now);
             concluded(*std::move(decoded));
             return;
         }
@@ -197,6 +203,7 @@
         reply.detail = std::string(errorDetail(decoded.status()));
     } else {
         reply.detail = std::string(errorDetail(result.status));
+        noteSilence();
         if (!result.wasSent)
             reply.outcome = DoorOutcome::NotSent;
         else
@@ -206,6 +213,14 @@
     concluded(std::move(reply));
 }
 
+// A call without a reply was at least as long on the way as it is slow for a target to answer.
+void Forwarder::Session::noteSilence()
+{
+    const MonotonicTime now = EventLoop::now();
+    if (m_claim && m_sentAt != MonotonicTime() && now - m_sentAt > congestedWay + m_match.route->targetLatency)
+        m_owner.m_placement.noteWay(*m_claim, now - m_sentAt - m_match.route->targetLatency, now);
+}
+
 void Forwarder::Session::concluded(DoorReply reply)
 {
     if (m_isDone)
@@ -230,8 +245,7 @@
         answer(std::move(reply.response));
         return;
     case ForwardStep::Refuse:
-        refuse(reply.outcome == DoorOutcome::Refused ? doorRefusalName(reply.refusal)
-                                                     : doorOutcomeName(reply.outcome),
+        refuse(reply.outcome == DoorOutcome::Refused ? doorRefusalName(reply.refusal) : doorOutcomeName(reply.outcome),
                reply.retryAfter);
         return;
     case ForwardStep::Fail:
@@ -293,8 +307,7 @@
     logEnd(unavailable, reason);
     HttpResponse response;
     response.status = unavailable;
-    response.headers.add("Retry-After",
-                         absl::StrFormat("%.3f", std::chrono::duration<double>(wait).count()));
+    response.headers.add("Retry-After", absl::StrFormat("%.3f", std::chrono::duration<double>(wait).count()));
     m_exchange->respond(std::move(response));
 }
 
@@ -317,15 +330,13 @@
         m_owner.m_parts.door->cancel(m_job);
     m_job.reset();
     m_call.cancel();
+    noteSilence();
     if (m_claim)
         m_owner.m_placement.finish(*m_claim, PlacementSign::Nothing, std::nullopt, EventLoop::now());
     m_claim.reset();
 }
 
-Forwarder::Forwarder(ForwarderParts parts)
-    : m_parts(std::move(parts)), m_placement(m_parts.self, m_parts.random)
-{
-}
+Forwarder::Forwarder(ForwarderParts parts) : m_parts(std::move(parts)), m_placement(m_parts.self, m_parts.random) {}
 
 Forwarder::~Forwarder() = default;
 
@@ -339,8 +350,7 @@
     if (m_config && config->state->revision() <= m_config->state->revision())
         return;
     m_config = std::move(config);
-    absl::erase_if(m_responseSizes,
-                   [this](const auto &item) { return m_config->state->route(item.first) == nullptr; });
+    absl::erase_if(m_responseSizes, [this](const auto &item) { return m_config->state->route(item.first) == nullptr; });
 }
 
 void Forwarder::setVersions(const ServiceVersions &versions)
@@ -395,8 +405,7 @@
 
 Milliseconds Forwarder::retryAfter(Microseconds hint)
 {
-    const auto base = std::clamp(std::chrono::duration_cast<Milliseconds>(hint), shortestRetryAfter,
-                                 longestRetryAfter);
+    const auto base = std::clamp(std::chrono::duration_cast<Milliseconds>(hint), shortestRetryAfter, longestRetryAfter);
     // Half of the time is drawn, so that callers refused together do not return together.
     return base + Milliseconds(uniformBelow(m_parts.random, static_cast<std::uint64_t>(base.count())));
 }
--- a/src/proxy/local_target.cpp
+++ b/src/proxy/local_target.cpp
@@ -17,8 +17,8 @@
 {
     if (m_current && isOlder(announcement))
         return AnnouncementEffect::Stale;
-    const bool sameLife = m_current && m_current->target == announcement.target
-                          && m_current->startedAt == announcement.startedAt;
+    const bool sameLife =
+            m_current && m_current->target == announcement.target && m_current->startedAt == announcement.startedAt;
     if (!sameLife) {
         m_current = announcement;
         m_servingSince = now;
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -8,6 +8,7 @@
 namespace {
 
 constexpr double failureSmoothing = 0.1;
+constexpr int waySmoothing = 8;
 constexpr double tenKilobytes = 10'000;
 constexpr double loadOrder = 0.1; // orders targets that are hardly busy
 constexpr double tieNoise = 0.02; // keeps callers with the same knowledge from choosing alike
@@ -33,11 +34,12 @@
     const bool isFresh = now - target.reportedAt < doorLoadLife && target.reported.slots > 0;
     const std::uint32_t announced = target.endpoint.slots.value();
     const std::uint32_t slots = std::max<std::uint32_t>(1, isFresh ? target.reported.slots : announced);
-    const std::uint32_t known = isFresh ? target.reported.running + target.reported.waiting + target.sentSinceReport
-                                        : target.inFlight;
+    const std::uint32_t known =
+            isFresh ? target.reported.running + target.reported.waiting + target.sentSinceReport : target.inFlight;
     const double load = static_cast<double>(known + 1) / slots;
     double cost = load * load * load + loadOrder * load;
     cost += distanceCost(target.tier, responseSize) + failureCost * target.failurePart;
+    cost += std::chrono::duration<double>(target.way) / std::chrono::duration<double>(fullWay);
     if (now - target.servingSince < coldTargetTime)
         cost += coldTargetCost;
     return cost;
@@ -69,8 +71,7 @@
 void Placement::remove(const Address &door)
 {
     for (auto &[service, targets] : m_services) {
-        std::erase_if(targets,
-                      [&door](const PlacedTargetPtr &item) { return item->endpoint.controlAddress == door; });
+        std::erase_if(targets, [&door](const PlacedTargetPtr &item) { return item->endpoint.controlAddress == door; });
     }
 }
 
@@ -85,10 +86,11 @@
             targets.push_back(target);
     }
     if (request.version.targets < fullShare) {
-        std::sort(targets.begin(), targets.end(), [&request](const PlacedTargetPtr &left, const PlacedTargetPtr &right) {
-            return rendezvousRank(request.version.version, left->endpoint.target)
-                   < rendezvousRank(request.version.version, right->endpoint.target);
-        });
+        std::sort(targets.begin(), targets.end(),
+                  [&request](const PlacedTargetPtr &left, const PlacedTargetPtr &right) {
+                      return rendezvousRank(request.version.version, left->endpoint.target)
+                             < rendezvousRank(request.version.version, right->endpoint.target);
+                  });
         targets.resize(targetsOfShare(request.version.targets, targets.size()));
     }
     std::erase_if(targets, [](const PlacedTargetPtr &target) { return target->isLeaving; });
@@ -103,6 +105,8 @@
     for (const PlacedTargetPtr &target : targets) {
         if (!target->ejection.isUsable(now) || (avoidTried && isTried(request, target->endpoint.target)))
             continue;
+        if (target->tier == LocalityTier::OtherRegion && !m_link.hasRoom())
+            continue;
         const double noise = tieNoise * static_cast<double>(uniformBelow(m_random, noiseSteps)) / noiseSteps;
         const double targetCost = cost(*target, request.responseSize, now) + noise;
         if (!best || targetCost < bestCost) {
@@ -123,15 +127,26 @@
         return std::nullopt;
     const bool isTrial = target->ejection.begin();
     ++target->inFlight;
+    if (target->tier == LocalityTier::OtherRegion)
+        m_link.begin();
     ++target->sentSinceReport;
     return PlacementClaim{std::move(target), isTrial};
 }
 
+void Placement::noteWay(const PlacementClaim &claim, Microseconds way, MonotonicTime now)
+{
+    if (claim.target->tier == LocalityTier::OtherRegion)
+        m_link.note(way, now);
+    claim.target->way += (way - claim.target->way) / waySmoothing;
+}
+
 void Placement::finish(const PlacementClaim &claim, PlacementSign sign, const std::optional<DoorLoad> &load,
                        MonotonicTime now)
 {
     PlacedTarget &target = *claim.target;
     --target.inFlight;
+    if (target.tier == LocalityTier::OtherRegion)
+        m_link.end();
     if (load) {
         target.reported = *load;
         target.reportedAt = now;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -24,8 +24,7 @@
     Impl(const ProxySettings &settings, PlatformAdapter adapter, LogSink log)
         : m_settings(settings), m_adapter(std::move(adapter)), m_log(std::move(log)), m_controlClient(m_controlLoop),
           m_trafficNews(m_controlLoop, attemptsCapacity, [this](TrafficNews news) { takeTrafficNews(news); }),
-          m_controlNews(m_trafficLoop, newsCapacity,
-                        [this](ControlNews news) { m_traffic.take(std::move(news)); }),
+          m_controlNews(m_trafficLoop, newsCapacity, [this](ControlNews news) { m_traffic.take(std::move(news)); }),
           m_traffic(m_trafficLoop, m_settings, m_adapter, m_metrics, m_log,
                     [this](TrafficNews news) { m_trafficNews.push(std::move(news)); }),
           m_control(controlParts())
@@ -68,8 +67,7 @@
         parts.random = systemRandom();
         parts.node = m_settings.node;
         parts.incarnation = Incarnation(static_cast<std::uint64_t>(
-                std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch())
-                        .count()));
+                std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()));
         parts.door = m_settings.door;
         parts.region = m_settings.region;
         parts.service = m_settings.service;
@@ -82,9 +80,8 @@
         if (const auto *endpoint = std::get_if<Endpoint>(&news))
             m_control.announce(*endpoint);
         else if (const auto *attempts = std::get_if<RolloutAttempts>(&news))
-            std::for_each(attempts->begin(), attempts->end(), [this](const RolloutAttempt &attempt) {
-                m_control.record(attempt.report, attempt.rollout);
-            });
+            std::for_each(attempts->begin(), attempts->end(),
+                          [this](const RolloutAttempt &attempt) { m_control.record(attempt.report, attempt.rollout); });
         else if (auto *call = std::get_if<PeerCall>(&news))
             m_control.handle(call->path, call->body, std::move(call->respond));
     }
@@ -111,8 +108,7 @@
     m_impl->stop();
 }
 
-absl::StatusOr<std::unique_ptr<Proxy>> Proxy::start(const ProxySettings &settings, PlatformAdapter adapter,
-                                                    LogSink log)
+absl::StatusOr<std::unique_ptr<Proxy>> Proxy::start(const ProxySettings &settings, PlatformAdapter adapter, LogSink log)
 {
     auto impl = std::make_unique<Impl>(settings, std::move(adapter), std::move(log));
     if (absl::Status status = impl->start(); !status.ok())
--- a/src/proxy/proxy_settings.cpp
+++ b/src/proxy/proxy_settings.cpp
@@ -72,8 +72,7 @@
             share = m_message.retry_share();
             m_errors.require(share >= 0 && share <= 1, "retry_share", absl::StrCat(share), "give a part from 0 to 1");
         }
-        settings.retries.ofRequests =
-                Share(static_cast<std::uint32_t>(share * retryShareUsed * fullShare.value()));
+        settings.retries.ofRequests = Share(static_cast<std::uint32_t>(share * retryShareUsed * fullShare.value()));
         settings.retries.floor = retryFloor;
         if (!m_message.log_level().empty())
             settings.logLevel = m_message.log_level();
--- a/src/proxy/rollout_control.cpp
+++ b/src/proxy/rollout_control.cpp
@@ -49,10 +49,10 @@
     if (m_versions && m_versions->rollout && next.rollout
         && m_versions->rollout->record.ticket == next.rollout->record.ticket)
         next.rollout->record = mergeRecords(next.rollout->record, m_versions->rollout->record);
-    const bool isNewRollout = next.rollout
-                              && (!m_versions || !m_versions->rollout
-                                  || m_versions->rollout->record.ticket != next.rollout->record.ticket
-                                  || m_versions->rollout->driver != next.rollout->driver);
+    const bool isNewRollout =
+            next.rollout
+            && (!m_versions || !m_versions->rollout || m_versions->rollout->record.ticket != next.rollout->record.ticket
+                || m_versions->rollout->driver != next.rollout->driver);
     if (isNewRollout) {
         m_lastContact = EventLoop::now();
         m_driver.reset();
@@ -98,8 +98,7 @@
 void RolloutControl::schedule()
 {
     const bool hasOpenOrder =
-            m_order && m_versions
-            && (!m_versions->rollout || m_versions->rollout->record.ticket < m_order->number);
+            m_order && m_versions && (!m_versions->rollout || m_versions->rollout->record.ticket < m_order->number);
     if (!isOpen() && !hasOpenOrder)
         return;
     m_timer = m_parts.loop->after(rolloutTick, [this] { tick(); });
@@ -120,10 +119,9 @@
     if (!m_versions || m_isWriting)
         return;
     const MonotonicTime now = EventLoop::now();
-    const bool isUnclaimed =
-            m_order && (!m_versions->rollout || m_versions->rollout->record.ticket < m_order->number);
-    const bool isAbandoned = isOpen() && !isDriver()
-                             && now - m_lastContact > driverSilence + driverStagger * m_parts.rank();
+    const bool isUnclaimed = m_order && (!m_versions->rollout || m_versions->rollout->record.ticket < m_order->number);
+    const bool isAbandoned =
+            isOpen() && !isDriver() && now - m_lastContact > driverSilence + driverStagger * m_parts.rank();
     if ((isUnclaimed && now >= m_claimFrom) || isAbandoned)
         claim();
 }
@@ -227,7 +225,7 @@
 {
     TableTransaction transaction;
     transaction.writes.push_back(m_parts.documents->status(m_parts.service, target, state));
-    m_parts.table->commit(transaction, [this, state, target](absl::StatusOr<TableCommit> result) {
+    m_parts.table->commit(transaction, [this, state, target](const absl::StatusOr<TableCommit> &result) {
         if (result.ok())
             return;
         LogEvent(LogLevel::Warn, "rollout.status_failed").error(result.status()).write(m_parts.log);
@@ -249,11 +247,12 @@
     request.body = encodeOutcomeReport(report);
     LoopCallOptions options;
     options.deadline = EventLoop::now() + reportTime;
-    m_parts.client->send(m_versions->rollout->driver, request, options,
-                         [this, sequence = report.batch ? report.batch->sequence : SequenceNumber()](const LoopCallResult &result) {
-                             m_isReporting = false;
-                             reportSent(result, sequence);
-                         });
+    m_parts.client->send(
+            m_versions->rollout->driver, request, options,
+            [this, sequence = report.batch ? report.batch->sequence : SequenceNumber()](const LoopCallResult &result) {
+                m_isReporting = false;
+                reportSent(result, sequence);
+            });
 }
 
 void RolloutControl::reportSent(const LoopCallResult &result, SequenceNumber sequence)
--- a/src/proxy/table_cache.cpp
+++ b/src/proxy/table_cache.cpp
@@ -1,6 +1,7 @@
 #include <dandeliondock/proxy/table_cache.h>
 
 #include <algorithm>
+#include <set>
 
 namespace dandeliondock {
 
@@ -8,11 +9,8 @@
 {
     if (reading.upTo < m_upTo)
         return;
-    if (isWhole) {
-        m_rows.clear();
-        m_removals.clear();
-        m_completeFrom = reading.upTo;
-    }
+    if (isWhole)
+        removeMissing(reading);
     for (const TableRow &row : reading.rows) {
         TableRow &held = m_rows[row.key];
         if (held.version <= row.version)
@@ -30,6 +28,24 @@
     m_tableTime = reading.tableTime;
 }
 
+// Rows that were held and are not in a whole reading were removed since.
+void TableCache::removeMissing(const TableReading &reading)
+{
+    if (m_upTo == RowVersion())
+        m_completeFrom = reading.upTo;
+    std::set<RowKey> present;
+    for (const TableRow &row : reading.rows)
+        present.insert(row.key);
+    for (auto row = m_rows.begin(); row != m_rows.end();) {
+        if (present.contains(row->first)) {
+            ++row;
+            continue;
+        }
+        m_removals.emplace_back(reading.upTo, row->first);
+        row = m_rows.erase(row);
+    }
+}
+
 std::optional<TableReading> TableCache::since(RowVersion after) const
 {
     if (after < m_completeFrom)
--- a/src/proxy/table_relay.cpp
+++ b/src/proxy/table_relay.cpp
@@ -28,21 +28,31 @@
     return hooks;
 }
 
-// A parent always stands before its followers in the order, so that no circle can form whatever each proxy sees.
+bool TableRelay::isTrusted(const Address &door) const
+{
+    const auto distrusted = m_distrusted.find(door);
+    return distrusted == m_distrusted.end() || distrusted->second.until <= EventLoop::now();
+}
+
+// A parent stands before its followers in the order of the region, or in the first region, which follows no other: no
+// circle can form whatever each proxy sees.
 std::optional<Address> TableRelay::parent() const
 {
-    const MonotonicTime now = EventLoop::now();
     std::vector<Address> before;
     for (const Address &door : m_parts.doors()) {
-        const auto distrusted = m_distrusted.find(door);
-        const bool isTrusted = distrusted == m_distrusted.end() || distrusted->second.until <= now;
-        if (door < m_parts.door && isTrusted)
+        if (door < m_parts.door && isTrusted(door))
             before.push_back(door);
     }
-    if (before.empty())
-        return std::nullopt;
-    std::sort(before.begin(), before.end());
-    return before[(before.size() - 1) / relayFanOut];
+    if (!before.empty()) {
+        std::sort(before.begin(), before.end());
+        return before[(before.size() - 1) / relayFanOut];
+    }
+    std::optional<Address> first;
+    for (const Address &door : m_parts.firstRegionDoors()) {
+        if (isTrusted(door) && (!first || door < *first))
+            first = door;
+    }
+    return first;
 }
 
 void TableRelay::readPlatform(const TableName &table, RowVersion after, TableReadingHandler handler)
@@ -58,6 +68,7 @@
     request.body = encodeTablePoll({table, after});
     LoopCallOptions options;
     options.deadline = EventLoop::now() + relayHold + relayMargin;
+    options.transferTime = relayTransfer;
     m_parts.client->send(
             parent, request, options,
             [this, parent, table, after, handler = std::move(handler)](const LoopCallResult &result) {
--- a/src/proxy/table_watch.cpp
+++ b/src/proxy/table_watch.cpp
@@ -24,6 +24,14 @@
     read();
 }
 
+void TableWatch::next()
+{
+    if (m_mustRead)
+        read();
+    else
+        follow();
+}
+
 void TableWatch::read()
 {
     m_table.list(m_name, [this](absl::StatusOr<TableReading> reading) { received(std::move(reading), true); });
@@ -51,11 +59,12 @@
     }
     m_failures = 0;
     m_isSynced = true;
-    m_mustRead = false;
+    const std::size_t kept = reading->rows.size() + reading->removed.size();
+    m_mustRead = reading->changes >= kept + replacedChanges;
     m_upTo = std::max(m_upTo, reading->upTo);
     const bool hasNews = !reading->rows.empty() || !reading->removed.empty();
     m_handler(*reading, isWhole);
-    m_timer = m_loop.after(hasNews ? m_pace.gather : Milliseconds{0}, [this] { follow(); });
+    m_timer = m_loop.after(hasNews ? m_pace.gather : Milliseconds{0}, [this] { next(); });
 }
 
 void TableWatch::failed(const absl::Status &status)
@@ -68,15 +77,11 @@
         LogEvent(LogLevel::Warn, "table.lost").field("table", m_name).error(status).write(m_log);
         m_onCurrent(false);
     }
-    const Milliseconds base = std::min(m_pace.longestRetry, m_pace.firstRetry * (1 << std::min(m_failures, mostDoublings)));
+    const Milliseconds base =
+            std::min(m_pace.longestRetry, m_pace.firstRetry * (1 << std::min(m_failures, mostDoublings)));
     ++m_failures;
     const auto wait = Milliseconds(uniformBelow(m_random, static_cast<std::uint64_t>(base.count()))) + base / 2;
-    m_timer = m_loop.after(wait, [this] {
-        if (m_mustRead)
-            read();
-        else
-            follow();
-    });
+    m_timer = m_loop.after(wait, [this] { next(); });
 }
 
 } // namespace dandeliondock
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -46,9 +46,7 @@
     parts.log = m_log;
     parts.protocol = m_adapter.protocol;
     parts.target = m_settings.target;
-    parts.onAttempt = [this](const AttemptReport &report, TicketNumber rollout) {
-        gather({report, rollout});
-    };
+    parts.onAttempt = [this](const AttemptReport &report, TicketNumber rollout) { gather({report, rollout}); };
     parts.versions = [this](const ServiceName &service) { return m_forwarder.versions(service); };
     return parts;
 }
@@ -190,9 +188,8 @@
         exchange->respond(statusOnly(badRequest));
         return;
     }
-    const DoorJobPtr job = m_door.handle(*std::move(request), [exchange](DoorReply reply) {
-        exchange->respond(encodeDoorReply(std::move(reply)));
-    });
+    const DoorJobPtr job = m_door.handle(
+            *std::move(request), [exchange](DoorReply reply) { exchange->respond(encodeDoorReply(std::move(reply))); });
     exchange->onCancelled([this, job] { m_door.cancel(job); });
 }
 
--- a/tests/http/loop_server_test.cpp
+++ b/tests/http/loop_server_test.cpp
@@ -59,10 +59,12 @@
         ++handled;
         echo(exchange);
     });
-    for (const char *head : {"Content-Length: 4\r\nContent-Length: 40\r\n", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
-                             "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n"}) {
+    for (const char *head :
+         {"Content-Length: 4\r\nContent-Length: 40\r\n", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: chunked\r\nContent-Length: 4\r\n"}) {
         RawConnection connection(served.port());
-        connection.write(std::string("POST /a HTTP/1.1\r\nHost: h\r\n") + head + "\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n");
+        connection.write(std::string("POST /a HTTP/1.1\r\nHost: h\r\n") + head
+                         + "\r\n0\r\n\r\nGET /b HTTP/1.1\r\n\r\n");
         CHECK_THAT(connection.readAll(), Catch::Contains("400 Bad Request"));
     }
     CHECK(handled == 0);
--- a/tests/platform/operator_rows_test.cpp
+++ b/tests/platform/operator_rows_test.cpp
@@ -37,8 +37,7 @@
     REQUIRE(document.ok());
     const ProxyConfigPtr config = std::get<ProxyConfigPtr>(*document);
     CHECK(config->state->revision() == RevisionNumber(7));
-    CHECK(config->limits
-          == ConnectionLimits{ByteCount(100), ByteCount(200), Milliseconds(300), Milliseconds(400)});
+    CHECK(config->limits == ConnectionLimits{ByteCount(100), ByteCount(200), Milliseconds(300), Milliseconds(400)});
     const RouteMatch lookup = config->routes.match("H", "/a/1?x=/a/b/");
     REQUIRE(lookup.route != nullptr);
     CHECK(lookup.route->idempotent);
@@ -60,8 +59,9 @@
     for (const std::string &text :
          {whole.substr(0, whole.size() / 2), with("\"r7\"", "7"), with("\"r7\"", "\"7\""), with("\"r7\"", "\"r0\""),
           with("\"service\":\"t\"}},", "\"service\":\"u\"}},"), with("\"weight\":90", "\"weight\":\"90\""),
-          with("\"/a/b/\"", "\"/a/b\""), with("\"unsafe\"", "\"other\""), with("\"timeout_ms\":1200", "\"timeout_ms\":0"),
-          with("\"weight\":10", "\"weight\":-10"), with("{\"service\":\"t\",\"weight\":10}", "{\"service\":\"u\",\"weight\":10}")}) {
+          with("\"/a/b/\"", "\"/a/b\""), with("\"unsafe\"", "\"other\""),
+          with("\"timeout_ms\":1200", "\"timeout_ms\":0"), with("\"weight\":10", "\"weight\":-10"),
+          with("{\"service\":\"t\",\"weight\":10}", "{\"service\":\"u\",\"weight\":10}")}) {
         INFO(text);
         const auto document = readConfigText(text);
         CHECK_FALSE(document.ok());
@@ -71,14 +71,15 @@
 TEST_CASE("a rollout's order is numbered by its row, and answered in the status table", "[platform]")
 {
     const OperatorDocuments rows = operatorRows();
-    const auto document = rows.read({RowKey("rollout/s"), RowVersion(9),
-                                     R"({"service":"s","target":"v2","duration_s":12.5})"});
+    const auto document =
+            rows.read({RowKey("rollout/s"), RowVersion(9), R"({"service":"s","target":"v2","duration_s":12.5})"});
     REQUIRE(document.ok());
     const auto &order = std::get<RolloutOrder>(*document);
     CHECK(order.number == TicketNumber(9));
     CHECK(order.target == VersionName("v2"));
     CHECK(order.duration == Milliseconds(12'500));
-    CHECK_FALSE(rows.read({RowKey("rollout/s"), RowVersion(9), R"({"service":"t","target":"v2","duration_s":1})"}).ok());
+    CHECK_FALSE(
+            rows.read({RowKey("rollout/s"), RowVersion(9), R"({"service":"t","target":"v2","duration_s":1})"}).ok());
     CHECK_FALSE(rows.read({RowKey("rollout/s"), RowVersion(9), R"({"service":"s","target":"v2"})"}).ok());
     const TableWrite status = rows.status(ServiceName("s"), VersionName("v2"), RolloutState::RolledBack);
     CHECK(status.table == TableName("status"));
--- a/tests/platform/proxy_test.cpp
+++ b/tests/platform/proxy_test.cpp
@@ -1,6 +1,6 @@
-#include "support/platform_store.h"
 #include "support/child_process.h"
 #include "support/loop_thread.h"
+#include "support/platform_store.h"
 
 #include <platform/adapter.h>
 
@@ -23,8 +23,7 @@
 
 std::string configText(int version, const std::string &prefix)
 {
-    return absl::StrCat(R"({"version":"r)", version, R"(","routes":{)",
-                        R"("lookup":{"host":"h","prefix":")", prefix,
+    return absl::StrCat(R"({"version":"r)", version, R"(","routes":{)", R"("lookup":{"host":"h","prefix":")", prefix,
                         R"(","kind":"safe","timeout_ms":2000,"priority":2,"service":"s","max_attempts":2},)",
                         R"("order":{"host":"h","prefix":"/order/","kind":"unsafe","timeout_ms":2000,"priority":1,)",
                         R"("service":"s","max_attempts":2}},"services":{"s":{"health_path":"/health",)",
@@ -64,8 +63,7 @@
         }
         HttpResponse response;
         const auto &headers = exchange->request().headers;
-        response.headers.add("X-Dandeliondock-Attempt-Id",
-                             headers.first("X-Dandeliondock-Attempt-Id").value_or(""));
+        response.headers.add("X-Dandeliondock-Attempt-Id", headers.first("X-Dandeliondock-Attempt-Id").value_or(""));
         response.headers.add("X-Dandeliondock-Server-Seal", "seal");
         response.body = absl::StrCat(headers.first("X-Dandeliondock-Caller-Service").value_or("none"), " ",
                                      exchange->request().target);
--- a/tests/platform/target_calls_test.cpp
+++ b/tests/platform/target_calls_test.cpp
@@ -48,9 +48,9 @@
     for (const std::string &body :
          {std::string("no json"), std::string("[]"), std::string("{}"), with("\"slots\":12", "\"slots\":\"12\""),
           with("\"slots\":12", "\"slots\":1.5"), with("\"slots\":12", "\"slots\":-1"),
-          with("\"slots\":12", "\"slots\":0"), with("\"sequence\":4", "\"sequence\":null"),
-          with("\"sequence\":4,", ""), with("\"service\":\"s\",", ""), with("\"ready\"", "\"asleep\""),
-          with("1782976810571", "\"1782976810571\""), with("1782976810571", "1782976810571.5")}) {
+          with("\"slots\":12", "\"slots\":0"), with("\"sequence\":4", "\"sequence\":null"), with("\"sequence\":4,", ""),
+          with("\"service\":\"s\",", ""), with("\"ready\"", "\"asleep\""), with("1782976810571", "\"1782976810571\""),
+          with("1782976810571", "1782976810571.5")}) {
         INFO(body);
         const auto message = readTargetCall(heartbeat(body));
         REQUIRE_FALSE(message.ok());
--- a/tests/proxy/forward_plan_test.cpp
+++ b/tests/proxy/forward_plan_test.cpp
@@ -29,8 +29,8 @@
         while (step == ForwardStep::Send) {
             plan.begin();
             const auto outcome = *rc::gen::element(DoorOutcome::Answered, DoorOutcome::Failed, DoorOutcome::Refused,
-                                                   DoorOutcome::NotSent, DoorOutcome::NotRun,
-                                                   DoorOutcome::MayHaveRun, DoorOutcome::TimedOut);
+                                                   DoorOutcome::NotSent, DoorOutcome::NotRun, DoorOutcome::MayHaveRun,
+                                                   DoorOutcome::TimedOut);
             mayHaveRun += reachedTarget(outcome) ? 1 : 0;
             step = plan.conclude(outcome, now);
         }
--- a/tests/proxy/local_target_test.cpp
+++ b/tests/proxy/local_target_test.cpp
@@ -70,9 +70,9 @@
         std::vector<TargetAnnouncement> items;
         for (std::uint64_t life = 1; life <= 3; ++life) {
             for (std::uint64_t sequence = 1; sequence <= 3; ++sequence)
-                items.push_back(announcement("a", life * 10, sequence,
-                                             life < 3 && sequence == 3 ? EndpointState::Leaving
-                                                                       : EndpointState::Serving));
+                items.push_back(
+                        announcement("a", life * 10, sequence,
+                                     life < 3 && sequence == 3 ? EndpointState::Leaving : EndpointState::Serving));
         }
         const auto keys = *rc::gen::container<std::vector<int>>(items.size(), rc::gen::arbitrary<int>());
         std::vector<std::size_t> order(items.size());
--- a/tests/proxy/placement_test.cpp
+++ b/tests/proxy/placement_test.cpp
@@ -90,6 +90,22 @@
     CHECK(chosen(placement, request(90'000)) == "near");
 }
 
+// Guards against a link that is kept full because the targets behind it look idle.
+TEST_CASE("a target whose responses are long on the way is left until it is the better choice", "[proxy]")
+{
+    Placement placement = withTargets({endpoint("near", "east", "a"), endpoint("far", "west", "b")});
+    load(placement, TargetId("near"), 9);
+    load(placement, TargetId("far"), 0);
+    PlacementRequest wanted = request();
+    wanted.tried = {TargetId("near")};
+    for (int index = 0; index < 40; ++index) {
+        const auto claim = placement.choose(wanted, at(1));
+        placement.noteWay(*claim, Milliseconds(100), at(1));
+        placement.finish(*claim, PlacementSign::Served, DoorLoad{0, 0, slots}, at(1));
+    }
+    CHECK(chosen(placement, request()) == "near");
+}
+
 // Guards against a target that is overrun because callers do not know of each other.
 TEST_CASE("the target with the least known load is taken, and own requests count until a report comes", "[proxy]")
 {
--- a/tests/proxy/table_cache_test.cpp
+++ b/tests/proxy/table_cache_test.cpp
@@ -60,7 +60,25 @@
 }
 
 // Guards against a follower that misses a removal because the table was read whole in between.
-TEST_CASE("a follower from before a whole reading is told to read the table whole", "[proxy]")
+TEST_CASE("a removal that a whole reading shows is passed on", "[proxy]")
+{
+    TableCache cache;
+    TableReading whole;
+    whole.upTo = RowVersion(10);
+    whole.rows.push_back({RowKey("a"), RowVersion(4), "x"});
+    whole.rows.push_back({RowKey("b"), RowVersion(5), "x"});
+    cache.take(whole, true);
+    whole.upTo = RowVersion(20);
+    whole.rows.pop_back();
+    cache.take(whole, true);
+    const auto news = cache.since(RowVersion(10));
+    REQUIRE(news.has_value());
+    CHECK(news->removed == std::vector<RowKey>{RowKey("b")});
+    CHECK(news->rows.empty());
+}
+
+// Guards against a follower that relies on removals from before the cache began.
+TEST_CASE("a follower from before the first whole reading is told to read the table whole", "[proxy]")
 {
     TableCache cache;
     TableReading whole;
--- a/tests/support/platform_store.h
+++ b/tests/support/platform_store.h
@@ -18,10 +18,10 @@
 /// \brief Faults of a PlatformStore, each off at first.
 struct PlatformStoreFaults
 {
-    bool refusesAll = false;       ///< 503, nothing is done
-    bool isSilent = false;         ///< no call is answered
+    bool refusesAll = false;        ///< 503, nothing is done
+    bool isSilent = false;          ///< no call is answered
     bool losesWriteAnswers = false; ///< writes are done, their connection closes without an answer
-    bool hasNoHistory = false;     ///< 410 to every call for changes
+    bool hasNoHistory = false;      ///< 410 to every call for changes
 };
 
 /// \brief A stand-in for the platform's metadata store that speaks its published protocol on a loopback port.
