--- a/include/dandeliondock/proxy/rollout_control.h
+++ b/include/dandeliondock/proxy/rollout_control.h
@@ -27,7 +27,7 @@
 /// requests in progress end.
 inline constexpr Milliseconds completionNotice{1'300};
 /// \brief Part of a rollout's time that is left for that notice and for its way to the operator.
-inline constexpr Milliseconds noticeReserve{1'500};
+inline constexpr Milliseconds noticeReserve{2'000};
 /// \brief Path on a door at which the driver takes outcomes.
 inline constexpr absl::string_view outcomesPath = "/dock/outcomes";
 
@@ -92,7 +92,9 @@
     void reportSent(const LoopCallResult &result, SequenceNumber sequence);
     void apply(const DriverDecision &decision);
     void write(ServiceVersions next, std::optional<RolloutState> status);
-    void writeStatus(RolloutState state, const VersionName &target);
+    /// Whether the rollout is completed and nobody has told the operator.
+    [[nodiscard]] bool isUnannounced() const;
+    void announceCompletion();
     void adopt(const ServiceVersions &versions);
 
     RolloutControlParts m_parts;
@@ -102,11 +104,11 @@
     std::optional<RolloutOrder> m_order;
     OutcomeWindow m_window;
     std::optional<RolloutDriver> m_driver;
-    WallTime m_orderedAt; ///< when the order was seen, on the table's clock
+    WallTime m_orderedAt;        ///< when the order was seen, on the table's clock
+    MonotonicTime m_completedAt; ///< when the row was first seen to be completed
     MonotonicTime m_claimFrom;
     MonotonicTime m_lastContact;
     LoopTimer m_timer;
-    LoopTimer m_noticeTimer;
     bool m_isWriting = false;
     bool m_isReporting = false;
 };
--- a/include/dandeliondock/proxy/service_versions.h
+++ b/include/dandeliondock/proxy/service_versions.h
@@ -25,10 +25,11 @@
 {
     RolloutRecord record;
     VersionName target;
-    WallTime startedAt; ///< on the table's clock
-    WallTime deadline;  ///< on the table's clock
-    Address driver;     ///< door of the proxy that drives it
-    Fence fence;        ///< rises with each driver
+    WallTime startedAt;      ///< on the table's clock
+    WallTime deadline;       ///< on the table's clock
+    Address driver;          ///< door of the proxy that drives it
+    Fence fence;             ///< rises with each driver
+    bool isNotified = false; ///< the operator was told that the rollout is completed
 
     bool operator==(const RolloutProgress &) const = default;
 };
--- a/src/codec/proxy_codec.cpp
+++ b/src/codec/proxy_codec.cpp
@@ -48,6 +48,7 @@
         row.set_reason(record.reason());
         row.set_driver(versions.rollout->driver.value());
         row.set_fence(versions.rollout->fence.value());
+        row.set_notified(versions.rollout->isNotified);
     }
     return row.SerializeAsString();
 }
@@ -74,7 +75,8 @@
                                        fromMilliseconds(row->started_ms()),
                                        fromMilliseconds(row->deadline_ms()),
                                        Address(row->driver()),
-                                       Fence(row->fence())};
+                                       Fence(row->fence()),
+                                       row->notified()};
     return versions;
 }
 
--- a/src/proxy/rollout_control.cpp
+++ b/src/proxy/rollout_control.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr Milliseconds reportTime{1'000};
-constexpr Milliseconds statusRetry{300};
 
 RowKey rowOf(const ServiceName &service)
 {
@@ -37,7 +36,10 @@
     if (version < m_rowVersion)
         return;
     m_rowVersion = version;
+    const bool wasUnannounced = isUnannounced();
     m_stored = versions;
+    if (isUnannounced() && !wasUnannounced)
+        m_completedAt = EventLoop::now();
     adopt(versions);
     schedule();
 }
@@ -99,7 +101,7 @@
 {
     const bool hasOpenOrder =
             m_order && m_versions && (!m_versions->rollout || m_versions->rollout->record.ticket < m_order->number);
-    if (!isOpen() && !hasOpenOrder)
+    if (!isOpen() && !hasOpenOrder && !isUnannounced())
         return;
     m_timer = m_parts.loop->after(rolloutTick, [this] { tick(); });
 }
@@ -111,6 +113,8 @@
         drive();
     else if (isOpen())
         sendReport();
+    else if (isUnannounced())
+        announceCompletion();
     schedule();
 }
 
@@ -121,7 +125,8 @@
     const MonotonicTime now = EventLoop::now();
     const bool isUnclaimed = m_order && (!m_versions->rollout || m_versions->rollout->record.ticket < m_order->number);
     const bool isAbandoned =
-            isOpen() && !isDriver() && now - m_lastContact > driverSilence + driverStagger * m_parts.rank();
+            isOpen() && !isDriver()
+            && now - m_lastContact > driverSilence + driverStagger * static_cast<Milliseconds::rep>(m_parts.rank());
     if ((isUnclaimed && now >= m_claimFrom) || isAbandoned)
         claim();
 }
@@ -135,6 +140,7 @@
         progress.record = {m_order->number, m_parts.service, StageIndex(0), RolloutState::Running, {}};
         if (m_order->target == next.current)
             progress.record.state = RolloutState::Completed;
+        progress.isNotified = progress.record.state == RolloutState::Completed;
         progress.target = m_order->target;
         progress.startedAt = m_orderedAt;
         progress.deadline = m_orderedAt + m_order->duration - std::min(noticeReserve, m_order->duration / 2);
@@ -183,7 +189,7 @@
         next.current = next.rollout->target;
     if (decision.publishFirst)
         adopt(next);
-    // The notice of a completion waits until no proxy sends to the old version any more.
+    // The operator is told of a completion later.
     if (decision.record.state == RolloutState::Completed)
         write(next, std::nullopt);
     else
@@ -213,24 +219,27 @@
             return;
         }
         setRow(next, result->version);
-        if (!status && next.rollout->record.state == RolloutState::Completed) {
-            m_noticeTimer = m_parts.loop->after(completionNotice, [this, target = next.rollout->target] {
-                writeStatus(RolloutState::Completed, target);
-            });
-        }
     });
 }
 
-void RolloutControl::writeStatus(RolloutState state, const VersionName &target)
+bool RolloutControl::isUnannounced() const
 {
-    TableTransaction transaction;
-    transaction.writes.push_back(m_parts.documents->status(m_parts.service, target, state));
-    m_parts.table->commit(transaction, [this, state, target](const absl::StatusOr<TableCommit> &result) {
-        if (result.ok())
-            return;
-        LogEvent(LogLevel::Warn, "rollout.status_failed").error(result.status()).write(m_parts.log);
-        m_noticeTimer = m_parts.loop->after(statusRetry, [this, state, target] { writeStatus(state, target); });
-    });
+    return m_stored && m_stored->rollout && m_stored->rollout->record.state == RolloutState::Completed
+           && !m_stored->rollout->isNotified;
+}
+
+// The old targets end at once when the operator is told, so that the notice waits until no proxy sends to them. When
+// the driver is gone by then, the others tell the operator in their order.
+void RolloutControl::announceCompletion()
+{
+    const Milliseconds patience =
+            isDriver() ? Milliseconds{0}
+                       : driverSilence + driverStagger * static_cast<Milliseconds::rep>(m_parts.rank());
+    if (m_isWriting || EventLoop::now() - m_completedAt < completionNotice + patience)
+        return;
+    ServiceVersions next = *m_versions;
+    next.rollout->isNotified = true;
+    write(std::move(next), RolloutState::Completed);
 }
 
 void RolloutControl::sendReport()
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -16,6 +16,14 @@
 constexpr int notFound = 404;
 constexpr int unavailable = 503;
 
+// Nothing was sent when no connection could be made, so that another target can be tried soon.
+LoopClientLimits clientLimits()
+{
+    LoopClientLimits limits;
+    limits.connectTime = Milliseconds(400);
+    return limits;
+}
+
 HttpResponse statusOnly(int status)
 {
     HttpResponse response;
@@ -28,7 +36,7 @@
 TrafficDuty::TrafficDuty(EventLoop &loop, const ProxySettings &settings, const PlatformAdapter &adapter,
                          Metrics &metrics, LogSink log, std::function<void(TrafficNews)> tell)
     : m_loop(loop), m_settings(settings), m_adapter(adapter), m_metrics(metrics), m_log(std::move(log)),
-      m_tell(std::move(tell)), m_client(loop), m_door(doorParts()), m_forwarder(forwarderParts()),
+      m_tell(std::move(tell)), m_client(loop, clientLimits()), m_door(doorParts()), m_forwarder(forwarderParts()),
       m_callers(loop, [this](const LoopExchangePtr &exchange) { m_forwarder.handle(exchange); }),
       m_doorServer(loop, [this](const LoopExchangePtr &exchange) { handleDoor(exchange); }),
       m_health(loop, [this](const LoopExchangePtr &exchange) { handleHealth(exchange); }),
--- a/tests/http/loop_client_test.cpp
+++ b/tests/http/loop_client_test.cpp
@@ -138,7 +138,7 @@
     CHECK(late.wasSent);
 }
 
-// Guards against an early response whose request's rest is taken for the next request.
+// Guards against a go-ahead that is taken for the response.
 TEST_CASE("responses of status 100 are passed over", "[http]")
 {
     RawListener listener([](const RawConnection &connection, int) {
--- /dev/null
+++ b/tests/proxy/rollout_control_test.cpp
@@ -0,0 +1,151 @@
+#include "support/loop_thread.h"
+
+#include <dandeliondock/proxy/rollout_control.h>
+
+#include <catch2/catch.hpp>
+
+#include <memory>
+#include <thread>
+#include <vector>
+
+namespace dandeliondock::testing {
+namespace {
+
+const ServiceName service("s");
+const VersionName oldVersion("v1");
+const VersionName newVersion("v2");
+
+/// A control on its own loop, with a table that takes every write.
+class Controlled
+{
+public:
+    explicit Controlled(const char *door, std::size_t rank = 0)
+    {
+        m_table.commit = [this](const TableTransaction &transaction, TableCommitHandler handler) {
+            commits.push_back(transaction);
+            m_thread.loop().post([this, handler] { handler(TableCommit{true, RowVersion(++m_version)}); });
+        };
+        m_documents.status = [](const ServiceName &, const VersionName &, RolloutState state) {
+            return TableWrite{TableName("status"), {RowKey("status"), std::to_string(static_cast<int>(state))}};
+        };
+        m_thread.run([&] {
+            m_client = std::make_unique<LoopClient>(m_thread.loop());
+            RolloutControlParts parts;
+            parts.loop = &m_thread.loop();
+            parts.client = m_client.get();
+            parts.table = &m_table;
+            parts.documents = &m_documents;
+            parts.ownTable = TableName("shared");
+            parts.door = Address(door);
+            parts.service = service;
+            parts.onVersions = [this](const ServiceVersions &versions) { known = versions; };
+            parts.serving = [](const VersionName &) { return 4U; };
+            parts.rank = [rank] { return rank; };
+            parts.isTableCurrent = [] { return true; };
+            parts.tableTime = [] {
+                return WallTime(std::chrono::duration_cast<Milliseconds>(EventLoop::now().time_since_epoch()));
+            };
+            m_control = std::make_unique<RolloutControl>(std::move(parts));
+        });
+    }
+
+    ~Controlled()
+    {
+        m_thread.run([this] {
+            m_control.reset();
+            m_client.reset();
+        });
+    }
+
+    void run(const std::function<void(RolloutControl &)> &work)
+    {
+        m_thread.run([&] { work(*m_control); });
+    }
+
+    std::vector<TableTransaction> taken()
+    {
+        std::vector<TableTransaction> copy;
+        m_thread.run([&] { copy = commits; });
+        return copy;
+    }
+
+    std::vector<TableTransaction> commits;
+    ServiceVersions known;
+
+private:
+    LoopThread m_thread;
+    AsyncTableHooks m_table;
+    OperatorDocuments m_documents;
+    std::unique_ptr<LoopClient> m_client;
+    std::unique_ptr<RolloutControl> m_control;
+    std::uint64_t m_version = 100;
+};
+
+ServiceVersions rowOf(RolloutState state, const char *driver)
+{
+    ServiceVersions row{service, state == RolloutState::Completed ? newVersion : oldVersion, RolloutProgress{}};
+    row.rollout->record = {TicketNumber(7), service, StageIndex(0), state, {}};
+    row.rollout->target = newVersion;
+    row.rollout->deadline = WallTime(std::chrono::hours(1));
+    row.rollout->driver = Address(driver);
+    row.rollout->fence = Fence(1);
+    return row;
+}
+
+bool tellsCompletion(const std::vector<TableTransaction> &commits)
+{
+    const std::string completed = std::to_string(static_cast<int>(RolloutState::Completed));
+    for (const TableTransaction &commit : commits) {
+        for (const TableWrite &write : commit.writes) {
+            if (write.table == TableName("status") && write.row.value == completed)
+                return true;
+        }
+    }
+    return false;
+}
+
+} // namespace
+
+// Guards against requests that meet an old target which ended when the operator was told, and against a completion that
+// nobody tells because its driver ended in between.
+TEST_CASE("the operator is told of a completion after the traffic moved, by another proxy when the driver is gone",
+          "[proxy]")
+{
+    Controlled driver("127.0.0.1:1");
+    Controlled other("127.0.0.1:2");
+    for (Controlled *control : {&driver, &other})
+        control->run([](RolloutControl &item) {
+            item.setRow(rowOf(RolloutState::Completed, "127.0.0.1:1"), RowVersion(5));
+        });
+    std::this_thread::sleep_for(completionNotice - rolloutTick);
+    CHECK_FALSE(tellsCompletion(driver.taken()));
+    std::this_thread::sleep_for(rolloutTick * 3);
+    CHECK(tellsCompletion(driver.taken()));
+    CHECK_FALSE(tellsCompletion(other.taken()));
+    std::this_thread::sleep_for(driverSilence);
+    CHECK(tellsCompletion(other.taken()));
+}
+
+// Guards against an order that nobody takes up, and against a rollback that is undone by an older row.
+TEST_CASE("an order is claimed under the row's version, and a rollback known here stands against an older row",
+          "[proxy]")
+{
+    Controlled control("127.0.0.1:1");
+    control.run([](RolloutControl &item) {
+        item.setRow({service, oldVersion, std::nullopt}, RowVersion(5));
+        item.setOrder({TicketNumber(7), service, newVersion, Seconds(20)});
+    });
+    std::this_thread::sleep_for(rolloutTick * 2);
+    const auto commits = control.taken();
+    REQUIRE_FALSE(commits.empty());
+    CHECK(commits.front().conditions.front().row.version == RowVersion(5));
+    CHECK(commits.front().writes.size() == 2);
+    control.run([](RolloutControl &item) {
+        item.setRow(rowOf(RolloutState::RolledBack, "127.0.0.1:9"), RowVersion(500));
+        item.setRow(rowOf(RolloutState::Running, "127.0.0.1:9"), RowVersion(400));
+    });
+    control.run(
+            [&control](RolloutControl &) { CHECK(control.known.rollout->record.state == RolloutState::RolledBack); });
+}
+
+} // namespace dandeliondock::testing
