Find dead readers sooner; three stages for a rollout

Good versions were completed after their deadline: four stages of at least 3 s do not fit when the new targets begin to serve late. Ruled out: the operator's notice (1.3 s as set). Change: proxies hold a call for 0.4 s and 0.3 s more count as lost; after a failure the platform is read for 2 s; a proxy that ends tells its followers. Shares 4 %, 33 %, all. The notice has 3 s.

--- a/include/dandeliondock/proxy/control_duty.h
+++ b/include/dandeliondock/proxy/control_duty.h
@@ -69,6 +69,9 @@
 
     void start();
 
+    /// \brief Tells the proxies that follow this one to follow another, as this process ends.
+    void stop() { m_relay.stop(); }
+
     /// \brief Announces the state of the own target to the other proxies.
     void announce(const Endpoint &endpoint);
 
--- a/include/dandeliondock/proxy/rollout_control.h
+++ b/include/dandeliondock/proxy/rollout_control.h
@@ -27,7 +27,7 @@
 /// requests in progress end.
 inline constexpr Milliseconds completionNotice{1'300};
 /// \brief Part of a rollout's time that is left for that notice and for its way to the operator.
-inline constexpr Milliseconds noticeReserve{2'000};
+inline constexpr Milliseconds noticeReserve{3'000};
 /// \brief Path on a door at which the driver takes outcomes.
 inline constexpr absl::string_view outcomesPath = "/dock/outcomes";
 
--- a/include/dandeliondock/proxy/table_relay.h
+++ b/include/dandeliondock/proxy/table_relay.h
@@ -22,11 +22,16 @@
 inline constexpr absl::string_view tablePath = "/dock/table";
 /// \brief Proxies that follow one other proxy.
 inline constexpr std::size_t relayFanOut = 8;
-/// \brief Longest wait for a change, at the platform and at another proxy. A proxy that lost the platform in silence
-/// shows it to its followers within this time and the client's margin, well before a configuration must be in force.
-inline constexpr Milliseconds relayHold{700};
+/// \brief Longest wait for a change at the platform. A proxy that lost the platform in silence shows it to its
+/// followers within this time and the client's margin, well before a configuration must be in force.
+inline constexpr Milliseconds platformHold{700};
+/// \brief Longest wait for a change at another proxy; shorter, as the proxies on the way may fail one after the other.
+inline constexpr Milliseconds relayHold{400};
 /// \brief Time after which a held call to another proxy counts as lost.
-inline constexpr Milliseconds relayMargin{400};
+inline constexpr Milliseconds relayMargin{300};
+/// \brief Time for which the platform is read after a proxy that was followed failed: the next one may have failed as
+/// well.
+inline constexpr Milliseconds directReading{2'000};
 /// \brief Time for the rest of a response that has begun to arrive.
 inline constexpr Milliseconds relayTransfer{1'000};
 /// \brief Time for which a proxy is not followed after it failed; doubles with each failure.
@@ -69,6 +74,9 @@
     /// \brief Says whether a table can be followed here; when not, the followers that wait are told at once.
     void setCurrent(const TableName &table, bool isCurrent);
 
+    /// \brief Lets nobody follow from now on, as this process ends.
+    void stop();
+
     /// \brief Takes a follower's call; \c respond gets a status and a body.
     void handle(absl::string_view body, std::function<void(int, std::string)> respond);
 
@@ -103,7 +111,9 @@
     TableRelayParts m_parts;
     absl::flat_hash_map<TableName, Table> m_tables;
     absl::flat_hash_map<Address, Distrust> m_distrusted;
+    MonotonicTime m_directUntil;
     std::uint64_t m_lastFollower = 0;
+    bool m_isStopped = false;
 };
 
 } // namespace dandeliondock
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -45,6 +45,7 @@
     {
         if (!m_trafficThread.joinable())
             return;
+        m_controlLoop.post([this] { m_control.stop(); });
         std::promise<void> ended;
         m_trafficLoop.post([this, &ended] { m_traffic.drain([&ended] { ended.set_value(); }); });
         ended.get_future().wait();
--- a/src/proxy/service_versions.cpp
+++ b/src/proxy/service_versions.cpp
@@ -4,9 +4,9 @@
 
 namespace {
 
-// Few requests meet a version that fails at once; the second stage loads one of six targets as it will be loaded at the
-// end, which shows a fault under load.
-const std::vector<Share> rolloutShares{Share(400), Share(1'600), Share(5'000), fullShare};
+// Few requests meet a version that fails at once; the second stage loads some targets as they will be loaded at the
+// end, which shows a fault under load. More stages than these do not fit when the new targets come late.
+const std::vector<Share> rolloutShares{Share(400), Share(3'300), fullShare};
 
 } // namespace
 
--- a/src/proxy/table_relay.cpp
+++ b/src/proxy/table_relay.cpp
@@ -38,6 +38,8 @@
 // circle can form whatever each proxy sees.
 std::optional<Address> TableRelay::parent() const
 {
+    if (EventLoop::now() < m_directUntil)
+        return std::nullopt;
     std::vector<Address> before;
     for (const Address &door : m_parts.doors()) {
         if (door < m_parts.door && isTrusted(door))
@@ -57,7 +59,7 @@
 
 void TableRelay::readPlatform(const TableName &table, RowVersion after, TableReadingHandler handler)
 {
-    m_parts.platform.changes(table, after, relayHold, std::move(handler));
+    m_parts.platform.changes(table, after, platformHold, std::move(handler));
 }
 
 void TableRelay::follow(const Address &parent, const TableName &table, RowVersion after, TableReadingHandler handler)
@@ -97,6 +99,7 @@
     Distrust &entry = m_distrusted[parent];
     entry.length = std::clamp(entry.length * 2, relayDistrust, longestDistrust);
     entry.until = EventLoop::now() + entry.length;
+    m_directUntil = EventLoop::now() + directReading;
     LogEvent(LogLevel::Info, "relay.passed_over")
             .field("door", parent)
             .field("for_ms", entry.length.count())
@@ -129,6 +132,13 @@
         follower.respond(unavailable, {});
 }
 
+void TableRelay::stop()
+{
+    m_isStopped = true;
+    for (auto &[name, table] : m_tables)
+        setCurrent(name, false);
+}
+
 void TableRelay::handle(absl::string_view body, std::function<void(int, std::string)> respond)
 {
     const auto poll = decodeTablePoll(body);
@@ -138,7 +148,7 @@
         return;
     }
     const auto found = m_tables.find(poll->table);
-    if (found == m_tables.end() || !found->second.isCurrent) {
+    if (m_isStopped || found == m_tables.end() || !found->second.isCurrent) {
         respond(unavailable, {});
         return;
     }
