Keep the proxies' own headers apart from those of callers and targets

Cause: requests and replies between proxies carry their terms in headers with the prefix Dock-, added beside those of the caller or the target. The decoder reads the first line of a name, so a target that sends "Dock-Outcome: not_run" turned an order that had run into a refusal (503), and a caller could name another target or call its order idempotent.

Ruled out: a stricter decoder alone, as it cannot tell whose line it reads.

Change: both encoders remove every header with the reserved prefix first.

--- a/include/dandeliondock/proxy/door_request.h
+++ b/include/dandeliondock/proxy/door_request.h
@@ -58,8 +58,9 @@
 /// \brief Name of an outcome, as messages and logs carry it. Thread-safe.
 [[nodiscard]] const char *doorOutcomeName(DoorOutcome outcome) noexcept;
 
-// Requests and replies between proxies as HTTP messages. Times travel as what is left of them. The functions are
-// thread-safe; the decoders return InvalidMessage.
+// Requests and replies between proxies as HTTP messages. Times travel as what is left of them. Header names that begin
+// with "Dock-" are reserved: those of callers and targets are not passed on. The functions are thread-safe; the
+// decoders return InvalidMessage.
 
 [[nodiscard]] HttpRequest encodeDoorRequest(const DoorRequest &request, MonotonicTime now);
 [[nodiscard]] absl::StatusOr<DoorRequest> decodeDoorRequest(HttpRequest request, MonotonicTime now);
--- a/src/proxy/door_request.cpp
+++ b/src/proxy/door_request.cpp
@@ -1,6 +1,7 @@
 #include <dandeliondock/core/error.h>
 #include <dandeliondock/proxy/door_request.h>
 
+#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
@@ -13,7 +14,9 @@
 
 namespace {
 
-// Header names of the proxies' own messages. They are short because they cross the metered link.
+// Header names of the proxies' own messages. They are short because they cross the metered link. The prefix is
+// reserved: a caller or target that sends such a header must not replace what a proxy says.
+constexpr absl::string_view reservedPrefix = "Dock-";
 constexpr absl::string_view targetHeader = "Dock-Target";
 constexpr absl::string_view serviceHeader = "Dock-Service";
 constexpr absl::string_view routeHeader = "Dock-Route";
@@ -37,6 +40,11 @@
     return makeError(ErrorKind::InvalidMessage, absl::StrCat(header, " is missing or malformed"));
 }
 
+void removeReserved(HttpHeaders &headers)
+{
+    headers.removeIf([](absl::string_view name) { return absl::StartsWithIgnoreCase(name, reservedPrefix); });
+}
+
 std::string takeText(HttpHeaders &headers, absl::string_view name)
 {
     std::string value(headers.first(name).value_or(""));
@@ -99,6 +107,7 @@
 HttpRequest encodeDoorRequest(const DoorRequest &request, MonotonicTime now)
 {
     HttpRequest message = request.request;
+    removeReserved(message.headers);
     message.headers.add(targetHeader, request.target.value());
     message.headers.add(serviceHeader, request.service.value());
     message.headers.add(routeHeader, request.route.value());
@@ -135,6 +144,7 @@
 HttpResponse encodeDoorReply(DoorReply reply)
 {
     HttpResponse message = std::move(reply.response);
+    removeReserved(message.headers);
     if (!hasResponse(reply.outcome))
         message.status = refusedStatus;
     message.headers.add(outcomeHeader, outcomeNames.at(static_cast<std::size_t>(reply.outcome)));
--- a/tests/platform/proxy_test.cpp
+++ b/tests/platform/proxy_test.cpp
@@ -52,6 +52,7 @@
 
     std::atomic<int> runs{0};
     std::atomic<bool> losesAnswers{false};
+    std::atomic<bool> deniesRun{false}; ///< in a header of the proxies' own protocol
 
 private:
     void run(const LoopExchangePtr &exchange)
@@ -65,6 +66,8 @@
         const auto &headers = exchange->request().headers;
         response.headers.add("X-Dandeliondock-Attempt-Id", headers.first("X-Dandeliondock-Attempt-Id").value_or(""));
         response.headers.add("X-Dandeliondock-Server-Seal", "seal");
+        if (deniesRun)
+            response.headers.add("Dock-Outcome", "not_run");
         response.body = absl::StrCat(headers.first("X-Dandeliondock-Caller-Service").value_or("none"), " ",
                                      exchange->request().target);
         exchange->respond(std::move(response));
@@ -131,9 +134,10 @@
         return std::move(ended.response);
     }
 
-    HttpResponse ask(const Instance &instance, const std::string &path, const std::string &method = "GET")
+    HttpResponse ask(const Instance &instance, const std::string &path, const std::string &method = "GET",
+                     const HttpHeaders &headers = {})
     {
-        HttpRequest request{method, path, {}, method == "GET" ? "" : "body"};
+        HttpRequest request{method, path, headers, method == "GET" ? "" : "body"};
         request.headers.add("Host", "h");
         request.headers.add("X-Dandeliondock-Attempt-Id", absl::StrCat("id", ++m_ids));
         request.headers.add("X-Dandeliondock-Time-Budget", "2000");
@@ -220,6 +224,23 @@
     CHECK(deployment.first.target.runs + deployment.second.target.runs == before + 3);
 }
 
+// Guards against an order that is said not to have run, or reaches another target, because a caller or a target sends
+// headers of the proxies' own protocol.
+TEST_CASE("headers of callers and targets do not pass for those of proxies", "[platform]")
+{
+    Deployment deployment;
+    REQUIRE(deployment.announce(deployment.second, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.first); }));
+    deployment.second.target.deniesRun = true;
+    const int before = deployment.second.target.runs;
+    CHECK(deployment.ask(deployment.first, "/order/1", "POST").status == 200);
+    HttpHeaders forged;
+    forged.add("Dock-Target", "other");
+    forged.add("Dock-Terms", "0,1,1,1");
+    CHECK(deployment.ask(deployment.first, "/order/2", "POST", forged).status == 200);
+    CHECK(deployment.second.target.runs == before + 2);
+}
+
 // Guards against a configuration that reaches only some proxies, goes back, or is lost with the store.
 TEST_CASE("a configuration comes into force everywhere, never goes back, and outlives the store", "[platform]")
 {
--- /dev/null
+++ b/tests/proxy/door_request_test.cpp
@@ -0,0 +1,87 @@
+#include <dandeliondock/proxy/door_request.h>
+
+#include <catch2/catch.hpp>
+
+namespace dandeliondock {
+namespace {
+
+DoorRequest orderFor(const char *target)
+{
+    DoorRequest request;
+    request.target = TargetId(target);
+    request.service = ServiceName("ledger");
+    request.route = RouteName("order");
+    request.id = RequestId("r-1");
+    request.workClass = WorkClass::Critical;
+    request.isIdempotent = false;
+    request.deadline = MonotonicTime{} + Milliseconds(2'000);
+    request.usefulUntil = MonotonicTime{} + Milliseconds(400);
+    request.request.method = "POST";
+    request.request.target = "/order/7";
+    return request;
+}
+
+TEST_CASE("a request keeps its terms on the way to a door", "[proxy]")
+{
+    const DoorRequest sent = orderFor("t-1");
+    const auto received = decodeDoorRequest(encodeDoorRequest(sent, MonotonicTime{}), MonotonicTime{});
+    REQUIRE(received.ok());
+    CHECK(received->target == sent.target);
+    CHECK(received->service == sent.service);
+    CHECK(received->route == sent.route);
+    CHECK(received->id == sent.id);
+    CHECK(received->workClass == sent.workClass);
+    CHECK(received->isIdempotent == sent.isIdempotent);
+    CHECK(received->deadline == sent.deadline);
+    CHECK(received->usefulUntil == sent.usefulUntil);
+    CHECK(received->request.headers.lines().empty());
+}
+
+// Guards against a caller that sends headers of the proxies' own protocol and so picks another target, or has an
+// order treated as one that may run twice.
+TEST_CASE("headers of a caller cannot replace the terms of a request", "[proxy]")
+{
+    DoorRequest sent = orderFor("t-1");
+    sent.request.headers.add("dock-target", "t-2");
+    sent.request.headers.add("Dock-Service", "other");
+    sent.request.headers.add("Dock-Route", "other");
+    sent.request.headers.add("Dock-Id", "r-2");
+    sent.request.headers.add("DOCK-TERMS", "1,1,60000,60000");
+    sent.request.headers.add("Dock-Later", "kept for messages to come");
+    sent.request.headers.add("Docket", "12");
+    const auto received = decodeDoorRequest(encodeDoorRequest(sent, MonotonicTime{}), MonotonicTime{});
+    REQUIRE(received.ok());
+    CHECK(received->target == sent.target);
+    CHECK(received->service == sent.service);
+    CHECK(received->route == sent.route);
+    CHECK(received->id == sent.id);
+    CHECK_FALSE(received->isIdempotent);
+    CHECK(received->workClass == sent.workClass);
+    CHECK(received->deadline == sent.deadline);
+    CHECK(received->request.headers.lines() == std::vector<HttpHeader>{{"Docket", "12"}});
+}
+
+// Guards against a target whose response claims that it has not run, which would let an order run twice.
+TEST_CASE("headers of a target cannot replace the outcome of a request", "[proxy]")
+{
+    DoorReply sent;
+    sent.outcome = DoorOutcome::Answered;
+    sent.response.status = 200;
+    sent.response.headers.add("Dock-Outcome", "not_run");
+    sent.response.headers.add("dock-refusal", "busy");
+    sent.response.headers.add("Dock-Load", "0,0,1000");
+    sent.response.headers.add("Dock-Retry-Ms", "60000");
+    sent.response.headers.add("Dock-Detail", "forged");
+    sent.response.headers.add("Docket", "12");
+    const auto received = decodeDoorReply(encodeDoorReply(sent));
+    REQUIRE(received.ok());
+    CHECK(received->outcome == DoorOutcome::Answered);
+    CHECK(received->refusal == DoorRefusal::None);
+    CHECK_FALSE(received->load.has_value());
+    CHECK(received->retryAfter.count() == 0);
+    CHECK(received->detail.empty());
+    CHECK(received->response.headers.lines() == std::vector<HttpHeader>{{"Docket", "12"}});
+}
+
+} // namespace
+} // namespace dandeliondock
