Keep a rollout in time when its driver changes

A driver that is stopped also left 1.6 s of silence.

Ruled out: the reserve for the notice (3 s was used up by the stages, not by the writes); a lost write (every failed write was that of a rival).

Change: the row says since when the stage stands, and a driver counts from there, but watches the outcomes itself for 1.5 s before it moves on. A proxy that is stopped gives the rollout up in the row, and the next one claims it at its own turn. Claims are logged.

Tests: "a driver that takes over counts the time that the stage has stood" and "a rollout that its driver gives up is taken over at once", both seen to fail with the change taken out.

--- a/include/dandeliondock/proxy/control_duty.h
+++ b/include/dandeliondock/proxy/control_duty.h
@@ -70,7 +70,11 @@
     void start();
 
     /// \brief Tells the proxies that follow this one to follow another, as this process ends.
-    void stop() { m_relay.stop(); }
+    void stop()
+    {
+        m_relay.stop();
+        m_rollout.stop();
+    }
 
     /// \brief Announces the state of the own target to the other proxies.
     void announce(const Endpoint &endpoint);
--- a/include/dandeliondock/proxy/rollout_control.h
+++ b/include/dandeliondock/proxy/rollout_control.h
@@ -79,6 +79,10 @@
     /// \return The service's row as this proxy knows it, encoded.
     [[nodiscard]] std::string takeReport(absl::string_view body);
 
+    /// \brief Gives a rollout that is driven here up, so that another proxy takes it at once, and takes none from now
+    /// on.
+    void stop();
+
 private:
     /// Whether the row, as it was read, shows a running rollout.
     [[nodiscard]] bool isOpen() const;
@@ -87,6 +91,9 @@
     void tick();
     void considerClaim();
     void claim();
+    void giveUp();
+    /// Silence of the driver after which this proxy takes its place.
+    [[nodiscard]] Milliseconds patience() const;
     void drive();
     void sendReport();
     void reportSent(const LoopCallResult &result, SequenceNumber sequence);
@@ -111,6 +118,7 @@
     LoopTimer m_timer;
     bool m_isWriting = false;
     bool m_isReporting = false;
+    bool m_isStopped = false;
 };
 
 } // namespace dandeliondock
--- a/include/dandeliondock/rollout/rollout_driver.h
+++ b/include/dandeliondock/rollout/rollout_driver.h
@@ -37,6 +37,10 @@
 /// that stopped send no more outcomes of the new version, so the sums alone may never decide.
 inline constexpr Seconds stopPatience{30};
 
+/// \brief Time for which a driver that took over, or was paused, watches the outcomes itself before it moves on.
+/// Reports come several times in it.
+inline constexpr Milliseconds takeoverObservation{1'500};
+
 /// \brief What the store said of the row.
 struct RowView
 {
@@ -53,6 +57,7 @@
     RowView view;
     std::optional<RolloutRecord> merged; ///< what the tree knows
     std::uint32_t newTargets = 0;
+    std::optional<WallTime> stageSince{}; ///< when the stage began; empty: when this driver first saw it
 };
 
 enum class DriverStep { Hold, Advance, Complete, RollBack };
@@ -103,7 +108,8 @@
     std::optional<MonotonicTime> m_lastDecision;
     std::optional<Fence> m_lastFence;
     std::optional<StageIndex> m_stage;
-    MonotonicTime m_entered;
+    MonotonicTime m_entered; ///< the stage began
+    MonotonicTime m_watched; ///< this driver began to watch the stage
     WallTime m_enteredWall;
 };
 
--- a/src/codec/proxy_codec.cpp
+++ b/src/codec/proxy_codec.cpp
@@ -43,6 +43,7 @@
         row.set_target(versions.rollout->target.value());
         row.set_started_ms(toMilliseconds(versions.rollout->startedAt));
         row.set_deadline_ms(toMilliseconds(versions.rollout->deadline));
+        row.set_stage_since_ms(toMilliseconds(versions.rollout->stageSince));
         row.set_stage(record.stage());
         row.set_state(record.state());
         row.set_reason(record.reason());
@@ -74,6 +75,7 @@
                                        VersionName(row->target()),
                                        fromMilliseconds(row->started_ms()),
                                        fromMilliseconds(row->deadline_ms()),
+                                       fromMilliseconds(row->stage_since_ms()),
                                        Address(row->driver()),
                                        Fence(row->fence()),
                                        row->notified()};
--- a/src/proxy/rollout_control.cpp
+++ b/src/proxy/rollout_control.cpp
@@ -106,8 +106,32 @@
     m_timer = m_parts.loop->after(rolloutTick, [this] { tick(); });
 }
 
+void RolloutControl::stop()
+{
+    m_isStopped = true;
+    giveUp();
+}
+
+void RolloutControl::giveUp()
+{
+    if (!isDriver() || m_isWriting || (!isOpen() && !isUnannounced()))
+        return;
+    LogEvent(LogLevel::Info, "rollout.given_up")
+            .field("service", m_parts.service)
+            .field("order", m_versions->rollout->record.ticket)
+            .write(m_parts.log);
+    ServiceVersions next = *m_versions;
+    next.rollout->driver = Address();
+    write(std::move(next), std::nullopt);
+}
+
 void RolloutControl::tick()
 {
+    if (m_isStopped) {
+        giveUp();
+        schedule();
+        return;
+    }
     considerClaim();
     if (isOpen() && isDriver())
         drive();
@@ -124,13 +148,18 @@
         return;
     const MonotonicTime now = EventLoop::now();
     const bool isUnclaimed = m_order && (!m_versions->rollout || m_versions->rollout->record.ticket < m_order->number);
-    const bool isAbandoned =
-            isOpen() && !isDriver()
-            && now - m_lastContact > driverSilence + driverStagger * static_cast<Milliseconds::rep>(m_parts.rank());
+    const bool isAbandoned = isOpen() && !isDriver() && now - m_lastContact > patience();
     if ((isUnclaimed && now >= m_claimFrom) || isAbandoned)
         claim();
 }
 
+Milliseconds RolloutControl::patience() const
+{
+    const bool wasGivenUp = m_versions->rollout->driver.value().empty();
+    return (wasGivenUp ? Milliseconds{0} : driverSilence)
+           + driverStagger * static_cast<Milliseconds::rep>(m_parts.rank());
+}
+
 void RolloutControl::claim()
 {
     ServiceVersions next = *m_versions;
@@ -143,12 +172,23 @@
         progress.isNotified = progress.record.state == RolloutState::Completed;
         progress.target = m_order->target;
         progress.startedAt = m_orderedAt;
+        progress.stageSince = m_parts.tableTime();
         progress.deadline = m_orderedAt + m_order->duration - std::min(noticeReserve, m_order->duration / 2);
         next.rollout = progress;
     }
     next.rollout->driver = m_parts.door;
     next.rollout->fence = fence;
     const RolloutState state = next.rollout->record.state;
+    const auto silence = m_versions->rollout
+                                 ? std::chrono::duration_cast<Milliseconds>(EventLoop::now() - m_lastContact)
+                                 : Milliseconds{0};
+    LogEvent(LogLevel::Info, "rollout.claimed")
+            .field("service", m_parts.service)
+            .field("order", next.rollout->record.ticket)
+            .field("fence", fence)
+            .field("former_driver", m_versions->rollout ? m_versions->rollout->driver.value() : "none")
+            .field("silent_ms", silence.count())
+            .write(m_parts.log);
     write(std::move(next), state);
 }
 
@@ -168,6 +208,7 @@
     input.view.row = RolloutRow{m_stored->rollout->record, m_stored->rollout->fence};
     input.merged = m_versions->rollout->record;
     input.newTargets = m_parts.serving(m_versions->rollout->target);
+    input.stageSince = m_stored->rollout->stageSince;
     apply(m_driver->decide(input));
 }
 
@@ -176,6 +217,8 @@
     if (decision.step == DriverStep::Hold)
         return;
     ServiceVersions next = *m_versions;
+    if (decision.record.stage != m_stored->rollout->record.stage)
+        next.rollout->stageSince = m_parts.tableTime();
     next.rollout->record = decision.record;
     LogEvent(LogLevel::Info, "rollout.decided")
             .field("service", m_parts.service)
@@ -232,10 +275,8 @@
 // the driver is gone by then, the others tell the operator in their order.
 void RolloutControl::announceCompletion()
 {
-    const Milliseconds patience =
-            isDriver() ? Milliseconds{0}
-                       : driverSilence + driverStagger * static_cast<Milliseconds::rep>(m_parts.rank());
-    if (m_isWriting || EventLoop::now() - m_completedAt < completionNotice + patience)
+    const Milliseconds turn = isDriver() ? Milliseconds{0} : patience();
+    if (m_isWriting || EventLoop::now() - m_completedAt < completionNotice + turn)
         return;
     ServiceVersions next = *m_versions;
     next.rollout->isNotified = true;
@@ -244,7 +285,7 @@
 
 void RolloutControl::sendReport()
 {
-    if (m_isReporting)
+    if (m_isReporting || m_versions->rollout->driver.value().empty())
         return;
     m_isReporting = true;
     OutcomeReport report;
--- a/src/rollout/rollout_driver.cpp
+++ b/src/rollout/rollout_driver.cpp
@@ -2,6 +2,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <chrono>
 #include <memory>
 
@@ -35,7 +36,7 @@
 DriverDecision RolloutDriver::decide(const DriverInput &input)
 {
     if (wasFrozen(input.now)) {
-        // The stage begins anew: evidence for the version is asked for again, evidence against it stays.
+        // Evidence for the version is asked for again, evidence against it stays.
         m_stage.reset();
         return hold("held: the driver was paused and reads again");
     }
@@ -127,8 +128,9 @@
     if (m_stage == known.stage)
         return;
     m_stage = known.stage;
-    m_entered = input.now;
-    m_enteredWall = input.wall;
+    m_watched = input.now;
+    m_enteredWall = std::min(input.stageSince.value_or(input.wall), input.wall);
+    m_entered = input.now - (input.wall - m_enteredWall);
     m_test.startStage();
 }
 
@@ -137,6 +139,9 @@
     enterStage(input, known);
     if (input.newTargets == 0)
         return hold("held: no target of the new version serves");
+    const bool tookOver = m_watched - m_entered > driverGap;
+    if (tookOver && input.now - m_watched < takeoverObservation)
+        return hold("held: the driver is new and watches");
     const StagePlan plan(m_definition.plan, input.newTargets);
     const StageTimes times = plan.times(known.stage, m_enteredWall);
     if (plan.isLast(known.stage))
--- a/tests/proxy/rollout_control_test.cpp
+++ b/tests/proxy/rollout_control_test.cpp
@@ -1,5 +1,6 @@
 #include "support/loop_thread.h"
 
+#include <dandeliondock/codec/proxy_codec.h>
 #include <dandeliondock/proxy/rollout_control.h>
 
 #include <catch2/catch.hpp>
@@ -148,4 +149,35 @@
             [&control](RolloutControl &) { CHECK(control.known.rollout->record.state == RolloutState::RolledBack); });
 }
 
+// Guards against a rollout that stands still for seconds because the proxy that drove it was stopped.
+TEST_CASE("a rollout that its driver gives up is taken over at once", "[proxy]")
+{
+    Controlled driver("127.0.0.1:1");
+    Controlled other("127.0.0.1:2", 1);
+    for (Controlled *control : {&driver, &other})
+        control->run([](RolloutControl &item) {
+            item.setRow(rowOf(RolloutState::Running, "127.0.0.1:1"), RowVersion(5));
+            item.stop();
+        });
+    CHECK(other.taken().empty());
+    const auto commits = driver.taken();
+    REQUIRE(commits.size() == 1);
+    CHECK(commits.front().conditions.front().row.version == RowVersion(5));
+    const auto given = decodeServiceVersions(service, *commits.front().writes.front().row.value);
+    REQUIRE(given.ok());
+    CHECK(given->rollout->driver == Address());
+    CHECK(given->rollout->record.state == RolloutState::Running);
+    Controlled successor("127.0.0.1:3", 1);
+    successor.run([&given](RolloutControl &item) { item.setRow(*given, RowVersion(101)); });
+    std::this_thread::sleep_for(rolloutTick * 3);
+    const auto taken = successor.taken();
+    REQUIRE_FALSE(taken.empty());
+    const auto next = decodeServiceVersions(service, *taken.front().writes.front().row.value);
+    REQUIRE(next.ok());
+    CHECK(next->rollout->driver == Address("127.0.0.1:3"));
+    CHECK(next->rollout->fence == Fence(2));
+    std::this_thread::sleep_for(rolloutTick * 2);
+    CHECK(driver.taken().size() == 1);
+}
+
 } // namespace dandeliondock::testing
--- a/tests/proxy/service_versions_test.cpp
+++ b/tests/proxy/service_versions_test.cpp
@@ -14,6 +14,7 @@
     rollout.target = VersionName("v2");
     rollout.startedAt = WallTime(Milliseconds(1'000));
     rollout.deadline = WallTime(Milliseconds(17'000));
+    rollout.stageSince = WallTime(Milliseconds(3'000));
     rollout.driver = Address("10.0.0.1:1");
     rollout.fence = Fence(3);
     return versions;
--- a/tests/rollout/rollout_driver_test.cpp
+++ b/tests/rollout/rollout_driver_test.cpp
@@ -114,6 +114,26 @@
     CHECK(driver.decide(inputAt(96, rowOf(0, RolloutState::Running, 3))).step == DriverStep::Hold);
 }
 
+// Guards against a rollout that misses its deadline because each driver that takes it over begins the stage anew.
+TEST_CASE("a driver that takes over counts the time that the stage has stood", "[rollout]")
+{
+    const auto input = [](int second) {
+        DriverInput late = inputAt(second, rowOf(1, RolloutState::Running, 3));
+        late.stageSince = WallTime(Seconds(20));
+        return late;
+    };
+    const RolloutDefinition definition{ticket,
+                                       ledger,
+                                       VersionName("v1"),
+                                       VersionName("v2"),
+                                       {WallTime(Seconds(100)), {Share(400), Share(3'300)}, Milliseconds{30'000}}};
+    RolloutDriver driver(definition);
+    // The stage may last until 0.9 of the 50 s from its begin to the observation.
+    CHECK(driver.decide(input(66)).step == DriverStep::Hold);
+    CHECK(driver.decide(input(67)).step == DriverStep::Hold);
+    CHECK(driver.decide(input(68)).step == DriverStep::Advance);
+}
+
 // Guards against a share that rises, or a bad version that stays, while the store cannot be reached.
 TEST_CASE("without the store nothing advances, rollbacks go on and lateness is told", "[rollout]")
 {
