Count the link between regions in bytes, and short transfers apart

Change: the window counts bytes of expected responses; transfers up to 3 kB wait only for others like them. The mean size of a route starts from its first response instead of from 0.

Test: "long responses that fill the link leave room for short ones", against the interface with sizes; the former tests hold with sizes.

--- a/include/dandeliondock/proxy/placement.h
+++ b/include/dandeliondock/proxy/placement.h
@@ -69,7 +69,8 @@
 struct PlacementClaim
 {
     PlacedTargetPtr target;
-    bool isTrial = false; ///< the one request that may end an ejection
+    bool isTrial = false;     ///< the one request that may end an ejection
+    ByteCount responseSize{}; ///< as expected
 };
 
 /// \brief What an attempt showed of its target.
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -391,7 +391,7 @@
 
 void Forwarder::noteResponseSize(const RouteName &route, std::size_t bytes)
 {
-    double &mean = m_responseSizes[route];
+    double &mean = m_responseSizes.try_emplace(route, static_cast<double>(bytes)).first->second;
     mean += (static_cast<double>(bytes) - mean) * sizeSmoothing;
 }
 
--- a/src/proxy/link_window.cpp
+++ b/src/proxy/link_window.cpp
@@ -7,13 +7,42 @@
 namespace {
 
 constexpr double reduction = 0.7;
+constexpr double growth = 10'000; // bytes that a window's worth of transfers adds to it
+
+double bytesOf(ByteCount response)
+{
+    return static_cast<double>(std::max(response, smallestTransfer).value());
+}
+
+bool isShort(ByteCount response)
+{
+    return response <= shortTransfer;
+}
 
 } // namespace
 
-void LinkWindow::note(Microseconds way, MonotonicTime now) noexcept
+bool LinkWindow::hasRoom(ByteCount response) const noexcept
+{
+    if (isShort(response))
+        return m_short + bytesOf(response) <= m_window;
+    const double underWay = m_long + m_short;
+    return m_long == 0 || underWay + bytesOf(response) <= m_window;
+}
+
+void LinkWindow::begin(ByteCount response) noexcept
+{
+    (isShort(response) ? m_short : m_long) += bytesOf(response);
+}
+
+void LinkWindow::end(ByteCount response) noexcept
+{
+    (isShort(response) ? m_short : m_long) -= bytesOf(response);
+}
+
+void LinkWindow::note(ByteCount response, Microseconds way, MonotonicTime now) noexcept
 {
     if (way <= congestedWay) {
-        m_window = std::min(largestLinkWindow, m_window + 1.0 / m_window);
+        m_window = std::min(largestLinkWindow, m_window + growth * bytesOf(response) / m_window);
         return;
     }
     if (now - m_reducedAt < reductionPause)
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -105,7 +105,7 @@
     for (const PlacedTargetPtr &target : targets) {
         if (!target->ejection.isUsable(now) || (avoidTried && isTried(request, target->endpoint.target)))
             continue;
-        if (target->tier == LocalityTier::OtherRegion && !m_link.hasRoom())
+        if (target->tier == LocalityTier::OtherRegion && !m_link.hasRoom(request.responseSize))
             continue;
         const double noise = tieNoise * static_cast<double>(uniformBelow(m_random, noiseSteps)) / noiseSteps;
         const double targetCost = cost(*target, request.responseSize, now) + noise;
@@ -128,15 +128,15 @@
     const bool isTrial = target->ejection.begin();
     ++target->inFlight;
     if (target->tier == LocalityTier::OtherRegion)
-        m_link.begin();
+        m_link.begin(request.responseSize);
     ++target->sentSinceReport;
-    return PlacementClaim{std::move(target), isTrial};
+    return PlacementClaim{std::move(target), isTrial, request.responseSize};
 }
 
 void Placement::noteWay(const PlacementClaim &claim, Microseconds way, MonotonicTime now)
 {
     if (claim.target->tier == LocalityTier::OtherRegion)
-        m_link.note(way, now);
+        m_link.note(claim.responseSize, way, now);
     claim.target->way += (way - claim.target->way) / waySmoothing;
 }
 
@@ -146,7 +146,7 @@
     PlacedTarget &target = *claim.target;
     --target.inFlight;
     if (target.tier == LocalityTier::OtherRegion)
-        m_link.end();
+        m_link.end(claim.responseSize);
     if (load) {
         target.reported = *load;
         target.reportedAt = now;
--- a/tests/proxy/link_window_test.cpp
+++ b/tests/proxy/link_window_test.cpp
@@ -5,6 +5,10 @@
 namespace dandeliondock {
 namespace {
 
+constexpr ByteCount page{10'000};
+constexpr ByteCount file{90'000};
+constexpr ByteCount call{500};
+
 MonotonicTime at(int milliseconds)
 {
     return MonotonicTime(Milliseconds(100'000 + milliseconds));
@@ -25,20 +29,21 @@
     LinkWindow window;
     for (int round = 0; round < 500; ++round) {
         std::uint32_t sent = 0;
-        while (window.hasRoom()) {
-            window.begin();
+        while (window.hasRoom(page)) {
+            window.begin(page);
             ++sent;
         }
         const std::uint32_t callers = 8; // proxies that share the link and see the same
         for (std::uint32_t index = 0; index < sent; ++index) {
-            window.end();
-            window.note(wayOf(sent * callers), at(round * 50));
+            window.end(page);
+            window.note(page, wayOf(sent * callers), at(round * 50));
         }
     }
-    CHECK(wayOf(static_cast<std::uint32_t>(window.window()) * 8) < Milliseconds(200));
+    CHECK(wayOf(static_cast<std::uint32_t>(window.window() / static_cast<double>(page.value())) * 8)
+          < Milliseconds(200));
     const double settled = window.window();
     for (int round = 0; round < 400; ++round)
-        window.note(Milliseconds(25), at(100'000 + round));
+        window.note(page, Milliseconds(25), at(100'000 + round));
     CHECK(window.window() > settled * 2);
 }
 
@@ -47,12 +52,34 @@
 {
     LinkWindow window;
     for (int index = 0; index < 50; ++index)
-        window.note(Seconds(1), at(0));
+        window.note(page, Seconds(1), at(0));
     CHECK(window.window() == Approx(firstLinkWindow * 0.7));
     for (int index = 0; index < 50; ++index)
-        window.note(Seconds(1), at(1'000 * index));
+        window.note(page, Seconds(1), at(1'000 * index));
     CHECK(window.window() == Approx(smallestLinkWindow));
-    CHECK(window.hasRoom());
+    CHECK(window.hasRoom(file));
+    window.begin(file);
+    CHECK_FALSE(window.hasRoom(file));
+}
+
+// Guards against calls of running requests that are refused because long responses fill the link: each lost the whole
+// work of the order that made it.
+TEST_CASE("long responses that fill the link leave room for short ones, which are bounded too", "[proxy]")
+{
+    LinkWindow window;
+    for (int round = 0; round < 100; ++round)
+        window.note(file, Seconds(1), at(1'000 * round));
+    while (window.hasRoom(file))
+        window.begin(file);
+    CHECK_FALSE(window.hasRoom(page));
+    std::uint32_t calls = 0;
+    for (; window.hasRoom(call); ++calls)
+        window.begin(call);
+    CHECK(calls == static_cast<std::uint32_t>(smallestLinkWindow / static_cast<double>(smallestTransfer.value())));
+    for (; calls > 0; --calls)
+        window.end(call);
+    window.end(file);
+    CHECK(window.hasRoom(file));
 }
 
 } // namespace dandeliondock
