Look counters up once and choose targets without copying them

Cause: each request looked its counters up by name under a lock, and each choice of a target copied the service's targets. The caller's deadline was computed beside Deadline::of(), and a default repeated a constant.

Change: ForwarderCounters as IngressCounters; Placement walks the service's targets and copies them only while a version has a share of them; Deadline::of(); the ages of reusable connections stand beside the client that applies them.

--- a/include/dandeliondock/http/loop_client.h
+++ b/include/dandeliondock/http/loop_client.h
@@ -13,12 +13,17 @@
 
 namespace dandeliondock {
 
+/// \brief A reused connection must have been used this recently: peers close idle ones after a few seconds.
+inline constexpr Milliseconds reusableConnection{4'000};
+/// \brief A reused connection must have proved itself this recently to carry a request that must not run twice.
+inline constexpr Milliseconds provenConnection{1'000};
+
 /// \brief How a call uses connections and how long it may take.
 struct LoopCallOptions
 {
     MonotonicTime deadline;
     /// Longest time that a reused connection may have been idle; 0 opens a new one.
-    Microseconds reuseWithin{4'000'000};
+    Microseconds reuseWithin = reusableConnection;
     /// Added to the deadline once, when the response has begun to arrive by then.
     Milliseconds transferTime{0};
     /// Header that a response must repeat from the request; a response with another value belongs to another request
--- a/include/dandeliondock/proxy/door.h
+++ b/include/dandeliondock/proxy/door.h
@@ -19,10 +19,6 @@
 
 namespace dandeliondock {
 
-/// \brief A reused connection must have proved itself this recently to carry a request that must not run twice.
-inline constexpr Milliseconds provenConnection{1'000};
-/// \brief A reused connection to the target must have been used this recently.
-inline constexpr Milliseconds reusableConnection{4'000};
 /// \brief Time after the deadline in which the target's own response to it is still awaited.
 inline constexpr Milliseconds targetAnswerSlack{60};
 
--- a/include/dandeliondock/proxy/forwarder.h
+++ b/include/dandeliondock/proxy/forwarder.h
@@ -9,6 +9,7 @@
 #include <dandeliondock/http/loop_client.h>
 #include <dandeliondock/http/loop_server.h>
 #include <dandeliondock/proxy/door.h>
+#include <dandeliondock/proxy/forwarder_counters.h>
 #include <dandeliondock/proxy/placement.h>
 #include <dandeliondock/proxy/service_versions.h>
 #include <dandeliondock/proxy/target_protocol.h>
@@ -81,6 +82,7 @@
     [[nodiscard]] Milliseconds retryAfter(Microseconds hint);
 
     ForwarderParts m_parts;
+    ForwarderCounters m_counters;
     ProxyConfigPtr m_config;
     Placement m_placement;
     WeightedChoice m_weights;
--- /dev/null
+++ b/include/dandeliondock/proxy/forwarder_counters.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <dandeliondock/core/metrics.h>
+
+namespace dandeliondock {
+
+/// \brief The numbers that every request of a forwarder changes, looked up once. Thread-safe; the registry must outlive
+/// it.
+///
+/// \remark Refusals, failures and unanswered attempts are looked up by their reason when they occur.
+struct ForwarderCounters
+{
+    explicit ForwarderCounters(Metrics &metrics)
+        : requests(metrics.counter("requests_total")), callersLeft(metrics.counter("callers_left_total")),
+          latency(metrics.latency("request_seconds"))
+    {
+    }
+
+    Counter &requests;
+    Counter &callersLeft;
+    LatencyHistogram &latency; ///< of the whole request
+};
+
+} // namespace dandeliondock
--- a/include/dandeliondock/proxy/placement.h
+++ b/include/dandeliondock/proxy/placement.h
@@ -119,7 +119,8 @@
 private:
     using Targets = std::vector<PlacedTargetPtr>;
 
-    [[nodiscard]] Targets usable(const PlacementRequest &request) const;
+    /// The targets that a version's share of the targets leaves for its requests.
+    [[nodiscard]] static Targets shareOf(const Targets &targets, const VersionChoice &version);
     [[nodiscard]] PlacedTargetPtr cheapest(const Targets &targets, const PlacementRequest &request, bool avoidTried,
                                            MonotonicTime now);
     void tryEject(PlacedTarget &target, MonotonicTime now);
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -1,7 +1,7 @@
+#include <dandeliondock/attempts/deadline.h>
 #include <dandeliondock/core/error.h>
 #include <dandeliondock/proxy/forwarder.h>
 
-#include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
@@ -84,7 +84,7 @@
 
 void Forwarder::Session::start()
 {
-    metrics().counter("requests_total").add();
+    m_owner.m_counters.requests.add();
     m_config = m_owner.m_config;
     if (!m_config) {
         refuse("no_config", noConfigRetry);
@@ -113,17 +113,14 @@
     }
     const Route &route = *m_match.route;
     const MonotonicTime arrived = m_exchange->arrivedAt();
-    Milliseconds time = route.timeout;
-    std::int64_t budget = 0;
-    if (absl::SimpleAtoi(request.headers.first(protocol.timeBudget).value_or(""), &budget))
-        time = std::min(time, Milliseconds(std::max<std::int64_t>(0, budget)));
+    const Deadline deadline = Deadline::of(request.headers.first(protocol.timeBudget), route.timeout, arrived);
     m_request.service = m_owner.m_weights.choose(route);
     m_request.route = route.name;
     m_request.workClass = route.workClass;
     m_request.isIdempotent = route.idempotent;
-    m_request.deadline = arrived + time;
+    m_request.deadline = deadline.at();
     m_request.usefulUntil = route.targetLatency.count() > 0
-                                    ? arrived + std::min(time, std::max(route.targetLatency, shortestPatience))
+                                    ? std::min(deadline.at(), arrived + std::max(route.targetLatency, shortestPatience))
                                     : m_request.deadline;
     RetryBudget &retries = m_owner.budgetOf(m_request.service);
     retries.recordRequest(arrived);
@@ -285,7 +282,7 @@
 {
     m_isDone = true;
     m_owner.noteResponseSize(m_request.route, response.body.size());
-    metrics().latency("request_seconds").record(EventLoop::now() - m_exchange->arrivedAt());
+    m_owner.m_counters.latency.record(EventLoop::now() - m_exchange->arrivedAt());
     m_exchange->respond(std::move(response));
 }
 
@@ -325,7 +322,7 @@
 {
     if (std::exchange(m_isDone, true))
         return;
-    metrics().counter("callers_left_total").add();
+    m_owner.m_counters.callersLeft.add();
     if (m_job)
         m_owner.m_parts.door->cancel(m_job);
     m_job.reset();
@@ -336,7 +333,10 @@
     m_claim.reset();
 }
 
-Forwarder::Forwarder(ForwarderParts parts) : m_parts(std::move(parts)), m_placement(m_parts.self, m_parts.random) {}
+Forwarder::Forwarder(ForwarderParts parts)
+    : m_parts(std::move(parts)), m_counters(*m_parts.metrics), m_placement(m_parts.self, m_parts.random)
+{
+}
 
 Forwarder::~Forwarder() = default;
 
--- a/src/proxy/placement.cpp
+++ b/src/proxy/placement.cpp
@@ -75,26 +75,19 @@
     }
 }
 
-Placement::Targets Placement::usable(const PlacementRequest &request) const
+Placement::Targets Placement::shareOf(const Targets &targets, const VersionChoice &version)
 {
-    const auto found = m_services.find(request.service);
-    if (found == m_services.end())
-        return {};
-    Targets targets;
-    for (const PlacedTargetPtr &target : found->second) {
-        if (target->endpoint.version == request.version.version)
-            targets.push_back(target);
-    }
-    if (request.version.targets < fullShare) {
-        std::sort(targets.begin(), targets.end(),
-                  [&request](const PlacedTargetPtr &left, const PlacedTargetPtr &right) {
-                      return rendezvousRank(request.version.version, left->endpoint.target)
-                             < rendezvousRank(request.version.version, right->endpoint.target);
-                  });
-        targets.resize(targetsOfShare(request.version.targets, targets.size()));
+    Targets share;
+    for (const PlacedTargetPtr &target : targets) {
+        if (target->endpoint.version == version.version)
+            share.push_back(target);
     }
-    std::erase_if(targets, [](const PlacedTargetPtr &target) { return target->isLeaving; });
-    return targets;
+    std::sort(share.begin(), share.end(), [&version](const PlacedTargetPtr &left, const PlacedTargetPtr &right) {
+        return rendezvousRank(version.version, left->endpoint.target)
+               < rendezvousRank(version.version, right->endpoint.target);
+    });
+    share.resize(targetsOfShare(version.targets, share.size()));
+    return share;
 }
 
 PlacedTargetPtr Placement::cheapest(const Targets &targets, const PlacementRequest &request, bool avoidTried,
@@ -103,6 +96,8 @@
     PlacedTargetPtr best;
     double bestCost = 0;
     for (const PlacedTargetPtr &target : targets) {
+        if (target->isLeaving || target->endpoint.version != request.version.version)
+            continue;
         if (!target->ejection.isUsable(now) || (avoidTried && isTried(request, target->endpoint.target)))
             continue;
         if (target->tier == LocalityTier::OtherRegion && !m_link.hasRoom(request.responseSize))
@@ -119,7 +114,12 @@
 
 std::optional<PlacementClaim> Placement::choose(const PlacementRequest &request, MonotonicTime now)
 {
-    const Targets targets = usable(request);
+    const auto found = m_services.find(request.service);
+    if (found == m_services.end())
+        return std::nullopt;
+    const bool isDivided = request.version.targets < fullShare;
+    const Targets share = isDivided ? shareOf(found->second, request.version) : Targets();
+    const Targets &targets = isDivided ? share : found->second;
     PlacedTargetPtr target = cheapest(targets, request, true, now);
     if (!target && !request.tried.empty())
         target = cheapest(targets, request, false, now);
