Give hundreds of proxies one order to follow each other in

A scratch site with 294 instances and 34 Mbit/s between the regions shows it with logs: from 1.5 s after the start the proxies of the second region lose the platform ("no response in time"), because each of them reads both tables from it over the link, about 100 kB, and reads them whole again after each failure.

Change: relayParent() orders all proxies by region and door, the own place included, so that no circle can form; copies carry their age, and one that is older than 1.5 s is not believed; where 32 proxies or more are known, whole tables come through another proxy first; proxies that start when no other one is known read the operator's table spread over 1 s; a whole table that is older than what is known is read again.

Conclusion: the proxies that lose their source must not all turn to the platform at once; a first few of a region are enough.

--- a/include/dandeliondock/dandeliondock.h
+++ b/include/dandeliondock/dandeliondock.h
@@ -86,12 +86,14 @@
 #include <dandeliondock/proxy/door_request.h>
 #include <dandeliondock/proxy/forward_plan.h>
 #include <dandeliondock/proxy/forwarder.h>
+#include <dandeliondock/proxy/forwarder_counters.h>
 #include <dandeliondock/proxy/local_target.h>
 #include <dandeliondock/proxy/mailbox.h>
 #include <dandeliondock/proxy/operator_documents.h>
 #include <dandeliondock/proxy/placement.h>
 #include <dandeliondock/proxy/proxy.h>
 #include <dandeliondock/proxy/proxy_settings.h>
+#include <dandeliondock/proxy/relay_parent.h>
 #include <dandeliondock/proxy/rollout_control.h>
 #include <dandeliondock/proxy/service_versions.h>
 #include <dandeliondock/proxy/table_cache.h>
--- a/include/dandeliondock/proxy/control_duty.h
+++ b/include/dandeliondock/proxy/control_duty.h
@@ -39,6 +39,9 @@
 inline constexpr absl::string_view sharedTableName = "dandeliondock";
 /// \brief Time after a failed write of the own row until the next try.
 inline constexpr Milliseconds rowRetry{400};
+/// \brief Time over which proxies that start when no other one is known read the operator's table: the first ones pass
+/// it on to the others, so that it crosses the links between regions a few times and not once for each proxy.
+inline constexpr Milliseconds coldStartSpread{1'000};
 
 /// \brief What the control duty works with.
 struct ControlDutyParts
@@ -98,8 +101,8 @@
     [[nodiscard]] std::size_t rank() const;
     [[nodiscard]] RolloutControlParts rolloutParts();
     [[nodiscard]] TableRelayParts relayParts();
-    [[nodiscard]] std::vector<Address> doorsOf(const RegionName &region) const;
-    [[nodiscard]] std::vector<Address> firstRegionDoors() const;
+    [[nodiscard]] std::vector<RelayDoor> servingDoors() const;
+    void startOperatorWatch();
 
     ControlDutyParts m_parts;
     TableRelay m_relay;
@@ -109,15 +112,16 @@
     RolloutControl m_rollout;
     std::map<Address, Endpoint> m_endpoints; ///< by door
     absl::flat_hash_map<ServiceName, ServiceVersions> m_versions;
-    absl::flat_hash_map<ServiceName, RolloutOrder> m_orders;
     std::optional<Endpoint> m_own;
     std::optional<Endpoint> m_ownWritten;
     LoopTimer m_rowTimer;
+    LoopTimer m_startTimer;
     WallTime m_tableTime;
     MonotonicTime m_tableTimeAt;
     bool m_isWriting = false;
     bool m_hasConfig = false;
     bool m_isComplete = false;
+    bool m_followsOperator = false;
 };
 
 } // namespace dandeliondock
--- a/include/dandeliondock/proxy/table_cache.h
+++ b/include/dandeliondock/proxy/table_cache.h
@@ -25,6 +25,9 @@
     /// \brief What changed after a version; empty when removals since then are no longer known.
     [[nodiscard]] std::optional<TableReading> since(RowVersion after) const;
 
+    /// \brief Every row.
+    [[nodiscard]] TableReading whole() const;
+
     /// \brief Version up to which the rows are known.
     [[nodiscard]] RowVersion upTo() const noexcept { return m_upTo; }
 
--- a/include/dandeliondock/proxy/table_relay.h
+++ b/include/dandeliondock/proxy/table_relay.h
@@ -1,9 +1,11 @@
 #pragma once
 
+#include <dandeliondock/codec/table_codec.h>
 #include <dandeliondock/core/log_event.h>
 #include <dandeliondock/core/metrics.h>
 #include <dandeliondock/http/event_loop.h>
 #include <dandeliondock/http/loop_client.h>
+#include <dandeliondock/proxy/relay_parent.h>
 #include <dandeliondock/proxy/table_cache.h>
 #include <dandeliondock/store/async_table.h>
 
@@ -20,8 +22,6 @@
 
 /// \brief Path on a door at which a proxy passes changes of a table on.
 inline constexpr absl::string_view tablePath = "/dock/table";
-/// \brief Proxies that follow one other proxy.
-inline constexpr std::size_t relayFanOut = 8;
 /// \brief Longest wait for a change at the platform. A proxy that lost the platform in silence shows it to its
 /// followers within this time and the client's margin, well before a configuration must be in force.
 inline constexpr Milliseconds platformHold{700};
@@ -32,6 +32,15 @@
 /// \brief Time for which the platform is read after a proxy that was followed failed: the next one may have failed as
 /// well.
 inline constexpr Milliseconds directReading{2'000};
+/// \brief Age at which what another proxy passes on is not believed any more: it is cut off from the platform without
+/// having noticed. Confirmations come through the tree with each answer of the platform.
+inline constexpr Milliseconds relayStale{1'500};
+/// \brief Tries to read a whole table through other proxies before the platform is read: a table is long, and hundreds
+/// of proxies that start together fill a link between regions with copies of it.
+inline constexpr int wholeTries = 3;
+/// \brief Number of known proxies from which on whole tables are read through others. The copies of fewer proxies pass
+/// a link between regions in less time than a failed try takes.
+inline constexpr std::size_t wholeThroughOthers = 32;
 /// \brief Time for the rest of a response that has begun to arrive.
 inline constexpr Milliseconds relayTransfer{1'000};
 /// \brief Time for which a proxy is not followed after it failed; doubles with each failure.
@@ -45,19 +54,16 @@
     LoopClient *client = nullptr;
     AsyncTableHooks platform;
     LogSink log;
-    Address door;
-    /// Doors of the own region in their order, the own one included when it is known.
-    std::function<std::vector<Address>()> doors;
-    /// Doors of the region whose first one reads from the platform; none when that is the own region.
-    std::function<std::vector<Address>()> firstRegionDoors;
+    RelayDoor self;
+    /// Doors that serve, as far as they are known.
+    std::function<std::vector<RelayDoor>()> doors;
 };
 
 /// \brief Follows the tables through another proxy of the region, and lets others follow.
 ///
-/// The doors of a region in the order of their addresses form a tree. The first door of the first region reads from the
-/// platform, and the first one of every other region follows it, so that one compressed copy of a change crosses the
-/// link to each. A proxy that fails or has lost the platform itself is passed over, and whoever has nobody to follow
-/// reads from the platform.
+/// relayParent() says whom a proxy follows: one proxy reads from the platform, and one compressed copy of a change
+/// crosses the link to each further region. A proxy that fails, has lost the platform itself or is behind is passed
+/// over, and whoever has nobody to follow reads from the platform.
 ///
 /// \remark Belongs to the control duty's thread.
 class TableRelay
@@ -91,6 +97,7 @@
     struct Table
     {
         TableCache cache;
+        MonotonicTime confirmedAt; ///< by the platform, as far as is known
         bool isCurrent = false;
         std::map<std::uint64_t, Follower> followers;
     };
@@ -101,17 +108,21 @@
         Milliseconds length{0};
     };
 
-    [[nodiscard]] std::optional<Address> parent() const;
+    /// The proxy that is asked; empty when the platform is.
+    [[nodiscard]] std::optional<Address> parent(const TablePoll &poll) const;
+    [[nodiscard]] static LoopCallOptions callOptions(const TablePoll &poll);
     [[nodiscard]] bool isTrusted(const Address &door) const;
-    void follow(const Address &parent, const TableName &table, RowVersion after, TableReadingHandler handler);
-    void readPlatform(const TableName &table, RowVersion after, TableReadingHandler handler);
+    void follow(const Address &parent, const TablePoll &poll, TableReadingHandler handler);
+    void readPlatform(const TablePoll &poll, TableReadingHandler handler);
     void distrust(const Address &parent, const absl::Status &status);
+    [[nodiscard]] static Milliseconds ageOf(const Table &table);
     void answer(Table &table, std::uint64_t follower);
 
     TableRelayParts m_parts;
     absl::flat_hash_map<TableName, Table> m_tables;
     absl::flat_hash_map<Address, Distrust> m_distrusted;
     MonotonicTime m_directUntil;
+    int m_wholeFailures = 0; ///< in a row
     std::uint64_t m_lastFollower = 0;
     bool m_isStopped = false;
 };
--- a/include/dandeliondock/store/async_table.h
+++ b/include/dandeliondock/store/async_table.h
@@ -23,6 +23,7 @@
     std::size_t changes = 0; ///< number of changes added, those that a later one replaced included
     RowVersion upTo;         ///< changes after this version are not in the reading
     WallTime tableTime;      ///< the table's own clock
+    Milliseconds age{0};     ///< since the platform confirmed it; greater than 0 when another process passed it on
 
     /// \brief Adds a change of a row after those added before.
     void put(TableRow row)
--- a/src/codec/table_codec.cpp
+++ b/src/codec/table_codec.cpp
@@ -4,6 +4,8 @@
 
 #include <proxy.pb.h>
 
+#include <algorithm>
+
 namespace dandeliondock {
 
 namespace {
@@ -17,6 +19,7 @@
     wire::TablePoll message;
     message.set_table(poll.table.value());
     message.set_after(poll.after.value());
+    message.set_whole(poll.isWhole);
     return message.SerializeAsString();
 }
 
@@ -27,7 +30,7 @@
         return message.status();
     if (message->table().empty())
         return makeError(ErrorKind::InvalidMessage, "a call for changes names no table");
-    return TablePoll{TableName(message->table()), RowVersion(message->after())};
+    return TablePoll{TableName(message->table()), RowVersion(message->after()), message->whole()};
 }
 
 std::string encodeTableReading(const TableReading &reading)
@@ -43,6 +46,7 @@
         message.add_removed(key.value());
     message.set_up_to(reading.upTo.value());
     message.set_table_ms(reading.tableTime.time_since_epoch().count());
+    message.set_age_ms(static_cast<std::uint32_t>(std::max<Milliseconds::rep>(0, reading.age.count())));
     return compressBytes(message.SerializeAsString());
 }
 
@@ -61,6 +65,7 @@
         reading.removed.emplace_back(key);
     reading.upTo = RowVersion(message->up_to());
     reading.tableTime = WallTime(Milliseconds(message->table_ms()));
+    reading.age = Milliseconds(message->age_ms());
     return reading;
 }
 
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -56,31 +56,21 @@
     parts.client = m_parts.client;
     parts.platform = m_parts.table;
     parts.log = m_parts.log;
-    parts.door = m_parts.door;
-    parts.doors = [this] { return doorsOf(m_parts.region); };
-    parts.firstRegionDoors = [this] { return firstRegionDoors(); };
+    parts.self = {m_parts.region, m_parts.door};
+    parts.doors = [this] { return servingDoors(); };
     return parts;
 }
 
-std::vector<Address> ControlDuty::doorsOf(const RegionName &region) const
+std::vector<RelayDoor> ControlDuty::servingDoors() const
 {
-    std::vector<Address> doors;
+    std::vector<RelayDoor> doors;
     for (const auto &[door, endpoint] : m_endpoints) {
-        if (endpoint.region == region && endpoint.stamp.state == EndpointState::Serving)
-            doors.push_back(door);
+        if (endpoint.stamp.state == EndpointState::Serving)
+            doors.push_back({endpoint.region, door});
     }
     return doors;
 }
 
-std::vector<Address> ControlDuty::firstRegionDoors() const
-{
-    const auto before = [](const auto &left, const auto &right) { return left.second.region < right.second.region; };
-    const auto first = std::min_element(m_endpoints.begin(), m_endpoints.end(), before);
-    if (first == m_endpoints.end() || first->second.region == m_parts.region)
-        return {};
-    return doorsOf(first->second.region);
-}
-
 void ControlDuty::handle(absl::string_view path, absl::string_view body, std::function<void(int, std::string)> respond)
 {
     if (path == tablePath)
@@ -114,10 +104,22 @@
 
 void ControlDuty::start()
 {
-    m_operatorWatch.start();
     m_sharedWatch.start();
 }
 
+// The shared table tells who passes the operator's table on.
+void ControlDuty::startOperatorWatch()
+{
+    if (std::exchange(m_followsOperator, true))
+        return;
+    if (!m_endpoints.empty()) {
+        m_operatorWatch.start();
+        return;
+    }
+    const auto wait = Milliseconds(uniformBelow(m_parts.random, coldStartSpread.count()));
+    m_startTimer = m_parts.loop->after(wait, [this] { m_operatorWatch.start(); });
+}
+
 void ControlDuty::announce(const Endpoint &endpoint)
 {
     m_own = endpoint;
@@ -196,7 +198,6 @@
             m_hasConfig = true;
             m_parts.tell(*config);
         } else if (const auto *order = std::get_if<RolloutOrder>(&*document)) {
-            m_orders[order->service] = *order;
             if (order->service == m_parts.service)
                 m_rollout.setOrder(*order);
         }
@@ -215,6 +216,7 @@
         removeMissing(reading);
         declareVersion();
     }
+    startOperatorWatch();
     tellWhenComplete();
 }
 
--- /dev/null
+++ b/src/proxy/relay_parent.cpp
@@ -0,0 +1,24 @@
+#include <dandeliondock/proxy/relay_parent.h>
+
+#include <algorithm>
+
+namespace dandeliondock {
+
+std::optional<Address> relayParent(const RelayDoor &self, const std::vector<RelayDoor> &doors)
+{
+    std::vector<Address> before;
+    std::optional<RelayDoor> first;
+    for (const RelayDoor &item : doors) {
+        if (item.region == self.region && item.door < self.door)
+            before.push_back(item.door);
+        else if (item.region < self.region && (!first || item < *first))
+            first = item;
+    }
+    if (!before.empty()) {
+        std::sort(before.begin(), before.end());
+        return before[(before.size() - 1) / relayFanOut];
+    }
+    return first ? std::optional(first->door) : std::nullopt;
+}
+
+} // namespace dandeliondock
--- a/src/proxy/table_cache.cpp
+++ b/src/proxy/table_cache.cpp
@@ -46,6 +46,16 @@
     }
 }
 
+TableReading TableCache::whole() const
+{
+    TableReading reading;
+    reading.upTo = m_upTo;
+    reading.tableTime = m_tableTime;
+    for (const auto &[key, row] : m_rows)
+        reading.rows.push_back(row);
+    return reading;
+}
+
 std::optional<TableReading> TableCache::since(RowVersion after) const
 {
     if (after < m_completeFrom)
--- a/src/proxy/table_relay.cpp
+++ b/src/proxy/table_relay.cpp
@@ -19,11 +19,17 @@
 AsyncTableHooks TableRelay::hooks()
 {
     AsyncTableHooks hooks = m_parts.platform;
-    hooks.changes = [this](const TableName &table, RowVersion after, Milliseconds, TableReadingHandler handler) {
-        if (const std::optional<Address> door = parent())
-            follow(*door, table, after, std::move(handler));
+    const auto read = [this](const TablePoll &poll, TableReadingHandler handler) {
+        if (const std::optional<Address> door = parent(poll))
+            follow(*door, poll, std::move(handler));
         else
-            readPlatform(table, after, std::move(handler));
+            readPlatform(poll, std::move(handler));
+    };
+    hooks.list = [read](const TableName &table, TableReadingHandler handler) {
+        read({table, RowVersion(), true}, std::move(handler));
+    };
+    hooks.changes = [read](const TableName &table, RowVersion after, Milliseconds, TableReadingHandler handler) {
+        read({table, after, false}, std::move(handler));
     };
     return hooks;
 }
@@ -34,55 +40,55 @@
     return distrusted == m_distrusted.end() || distrusted->second.until <= EventLoop::now();
 }
 
-// A parent stands before its followers in the order of the region, or in the first region, which follows no other: no
-// circle can form whatever each proxy sees.
-std::optional<Address> TableRelay::parent() const
+std::optional<Address> TableRelay::parent(const TablePoll &poll) const
 {
-    if (EventLoop::now() < m_directUntil)
+    std::vector<RelayDoor> doors = m_parts.doors();
+    // A whole table is long, and many read it at the same time: after a failure another proxy is asked for it first.
+    const bool isDirect = poll.isWhole ? doors.size() < wholeThroughOthers : EventLoop::now() < m_directUntil;
+    if (isDirect)
         return std::nullopt;
-    std::vector<Address> before;
-    for (const Address &door : m_parts.doors()) {
-        if (door < m_parts.door && isTrusted(door))
-            before.push_back(door);
-    }
-    if (!before.empty()) {
-        std::sort(before.begin(), before.end());
-        return before[(before.size() - 1) / relayFanOut];
-    }
-    std::optional<Address> first;
-    for (const Address &door : m_parts.firstRegionDoors()) {
-        if (isTrusted(door) && (!first || door < *first))
-            first = door;
-    }
-    return first;
+    std::erase_if(doors, [this](const RelayDoor &item) { return !isTrusted(item.door); });
+    return relayParent(m_parts.self, doors);
+}
+
+void TableRelay::readPlatform(const TablePoll &poll, TableReadingHandler handler)
+{
+    if (poll.isWhole)
+        m_parts.platform.list(poll.table, std::move(handler));
+    else
+        m_parts.platform.changes(poll.table, poll.after, platformHold, std::move(handler));
 }
 
-void TableRelay::readPlatform(const TableName &table, RowVersion after, TableReadingHandler handler)
+LoopCallOptions TableRelay::callOptions(const TablePoll &poll)
 {
-    m_parts.platform.changes(table, after, platformHold, std::move(handler));
+    LoopCallOptions options;
+    options.deadline = EventLoop::now() + (poll.isWhole ? Milliseconds{0} : relayHold) + relayMargin;
+    options.transferTime = relayTransfer;
+    return options;
 }
 
-void TableRelay::follow(const Address &parent, const TableName &table, RowVersion after, TableReadingHandler handler)
+void TableRelay::follow(const Address &parent, const TablePoll &poll, TableReadingHandler handler)
 {
     HttpRequest request;
     request.method = "POST";
     request.target = std::string(tablePath);
-    request.body = encodeTablePoll({table, after});
-    LoopCallOptions options;
-    options.deadline = EventLoop::now() + relayHold + relayMargin;
-    options.transferTime = relayTransfer;
+    request.body = encodeTablePoll(poll);
     m_parts.client->send(
-            parent, request, options,
-            [this, parent, table, after, handler = std::move(handler)](const LoopCallResult &result) {
+            parent, request, callOptions(poll),
+            [this, parent, poll, handler = std::move(handler)](const LoopCallResult &result) {
                 absl::Status status = result.status;
                 if (status.ok() && result.response.status == ok) {
                     auto reading = decodeTableReading(result.response.body);
-                    if (reading.ok()) {
+                    if (reading.ok() && reading->age <= relayStale) {
                         m_distrusted.erase(parent);
+                        if (poll.isWhole)
+                            m_wholeFailures = 0;
                         handler(*std::move(reading));
                         return;
                     }
-                    status = reading.status();
+                    status = reading.ok()
+                                     ? makeError(ErrorKind::StoreUnavailable, "the proxy that is followed is behind")
+                                     : reading.status();
                 } else if (status.ok() && result.response.status == gone) {
                     handler(makeError(ErrorKind::RevisionGap, "the proxy that is followed knows no such old changes"));
                     return;
@@ -90,7 +96,11 @@
                     status = makeError(ErrorKind::StoreUnavailable, "the proxy that is followed has lost the platform");
                 }
                 distrust(parent, status);
-                readPlatform(table, after, handler);
+                if (poll.isWhole && ++m_wholeFailures < wholeTries) {
+                    handler(makeError(ErrorKind::StoreUnavailable, "the proxy that is followed has no whole table"));
+                    return;
+                }
+                readPlatform(poll, handler);
             });
 }
 
@@ -111,13 +121,12 @@
 {
     Table &table = m_tables[name];
     table.cache.take(reading, isWhole);
-    std::vector<std::uint64_t> ready;
-    for (const auto &[id, follower] : table.followers) {
-        const auto news = table.cache.since(follower.after);
-        if (!news || !news->rows.empty() || !news->removed.empty())
-            ready.push_back(id);
-    }
-    for (const std::uint64_t id : ready)
+    table.confirmedAt = EventLoop::now() - reading.age;
+    // Followers are told without news as well, so that a confirmation is as young in every place of the tree.
+    std::vector<std::uint64_t> waiting;
+    for (const auto &[id, follower] : table.followers)
+        waiting.push_back(id);
+    for (const std::uint64_t id : waiting)
         answer(table, id);
 }
 
@@ -153,6 +162,12 @@
         return;
     }
     Table &table = found->second;
+    if (poll->isWhole) {
+        TableReading reading = table.cache.whole();
+        reading.age = ageOf(table);
+        respond(ok, encodeTableReading(reading));
+        return;
+    }
     const std::uint64_t id = ++m_lastFollower;
     Follower &follower = table.followers[id];
     follower.after = poll->after;
@@ -165,6 +180,11 @@
     follower.timer = m_parts.loop->after(relayHold, [this, name = poll->table, id] { answer(m_tables[name], id); });
 }
 
+Milliseconds TableRelay::ageOf(const Table &table)
+{
+    return std::chrono::duration_cast<Milliseconds>(EventLoop::now() - table.confirmedAt);
+}
+
 void TableRelay::answer(Table &table, std::uint64_t id)
 {
     const auto found = table.followers.find(id);
@@ -172,11 +192,13 @@
         return;
     Follower follower = std::move(found->second);
     table.followers.erase(found);
-    const auto news = table.cache.since(follower.after);
-    if (news)
+    auto news = table.cache.since(follower.after);
+    if (news) {
+        news->age = ageOf(table);
         follower.respond(ok, encodeTableReading(*news));
-    else
+    } else {
         follower.respond(gone, {});
+    }
 }
 
 } // namespace dandeliondock
--- a/src/proxy/table_watch.cpp
+++ b/src/proxy/table_watch.cpp
@@ -49,6 +49,11 @@
         failed(reading.status());
         return;
     }
+    // Rows that are older than those handed on would undo them for good, as only later changes are asked for.
+    if (isWhole && reading->upTo < m_upTo) {
+        failed(makeError(ErrorKind::StoreUnavailable, "the table that was read is older than what is known"));
+        return;
+    }
     if (m_failures > 0 || !m_isSynced) {
         LogEvent(LogLevel::Info, "table.regained")
                 .field("table", m_name)
--- /dev/null
+++ b/tests/proxy/table_relay_test.cpp
@@ -0,0 +1,209 @@
+#include "support/child_process.h"
+#include "support/loop_thread.h"
+
+#include <dandeliondock/codec/table_codec.h>
+#include <dandeliondock/http/loop_server.h>
+#include <dandeliondock/proxy/table_relay.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <catch2/catch.hpp>
+
+#include <atomic>
+#include <future>
+#include <memory>
+
+namespace dandeliondock::testing {
+namespace {
+
+const TableName table("shared");
+constexpr Milliseconds patience{3'000};
+
+/// A relay on its own loop that knows one proxy to follow, and a platform that counts the calls for changes.
+class Relayed
+{
+public:
+    explicit Relayed(const Address &parent, std::size_t others = 0)
+    {
+        m_thread.run([&] {
+            m_client = std::make_unique<LoopClient>(m_thread.loop());
+            TableRelayParts parts;
+            parts.loop = &m_thread.loop();
+            parts.client = m_client.get();
+            parts.self = {RegionName("west"), Address("127.0.0.1:1")};
+            parts.doors = [parent, others] {
+                std::vector<RelayDoor> doors{{RegionName("east"), parent}};
+                for (std::size_t index = 0; index < others; ++index)
+                    doors.push_back({RegionName("east"), Address(absl::StrCat("127.0.0.1:9", index))});
+                return doors;
+            };
+            parts.platform.list = [this](const TableName &, const TableReadingHandler &handler) {
+                ++platformLists;
+                m_thread.loop().post([handler] { handler(TableReading()); });
+            };
+            parts.platform.changes = [this](const TableName &, RowVersion after, Milliseconds,
+                                            const TableReadingHandler &handler) {
+                ++platformCalls;
+                TableReading reading;
+                reading.upTo = after;
+                m_thread.loop().post([handler, reading] { handler(reading); });
+            };
+            m_relay = std::make_unique<TableRelay>(std::move(parts));
+        });
+    }
+
+    ~Relayed()
+    {
+        m_thread.run([this] {
+            m_relay.reset();
+            m_client.reset();
+        });
+    }
+
+    absl::StatusOr<TableReading> changes(RowVersion after)
+    {
+        const auto result = std::make_shared<std::promise<absl::StatusOr<TableReading>>>();
+        m_thread.run([&] {
+            m_relay->hooks().changes(table, after, platformHold, [result](absl::StatusOr<TableReading> reading) {
+                result->set_value(std::move(reading));
+            });
+        });
+        return result->get_future().get();
+    }
+
+    absl::StatusOr<TableReading> list()
+    {
+        const auto result = std::make_shared<std::promise<absl::StatusOr<TableReading>>>();
+        m_thread.run([&] {
+            m_relay->hooks().list(
+                    table, [result](absl::StatusOr<TableReading> reading) { result->set_value(std::move(reading)); });
+        });
+        return result->get_future().get();
+    }
+
+    /// What a follower is told, and after how long.
+    std::pair<int, Milliseconds> follow(RowVersion after, const std::function<void(TableRelay &)> &meanwhile)
+    {
+        const auto result = std::make_shared<std::promise<int>>();
+        const auto begin = std::chrono::steady_clock::now();
+        m_thread.run([&] {
+            m_relay->handle(encodeTablePoll({table, after}),
+                            [result](int status, const std::string &) { result->set_value(status); });
+            meanwhile(*m_relay);
+        });
+        const int status = result->get_future().get();
+        return {status, std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - begin)};
+    }
+
+    void run(const std::function<void(TableRelay &)> &work)
+    {
+        m_thread.run([&] { work(*m_relay); });
+    }
+
+    std::atomic<int> platformCalls{0};
+    std::atomic<int> platformLists{0};
+
+private:
+    LoopThread m_thread;
+    std::unique_ptr<LoopClient> m_client;
+    std::unique_ptr<TableRelay> m_relay;
+};
+
+/// A proxy to follow whose answers have an age.
+class Parent
+{
+public:
+    explicit Parent(Milliseconds age) : address(absl::StrCat("127.0.0.1:", freePort()))
+    {
+        m_thread.run([&] {
+            m_server = std::make_unique<LoopServer>(m_thread.loop(), [age](const LoopExchangePtr &exchange) {
+                TableReading reading;
+                reading.upTo = RowVersion(7);
+                reading.age = age;
+                HttpResponse response;
+                response.body = encodeTableReading(reading);
+                exchange->respond(std::move(response));
+            });
+            REQUIRE(m_server->listen(address).ok());
+        });
+    }
+
+    ~Parent()
+    {
+        m_thread.run([this] { m_server.reset(); });
+    }
+
+    const Address address;
+
+private:
+    LoopThread m_thread;
+    std::unique_ptr<LoopServer> m_server;
+};
+
+} // namespace
+
+// Guards against a proxy that goes on answering although no change reaches it: on a day with 300 instances some used a
+// configuration that was seconds old.
+TEST_CASE("a proxy that is behind is not followed", "[proxy]")
+{
+    Parent behind(relayStale + Milliseconds(100));
+    Relayed relayed(behind.address);
+    const auto reading = relayed.changes(RowVersion(5));
+    REQUIRE(reading.ok());
+    CHECK(relayed.platformCalls == 1);
+    static_cast<void>(relayed.changes(RowVersion(5)));
+    CHECK(relayed.platformCalls == 2);
+}
+
+TEST_CASE("a proxy that is confirmed is followed, and its age is passed on", "[proxy]")
+{
+    Parent parent(Milliseconds(200));
+    Relayed relayed(parent.address);
+    const auto reading = relayed.changes(RowVersion(5));
+    REQUIRE(reading.ok());
+    CHECK(reading->upTo == RowVersion(7));
+    CHECK(reading->age == Milliseconds(200));
+    CHECK(relayed.platformCalls == 0);
+}
+
+// Guards against ages that add up from place to place in the tree, so that the last ones seem to be behind.
+TEST_CASE("a follower that waits is told of a confirmation without news", "[proxy]")
+{
+    Relayed relayed(Address("127.0.0.1:9"));
+    TableReading reading;
+    reading.upTo = RowVersion(5);
+    relayed.run([&](TableRelay &relay) {
+        relay.take(table, reading, true);
+        relay.setCurrent(table, true);
+    });
+    const auto [status, waited] =
+            relayed.follow(RowVersion(5), [&](TableRelay &relay) { relay.take(table, reading, false); });
+    CHECK(status == 200);
+    CHECK(waited < relayHold);
+    const auto [later, held] = relayed.follow(RowVersion(5), [](TableRelay &) {});
+    CHECK(later == 200);
+    CHECK(held >= relayHold);
+    CHECK(held < patience);
+}
+
+// Guards against hundreds of proxies that fill the link between regions with copies of a table when they start.
+TEST_CASE("whole tables come through another proxy where many are known, and from the platform when that fails",
+          "[proxy]")
+{
+    Parent parent(Milliseconds(200));
+    Relayed few(parent.address);
+    CHECK(few.list().ok());
+    CHECK(few.platformLists == 1);
+    Relayed many(parent.address, wholeThroughOthers);
+    const auto reading = many.list();
+    REQUIRE(reading.ok());
+    CHECK(reading->upTo == RowVersion(7));
+    CHECK(many.platformLists == 0);
+    Relayed alone(Address("127.0.0.1:9"), wholeThroughOthers);
+    for (int tries = 1; tries < wholeTries; ++tries)
+        CHECK_FALSE(alone.list().ok());
+    CHECK(alone.list().ok());
+    CHECK(alone.platformLists == 1);
+}
+
+} // namespace dandeliondock::testing
