--- a/include/dandeliondock/proxy/link_window.h
+++ b/include/dandeliondock/proxy/link_window.h
@@ -37,8 +37,10 @@
     /// \brief Whether another request may be sent whose response is likely to have a size.
     [[nodiscard]] bool hasRoom(ByteCount response, MonotonicTime now) const noexcept;
 
+    /// \brief A request is sent whose response is likely to have a size.
     void begin(ByteCount response) noexcept;
 
+    /// \brief A request has ended, however it ended.
     /// \pre begin() was called with the same size.
     void end(ByteCount response) noexcept;
 
