Retry the rows of a target and of its service apart

Cause: both retries held the same timer, so that after an outage of the store the retry of the service's row replaced that of the target's row. The first target of a service then stayed unknown to the other proxies until its state changed.

Test: "the rows of a target and of its service are both written again after an outage", seen to fail with the shared timer (0 writes of the target's row), passes now.

--- a/include/dandeliondock/proxy/control_duty.h
+++ b/include/dandeliondock/proxy/control_duty.h
@@ -115,6 +115,7 @@
     std::optional<Endpoint> m_own;
     std::optional<Endpoint> m_ownWritten;
     LoopTimer m_rowTimer;
+    LoopTimer m_versionTimer;
     LoopTimer m_startTimer;
     WallTime m_tableTime;
     MonotonicTime m_tableTimeAt;
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -165,7 +165,7 @@
     m_parts.table.commit(transaction, [this](const absl::StatusOr<TableCommit> &result) {
         if (!result.ok()) {
             LogEvent(LogLevel::Warn, "service.version_not_declared").error(result.status()).write(m_parts.log);
-            m_rowTimer = m_parts.loop->after(rowRetry, [this] { declareVersion(); });
+            m_versionTimer = m_parts.loop->after(rowRetry, [this] { declareVersion(); });
         }
     });
 }
