Say things once in the proxy and the event loop's HTTP

The key of a service's row stood in two places, as did the turn of a proxy among those of its service and the aliases of Beast and Asio (one of them unused). TableRelay listed all doors twice for one question. While a rollout runs, each request built the stage plan and counted the targets: the division of traffic is now kept until the versions or the targets change. No change of behaviour.

--- a/include/dandeliondock/proxy/forwarder.h
+++ b/include/dandeliondock/proxy/forwarder.h
@@ -77,6 +77,7 @@
     class Session;
 
     [[nodiscard]] VersionChoice chooseVersionOf(const ServiceName &service);
+    [[nodiscard]] const std::optional<VersionSplit> &splitFor(const ServiceVersions &versions);
     [[nodiscard]] RetryBudget &budgetOf(const ServiceName &service);
     void noteResponseSize(const RouteName &route, std::size_t bytes);
     [[nodiscard]] Milliseconds retryAfter(Microseconds hint);
@@ -90,6 +91,8 @@
     LogLimiter m_attemptLimiter;
     LogLimiter m_endLimiter;
     absl::flat_hash_map<ServiceName, ServiceVersions> m_versions;
+    /// Divisions of traffic by service, until the versions or the targets change.
+    absl::flat_hash_map<ServiceName, std::optional<VersionSplit>> m_splits;
     absl::flat_hash_map<ServiceName, std::unique_ptr<RetryBudget>> m_budgets;
 };
 
--- a/include/dandeliondock/proxy/rollout_control.h
+++ b/include/dandeliondock/proxy/rollout_control.h
@@ -92,6 +92,8 @@
     void considerClaim();
     void claim();
     void giveUp();
+    /// Time for which the proxies before this one have the first try.
+    [[nodiscard]] Milliseconds turn() const;
     /// Silence of the driver after which this proxy takes its place.
     [[nodiscard]] Milliseconds patience() const;
     void drive();
--- a/include/dandeliondock/proxy/service_versions.h
+++ b/include/dandeliondock/proxy/service_versions.h
@@ -6,6 +6,8 @@
 #include <dandeliondock/routing/routing_hooks.h>
 #include <dandeliondock/store/row_types.h>
 
+#include <absl/strings/string_view.h>
+
 #include <cstdint>
 #include <optional>
 
@@ -48,6 +50,12 @@
 /// \brief Parts of 100 of a rollout's time that the whole traffic is observed on the new version before it ends.
 inline constexpr int observationPercent = 13;
 
+/// \brief Prefix of the keys of services in the shared table.
+inline constexpr absl::string_view serviceRowPrefix = "service/";
+
+/// \brief Key of a service's row in the shared table. Thread-safe.
+[[nodiscard]] RowKey serviceRowKey(const ServiceName &service);
+
 /// \brief The definition of a rollout for its driver. Thread-safe.
 /// \pre A rollout is set.
 [[nodiscard]] RolloutDefinition definitionOf(const ServiceVersions &versions);
--- a/include/dandeliondock/proxy/table_relay.h
+++ b/include/dandeliondock/proxy/table_relay.h
@@ -115,7 +115,6 @@
     /// The proxy that is asked; empty when the platform is.
     [[nodiscard]] std::optional<Address> parent(const TablePoll &poll) const;
     [[nodiscard]] static LoopCallOptions callOptions(const TablePoll &poll);
-    [[nodiscard]] bool isCrowded() const;
     [[nodiscard]] bool mayReadPlatform() const;
     [[nodiscard]] bool canPassOn(const Table &table) const;
     [[nodiscard]] bool isTrusted(const Address &door) const;
--- a/src/http/beast_message.h
+++ b/src/http/beast_message.h
@@ -14,7 +14,10 @@
 /// \brief The same for the head of a message; most requests are shorter.
 inline constexpr std::size_t headReadSize = 2'048;
 
+namespace asio = boost::asio;
 namespace beast = boost::beast;
+namespace http = beast::http;
+using boost::system::error_code;
 
 /// \brief Makes room for the rest of a body whose head was read, if it is not in the buffer already.
 template <typename Parser>
--- a/src/http/loop_client.cpp
+++ b/src/http/loop_client.cpp
@@ -21,11 +21,6 @@
 
 namespace {
 
-namespace asio = boost::asio;
-namespace http = boost::beast::http;
-using boost::system::error_code;
-using tcp = asio::ip::tcp;
-
 // Part of the peer's keep-alive time that is left unused, as the close may already be on its way.
 constexpr Milliseconds keepAliveMargin{1'000};
 
--- a/src/http/loop_server.cpp
+++ b/src/http/loop_server.cpp
@@ -17,11 +17,6 @@
 
 namespace {
 
-namespace asio = boost::asio;
-namespace http = boost::beast::http;
-using boost::system::error_code;
-using tcp = asio::ip::tcp;
-
 constexpr Milliseconds sweepInterval{500};
 constexpr Milliseconds lingerTime{2'000}; // for the peer to close after the last response
 constexpr Milliseconds peerSilence{10'000};
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -15,7 +15,6 @@
 
 constexpr int outcomesTaken = 200;
 constexpr absl::string_view targetPrefix = "target/";
-constexpr absl::string_view servicePrefix = "service/";
 
 RowKey targetKey(const Address &door)
 {
@@ -159,7 +158,7 @@
         return;
     ServiceVersions versions{m_own->service, m_own->version, std::nullopt};
     TableTransaction transaction;
-    const RowKey key(absl::StrCat(servicePrefix, m_own->service.value()));
+    const RowKey key = serviceRowKey(m_own->service);
     transaction.conditions.push_back({sharedTable(), {key, RowVersion(0)}});
     transaction.writes.push_back({sharedTable(), {key, encodeServiceVersions(versions)}});
     m_parts.table.commit(transaction, [this](const absl::StatusOr<TableCommit> &result) {
@@ -231,7 +230,7 @@
             m_endpoints[endpoint->controlAddress] = *endpoint;
             m_parts.tell(*endpoint);
         }
-    } else if (absl::ConsumePrefix(&name, servicePrefix)) {
+    } else if (absl::ConsumePrefix(&name, serviceRowPrefix)) {
         const auto versions = decodeServiceVersions(ServiceName(std::string(name)), row.value);
         status = versions.status();
         if (versions.ok()) {
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -356,16 +356,19 @@
 void Forwarder::setVersions(const ServiceVersions &versions)
 {
     m_versions[versions.service] = versions;
+    m_splits.clear();
 }
 
 void Forwarder::setEndpoint(const Endpoint &endpoint)
 {
     m_placement.apply(endpoint, EventLoop::now());
+    m_splits.clear();
 }
 
 void Forwarder::removeEndpoint(const Address &door)
 {
     m_placement.remove(door);
+    m_splits.clear();
 }
 
 const ServiceVersions *Forwarder::versions(const ServiceName &service) const
@@ -374,6 +377,16 @@
     return found == m_versions.end() ? nullptr : &found->second;
 }
 
+const std::optional<VersionSplit> &Forwarder::splitFor(const ServiceVersions &versions)
+{
+    const auto [held, isNew] = m_splits.try_emplace(versions.service);
+    if (isNew && versions.rollout) {
+        const std::size_t targets = m_placement.serving(versions.service, versions.rollout->target);
+        held->second = splitOf(versions, static_cast<std::uint32_t>(targets));
+    }
+    return held->second;
+}
+
 VersionChoice Forwarder::chooseVersionOf(const ServiceName &service)
 {
     const ServiceVersions *known = versions(service);
@@ -381,12 +394,7 @@
         return {};
     Service declared;
     declared.version = known->current;
-    std::optional<VersionSplit> split;
-    if (known->rollout) {
-        const std::size_t targets = m_placement.serving(service, known->rollout->target);
-        split = splitOf(*known, static_cast<std::uint32_t>(targets));
-    }
-    return chooseVersion(declared, split, uniformBelow(m_parts.random, fullShare.value()), std::nullopt);
+    return chooseVersion(declared, splitFor(*known), uniformBelow(m_parts.random, fullShare.value()), std::nullopt);
 }
 
 void Forwarder::noteResponseSize(const RouteName &route, std::size_t bytes)
--- a/src/proxy/rollout_control.cpp
+++ b/src/proxy/rollout_control.cpp
@@ -1,8 +1,6 @@
 #include <dandeliondock/core/error.h>
 #include <dandeliondock/proxy/rollout_control.h>
 
-#include <absl/strings/str_cat.h>
-
 #include <algorithm>
 #include <utility>
 
@@ -12,11 +10,6 @@
 
 constexpr Milliseconds reportTime{1'000};
 
-RowKey rowOf(const ServiceName &service)
-{
-    return RowKey(absl::StrCat("service/", service.value()));
-}
-
 } // namespace
 
 RolloutControl::RolloutControl(RolloutControlParts parts) : m_parts(std::move(parts)) {}
@@ -72,7 +65,7 @@
         return;
     m_order = order;
     m_orderedAt = m_parts.tableTime();
-    m_claimFrom = EventLoop::now() + driverStagger * m_parts.rank();
+    m_claimFrom = EventLoop::now() + turn();
     LogEvent(LogLevel::Info, "rollout.ordered")
             .field("service", order.service)
             .field("target", order.target)
@@ -153,11 +146,15 @@
         claim();
 }
 
+Milliseconds RolloutControl::turn() const
+{
+    return driverStagger * static_cast<Milliseconds::rep>(m_parts.rank());
+}
+
 Milliseconds RolloutControl::patience() const
 {
     const bool wasGivenUp = m_versions->rollout->driver.value().empty();
-    return (wasGivenUp ? Milliseconds{0} : driverSilence)
-           + driverStagger * static_cast<Milliseconds::rep>(m_parts.rank());
+    return (wasGivenUp ? Milliseconds{0} : driverSilence) + turn();
 }
 
 void RolloutControl::claim()
@@ -245,8 +242,8 @@
         return;
     m_isWriting = true;
     TableTransaction transaction;
-    transaction.conditions.push_back({m_parts.ownTable, {rowOf(m_parts.service), m_rowVersion}});
-    transaction.writes.push_back({m_parts.ownTable, {rowOf(m_parts.service), encodeServiceVersions(next)}});
+    transaction.conditions.push_back({m_parts.ownTable, {serviceRowKey(m_parts.service), m_rowVersion}});
+    transaction.writes.push_back({m_parts.ownTable, {serviceRowKey(m_parts.service), encodeServiceVersions(next)}});
     if (status)
         transaction.writes.push_back(m_parts.documents->status(m_parts.service, next.rollout->target, *status));
     m_parts.table->commit(transaction, [this, next, status](absl::StatusOr<TableCommit> result) {
@@ -275,8 +272,8 @@
 // the driver is gone by then, the others tell the operator in their order.
 void RolloutControl::announceCompletion()
 {
-    const Milliseconds turn = isDriver() ? Milliseconds{0} : patience();
-    if (m_isWriting || EventLoop::now() - m_completedAt < completionNotice + turn)
+    const Milliseconds wait = isDriver() ? Milliseconds{0} : patience();
+    if (m_isWriting || EventLoop::now() - m_completedAt < completionNotice + wait)
         return;
     ServiceVersions next = *m_versions;
     next.rollout->isNotified = true;
--- a/src/proxy/service_versions.cpp
+++ b/src/proxy/service_versions.cpp
@@ -1,5 +1,7 @@
 #include <dandeliondock/proxy/service_versions.h>
 
+#include <absl/strings/str_cat.h>
+
 namespace dandeliondock {
 
 namespace {
@@ -10,6 +12,11 @@
 
 } // namespace
 
+RowKey serviceRowKey(const ServiceName &service)
+{
+    return RowKey(absl::StrCat(serviceRowPrefix, service.value()));
+}
+
 RolloutDefinition definitionOf(const ServiceVersions &versions)
 {
     const RolloutProgress &rollout = *versions.rollout;
--- a/src/proxy/table_relay.cpp
+++ b/src/proxy/table_relay.cpp
@@ -51,16 +51,11 @@
     return relayParent(m_parts.self, doors);
 }
 
-bool TableRelay::isCrowded() const
-{
-    return m_parts.doors().size() >= crowdedFleet;
-}
-
 bool TableRelay::mayReadPlatform() const
 {
-    if (!isCrowded())
-        return true;
     const std::vector<RelayDoor> doors = m_parts.doors();
+    if (doors.size() < crowdedFleet)
+        return true;
     const auto before = std::count_if(doors.begin(), doors.end(), [this](const RelayDoor &item) {
         return item.region == m_parts.self.region && item.door < m_parts.self.door;
     });
@@ -72,7 +67,7 @@
 bool TableRelay::canPassOn(const Table &table) const
 {
     const bool isRecent = table.confirmedAt != MonotonicTime() && ageOf(table) <= relayStale;
-    return !m_isStopped && (table.isCurrent || (isCrowded() && isRecent));
+    return !m_isStopped && (table.isCurrent || (isRecent && m_parts.doors().size() >= crowdedFleet));
 }
 
 void TableRelay::readPlatform(const TablePoll &poll, TableReadingHandler handler)
