Log the way of a call between proxies and how late each loop runs

Cause: a proxy that passes another one over could not tell its own trouble from the other's. The logs had no time on the way, nothing of the control loop (only the traffic loop was watched), and not after how long a call was given up.

Change: an answer says for how long its call was held; the reader records the rest as relay_way_seconds and logs relay.slow_way from 150 ms on; relay.passed_over carries after_ms and loop_late_ms; LoopWatch watches both loops. No decision is changed.

--- a/include/dandeliondock/proxy/control_duty.h
+++ b/include/dandeliondock/proxy/control_duty.h
@@ -5,6 +5,7 @@
 #include <dandeliondock/core/random_source.h>
 #include <dandeliondock/http/event_loop.h>
 #include <dandeliondock/http/loop_client.h>
+#include <dandeliondock/proxy/loop_watch.h>
 #include <dandeliondock/proxy/operator_documents.h>
 #include <dandeliondock/proxy/rollout_control.h>
 #include <dandeliondock/proxy/table_relay.h>
@@ -105,6 +106,7 @@
     void startOperatorWatch();
 
     ControlDutyParts m_parts;
+    LoopWatch m_loopWatch;
     TableRelay m_relay;
     AsyncTableHooks m_table; ///< through the relay
     TableWatch m_operatorWatch;
--- a/include/dandeliondock/proxy/table_relay.h
+++ b/include/dandeliondock/proxy/table_relay.h
@@ -2,6 +2,7 @@
 
 #include <dandeliondock/codec/table_codec.h>
 #include <dandeliondock/core/log_event.h>
+#include <dandeliondock/core/log_limiter.h>
 #include <dandeliondock/core/metrics.h>
 #include <dandeliondock/http/event_loop.h>
 #include <dandeliondock/http/loop_client.h>
@@ -47,6 +48,8 @@
 inline constexpr std::size_t directReaders = 8;
 /// \brief Time for the rest of a response that has begun to arrive.
 inline constexpr Milliseconds relayTransfer{1'000};
+/// \brief Time on the way, to another proxy and back, from which on a call is logged.
+inline constexpr Milliseconds relaySlowWay{150};
 /// \brief Time for which a proxy is not followed after it failed; doubles with each failure.
 inline constexpr Milliseconds relayDistrust{3'000};
 inline constexpr Milliseconds longestDistrust{30'000};
@@ -61,6 +64,9 @@
     RelayDoor self;
     /// Doors that serve, as far as they are known.
     std::function<std::vector<RelayDoor>()> doors;
+    Metrics *metrics = nullptr;
+    /// How late the loop runs, for the log.
+    std::function<Milliseconds()> loopLateness;
 };
 
 /// \brief Follows the tables through another proxy of the region, and lets others follow.
@@ -94,6 +100,7 @@
     struct Follower
     {
         RowVersion after;
+        MonotonicTime since;
         std::function<void(int, std::string)> respond;
         LoopTimer timer;
     };
@@ -120,13 +127,15 @@
     [[nodiscard]] bool isTrusted(const Address &door) const;
     void follow(const Address &parent, const TablePoll &poll, TableReadingHandler handler);
     void readPlatform(const TablePoll &poll, TableReadingHandler handler);
-    void distrust(const Address &parent, const absl::Status &status);
+    void noteWay(const Address &parent, const TableName &table, Milliseconds taken, const TableReading &reading);
+    void distrust(const Address &parent, Milliseconds taken, const absl::Status &status);
     [[nodiscard]] static Milliseconds ageOf(const Table &table);
     void answer(Table &table, std::uint64_t follower);
 
     TableRelayParts m_parts;
     absl::flat_hash_map<TableName, Table> m_tables;
     absl::flat_hash_map<Address, Distrust> m_distrusted;
+    LogLimiter m_wayLimiter;
     MonotonicTime m_directUntil;
     int m_wholeFailures = 0; ///< in a row
     std::uint64_t m_lastFollower = 0;
--- a/include/dandeliondock/store/async_table.h
+++ b/include/dandeliondock/store/async_table.h
@@ -24,6 +24,7 @@
     RowVersion upTo;         ///< changes after this version are not in the reading
     WallTime tableTime;      ///< the table's own clock
     Milliseconds age{0};     ///< since the platform confirmed it; greater than 0 when another process passed it on
+    Milliseconds heldFor{0}; ///< time for which the process that passed it on held the call
 
     /// \brief Adds a change of a row after those added before.
     void put(TableRow row)
--- a/src/codec/table_codec.cpp
+++ b/src/codec/table_codec.cpp
@@ -47,6 +47,7 @@
     message.set_up_to(reading.upTo.value());
     message.set_table_ms(reading.tableTime.time_since_epoch().count());
     message.set_age_ms(static_cast<std::uint32_t>(std::max<Milliseconds::rep>(0, reading.age.count())));
+    message.set_held_ms(static_cast<std::uint32_t>(std::max<Milliseconds::rep>(0, reading.heldFor.count())));
     return compressBytes(message.SerializeAsString());
 }
 
@@ -66,6 +67,7 @@
     reading.upTo = RowVersion(message->up_to());
     reading.tableTime = WallTime(Milliseconds(message->table_ms()));
     reading.age = Milliseconds(message->age_ms());
+    reading.heldFor = Milliseconds(message->held_ms());
     return reading;
 }
 
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -29,7 +29,9 @@
 } // namespace
 
 ControlDuty::ControlDuty(ControlDutyParts parts)
-    : m_parts(std::move(parts)), m_relay(relayParts()), m_table(m_relay.hooks()),
+    : m_parts(std::move(parts)),
+      m_loopWatch(*m_parts.loop, "control", *m_parts.metrics, m_parts.log, [](LogEvent &) {}), m_relay(relayParts()),
+      m_table(m_relay.hooks()),
       m_operatorWatch(
               *m_parts.loop, m_table, m_parts.documents.table, {}, m_parts.random, m_parts.log,
               [this](const TableReading &reading, bool isWhole) {
@@ -57,6 +59,8 @@
     parts.log = m_parts.log;
     parts.self = {m_parts.region, m_parts.door};
     parts.doors = [this] { return servingDoors(); };
+    parts.metrics = m_parts.metrics;
+    parts.loopLateness = [this] { return m_loopWatch.lateness(); };
     return parts;
 }
 
@@ -103,6 +107,7 @@
 
 void ControlDuty::start()
 {
+    m_loopWatch.start();
     m_sharedWatch.start();
 }
 
--- a/src/proxy/table_relay.cpp
+++ b/src/proxy/table_relay.cpp
@@ -92,12 +92,16 @@
     request.method = "POST";
     request.target = std::string(tablePath);
     request.body = encodeTablePoll(poll);
+    const MonotonicTime sentAt = EventLoop::now();
     m_parts.client->send(
             parent, request, callOptions(poll),
-            [this, parent, poll, handler = std::move(handler)](const LoopCallResult &result) {
+            [this, parent, poll, sentAt, handler = std::move(handler)](const LoopCallResult &result) {
+                const auto taken = std::chrono::duration_cast<Milliseconds>(EventLoop::now() - sentAt);
                 absl::Status status = result.status;
                 if (status.ok() && result.response.status == ok) {
                     auto reading = decodeTableReading(result.response.body);
+                    if (reading.ok())
+                        noteWay(parent, poll.table, taken, *reading);
                     if (reading.ok() && reading->age <= relayStale) {
                         m_distrusted.erase(parent);
                         if (poll.isWhole)
@@ -114,7 +118,7 @@
                 } else if (status.ok()) {
                     status = makeError(ErrorKind::StoreUnavailable, "the proxy that is followed has lost the platform");
                 }
-                distrust(parent, status);
+                distrust(parent, taken, status);
                 const bool isFirstTry = poll.isWhole && ++m_wholeFailures < wholeTries;
                 if (isFirstTry || (!poll.isWhole && !mayReadPlatform())) {
                     handler(makeError(ErrorKind::StoreUnavailable, "the proxy that is followed has failed"));
@@ -124,7 +128,23 @@
             });
 }
 
-void TableRelay::distrust(const Address &parent, const absl::Status &status)
+void TableRelay::noteWay(const Address &parent, const TableName &table, Milliseconds taken, const TableReading &reading)
+{
+    const Milliseconds way = taken - reading.heldFor;
+    m_parts.metrics->latency("relay_way_seconds").record(way);
+    if (way < relaySlowWay || !m_wayLimiter.admits(EventLoop::now(), m_parts.log))
+        return;
+    LogEvent(LogLevel::Info, "relay.slow_way")
+            .field("door", parent)
+            .field("table", table)
+            .field("way_ms", way.count())
+            .field("held_ms", reading.heldFor.count())
+            .field("age_ms", reading.age.count())
+            .field("loop_late_ms", m_parts.loopLateness().count())
+            .write(m_parts.log);
+}
+
+void TableRelay::distrust(const Address &parent, Milliseconds taken, const absl::Status &status)
 {
     Distrust &entry = m_distrusted[parent];
     entry.length = std::clamp(entry.length * 2, relayDistrust, longestDistrust);
@@ -134,6 +154,8 @@
     LogEvent(LogLevel::Info, "relay.passed_over")
             .field("door", parent)
             .field("for_ms", entry.length.count())
+            .field("after_ms", taken.count())
+            .field("loop_late_ms", m_parts.loopLateness().count())
             .error(status)
             .write(m_parts.log);
 }
@@ -192,6 +214,7 @@
     const std::uint64_t id = ++m_lastFollower;
     Follower &follower = table.followers[id];
     follower.after = poll->after;
+    follower.since = EventLoop::now();
     follower.respond = std::move(respond);
     const auto news = table.cache.since(poll->after);
     if (!news || !news->rows.empty() || !news->removed.empty()) {
@@ -216,6 +239,7 @@
     auto news = table.cache.since(follower.after);
     if (news) {
         news->age = ageOf(table);
+        news->heldFor = std::chrono::duration_cast<Milliseconds>(EventLoop::now() - follower.since);
         follower.respond(ok, encodeTableReading(*news));
     } else {
         follower.respond(gone, {});
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -4,7 +4,6 @@
 
 #include <absl/strings/str_cat.h>
 
-#include <ctime>
 #include <utility>
 
 namespace dandeliondock {
@@ -41,7 +40,8 @@
       m_doorServer(loop, [this](const LoopExchangePtr &exchange) { handleDoor(exchange); }),
       m_health(loop, [this](const LoopExchangePtr &exchange) { handleHealth(exchange); }),
       m_announcements(loop, [this](const LoopExchangePtr &exchange) { handleTargetMessage(exchange); }),
-      m_metricsServer(loop, [this](const LoopExchangePtr &exchange) { handleMetrics(exchange); })
+      m_metricsServer(loop, [this](const LoopExchangePtr &exchange) { handleMetrics(exchange); }),
+      m_loopWatch(loop, "traffic", metrics, m_log, [this](LogEvent &event) { addOpenWork(event); })
 {
 }
 
@@ -87,7 +87,7 @@
         if (absl::Status status = server->listen(address); !status.ok())
             return status;
     }
-    watchLoop();
+    m_loopWatch.start();
     // Connections between proxies stay open while they are used now and then.
     ConnectionLimits limits;
     limits.idleTime = std::chrono::minutes(1);
@@ -210,26 +210,12 @@
         m_attempts.push_back(std::move(attempt));
 }
 
-void TrafficDuty::watchLoop()
+void TrafficDuty::addOpenWork(LogEvent &event)
 {
-    const MonotonicTime due = EventLoop::now() + loopWatch;
-    const std::clock_t usedBefore = std::clock();
-    m_loopTimer = m_loop.after(loopWatch, [this, due, usedBefore] {
-        const Microseconds late = EventLoop::now() - due;
-        m_metrics.latency("loop_lateness_seconds").record(late);
-        if (late >= loopLate) {
-            const auto used = static_cast<std::int64_t>(std::clock() - usedBefore) * 1'000 / CLOCKS_PER_SEC;
-            LogEvent(LogLevel::Warn, "proxy.short_of_time")
-                    .field("late_ms", std::chrono::duration_cast<Milliseconds>(late).count())
-                    .field("processor_ms", used)
-                    .field("requests", m_metrics.counter("requests_total").value())
-                    .field("callers", m_callers.connections())
-                    .field("open", m_callers.openExchanges())
-                    .field("jobs", m_door.openJobs())
-                    .write(m_log);
-        }
-        watchLoop();
-    });
+    event.field("requests", m_metrics.counter("requests_total").value())
+            .field("callers", m_callers.connections())
+            .field("open", m_callers.openExchanges())
+            .field("jobs", m_door.openJobs());
 }
 
 void TrafficDuty::handleMetrics(const LoopExchangePtr &exchange)
--- a/src/proxy/traffic_duty.h
+++ b/src/proxy/traffic_duty.h
@@ -5,6 +5,7 @@
 #include <dandeliondock/proxy/control_duty.h>
 #include <dandeliondock/proxy/door.h>
 #include <dandeliondock/proxy/forwarder.h>
+#include <dandeliondock/proxy/loop_watch.h>
 #include <dandeliondock/proxy/proxy.h>
 
 #include <functional>
@@ -47,11 +48,6 @@
 /// \brief Time between two looks at what is still open while the proxy ends.
 inline constexpr Milliseconds drainCheck{100};
 
-/// \brief Time between two looks at how late the loop runs.
-inline constexpr Milliseconds loopWatch{1'000};
-/// \brief Lateness from which on the loop is said to be short of processor time.
-inline constexpr Milliseconds loopLate{100};
-
 /// \brief The duty that carries requests: every listener, the door and the forwarder, on one event loop.
 ///
 /// \remark Every method is to be called on the duty's loop, or before it runs.
@@ -76,7 +72,7 @@
     void announced(AnnouncementEffect effect);
     void checkDrained();
     void gather(RolloutAttempt attempt);
-    void watchLoop();
+    void addOpenWork(LogEvent &event);
     [[nodiscard]] DoorParts doorParts();
     [[nodiscard]] ForwarderParts forwarderParts();
     [[nodiscard]] Endpoint ownEndpoint() const;
@@ -95,9 +91,9 @@
     LoopServer m_health;
     LoopServer m_announcements;
     LoopServer m_metricsServer;
+    LoopWatch m_loopWatch;
     RolloutAttempts m_attempts;
     LoopTimer m_attemptsTimer;
-    LoopTimer m_loopTimer;
     LoopTimer m_drainTimer;
     MonotonicTime m_drainSince;
     std::function<void()> m_onEnded;
--- a/tests/proxy/table_relay_test.cpp
+++ b/tests/proxy/table_relay_test.cpp
@@ -34,6 +34,8 @@
             parts.client = m_client.get();
             parts.self = {RegionName("west"), Address("127.0.0.1:1")};
             parts.doors = [doors] { return doors; };
+            parts.metrics = &m_metrics;
+            parts.loopLateness = [] { return Milliseconds{0}; };
             parts.platform.list = [this](const TableName &, const TableReadingHandler &handler) {
                 ++platformLists;
                 m_thread.loop().post([handler] { handler(TableReading()); });
@@ -92,6 +94,17 @@
         return {status, std::chrono::duration_cast<Milliseconds>(std::chrono::steady_clock::now() - begin)};
     }
 
+    /// The body that a follower gets.
+    std::string answerTo(RowVersion after)
+    {
+        const auto result = std::make_shared<std::promise<std::string>>();
+        m_thread.run([&] {
+            m_relay->handle(encodeTablePoll({table, after}),
+                            [result](int, const std::string &body) { result->set_value(body); });
+        });
+        return result->get_future().get();
+    }
+
     void run(const std::function<void(TableRelay &)> &work)
     {
         m_thread.run([&] { work(*m_relay); });
@@ -109,6 +122,7 @@
         return doors;
     }
 
+    Metrics m_metrics;
     LoopThread m_thread;
     std::unique_ptr<LoopClient> m_client;
     std::unique_ptr<TableRelay> m_relay;
@@ -171,6 +185,31 @@
     CHECK(relayed.platformCalls == 0);
 }
 
+// Guards against a way that cannot be told from the time for which the followed proxy held a call.
+TEST_CASE("an answer tells for how long its call was held", "[proxy]")
+{
+    Relayed relayed(Address("127.0.0.1:9"));
+    relayed.run([](TableRelay &relay) {
+        TableReading reading;
+        reading.upTo = RowVersion(5);
+        relay.take(table, reading, true);
+        relay.setCurrent(table, true);
+    });
+    const auto reading = decodeTableReading(relayed.answerTo(RowVersion(5)));
+    REQUIRE(reading.ok());
+    CHECK(reading->heldFor >= relayHold);
+    CHECK(reading->heldFor < patience);
+    relayed.run([](TableRelay &relay) {
+        TableReading change;
+        change.put({RowKey("a"), RowVersion(6), "1"});
+        change.upTo = RowVersion(6);
+        relay.take(table, change, false);
+    });
+    const auto news = decodeTableReading(relayed.answerTo(RowVersion(5)));
+    REQUIRE(news.ok());
+    CHECK(news->heldFor < relayHold);
+}
+
 // Guards against ages that add up from place to place in the tree, so that the last ones seem to be behind.
 TEST_CASE("a follower that waits is told of a confirmation without news", "[proxy]")
 {
