Await overdue answers of followed proxies, ask another one as well, and blame on evidence

What callers saw: a route of a confirmed configuration was answered 404 for up to 3.9 s at instances with 13 Mbit/s.

Cause: a reader gave a call up 300 ms after the hold, whatever delayed it. On an instance whose own link is full of responses of 90 kB a call takes up to 1.3 s on its way. Each failure dropped an answer that was under way, cost a hold, a margin and a pause, and passed over a proxy that others heard well, for 3 s and, as both tables failed together, at once for 6 s. Class: local congestion taken for the failure of a peer, with a timeout that throws work under way away.

Change: TableFollower (the calls) and RelayTrust (the decision) leave TableRelay, which now only serves followers. An overdue call stays open for 3 s while somebody else is asked; the first answer counts. A silent proxy is passed over only when a call that was sent after that time was answered by somebody else, and once for one slow moment. A watch takes changes that come after it counted them as lost, from the platform too, whose calls had the same fault. The time on the way is part of the age that followers are told. No connection in time is DeadlineExceeded, as it shows nothing of the peer; a refused one stays NotSent.

--- a/include/dandeliondock/http/loop_client.h
+++ b/include/dandeliondock/http/loop_client.h
@@ -34,7 +34,9 @@
 /// \brief How a call ended.
 struct LoopCallResult
 {
-    absl::Status status;   ///< NotSent, MayHaveRun, Truncated or DeadlineExceeded unless OK
+    /// NotSent, MayHaveRun, Truncated or DeadlineExceeded unless OK. Without a connection in time it is
+    /// DeadlineExceeded, and wasSent is false.
+    absl::Status status;
     bool wasSent = false;  ///< false: nothing of the request left this process
     HttpResponse response; ///< whole, when the status is OK
 };
@@ -57,6 +59,10 @@
     /// \pre Called on the loop's thread.
     void cancel();
 
+    /// \brief Whether the first bytes of the response have arrived and the call has not ended.
+    /// \pre Called on the loop's thread.
+    [[nodiscard]] bool hasResponseBegun() const;
+
 private:
     std::weak_ptr<impl::ClientCall> m_call;
 };
--- a/include/dandeliondock/proxy/control_duty.h
+++ b/include/dandeliondock/proxy/control_duty.h
@@ -8,6 +8,7 @@
 #include <dandeliondock/proxy/loop_watch.h>
 #include <dandeliondock/proxy/operator_documents.h>
 #include <dandeliondock/proxy/rollout_control.h>
+#include <dandeliondock/proxy/table_follower.h>
 #include <dandeliondock/proxy/table_relay.h>
 #include <dandeliondock/proxy/table_watch.h>
 #include <dandeliondock/store/async_table.h>
@@ -101,14 +102,16 @@
     [[nodiscard]] std::uint32_t serving(const VersionName &version) const;
     [[nodiscard]] std::size_t rank() const;
     [[nodiscard]] RolloutControlParts rolloutParts();
+    [[nodiscard]] TableFollowerParts followerParts();
     [[nodiscard]] TableRelayParts relayParts();
     [[nodiscard]] std::vector<RelayDoor> servingDoors() const;
     void startOperatorWatch();
 
     ControlDutyParts m_parts;
     LoopWatch m_loopWatch;
+    TableFollower m_follower;
     TableRelay m_relay;
-    AsyncTableHooks m_table; ///< through the relay
+    AsyncTableHooks m_table; ///< through the follower
     TableWatch m_operatorWatch;
     TableWatch m_sharedWatch;
     RolloutControl m_rollout;
--- a/include/dandeliondock/proxy/table_watch.h
+++ b/include/dandeliondock/proxy/table_watch.h
@@ -5,6 +5,7 @@
 #include <dandeliondock/http/event_loop.h>
 #include <dandeliondock/store/async_table.h>
 
+#include <cstdint>
 #include <functional>
 
 namespace dandeliondock {
@@ -16,6 +17,9 @@
     Milliseconds gather{250};     ///< pause after a change, in which further changes gather for one call
     Milliseconds firstRetry{200}; ///< after a failure; doubles, with jitter
     Milliseconds longestRetry{500};
+    /// Time without an answer after which the table counts as lost and is asked for again. It covers a call that the
+    /// platform holds, and leaves time to read it again before a configuration must be in force.
+    Milliseconds overdue{1'300};
 };
 
 /// \brief Changes of one reading that a later one replaced from which on the rows as they stand are read instead: each
@@ -24,6 +28,8 @@
 
 /// \brief Follows one table: reads it whole, then its changes, and whole again when changes were missed.
 ///
+/// Changes that arrive after they were overdue are taken as well, unless newer ones are known.
+///
 /// \remark Belongs to the loop's thread.
 class TableWatch
 {
@@ -49,6 +55,8 @@
     void read();
     void follow();
     void received(absl::StatusOr<TableReading> reading, bool isWhole);
+    void receivedLate(const absl::StatusOr<TableReading> &reading);
+    void take(const TableReading &reading, bool isWhole);
     void failed(const absl::Status &status);
 
     EventLoop &m_loop;
@@ -61,6 +69,7 @@
     CurrentHandler m_onCurrent;
     LoopTimer m_timer;
     RowVersion m_upTo;
+    std::uint64_t m_lastCall = 0; ///< for changes
     int m_failures = 0;
     bool m_isSynced = false;
     bool m_mustRead = true; ///< the table is read whole next
--- a/src/http/loop_client.cpp
+++ b/src/http/loop_client.cpp
@@ -69,6 +69,7 @@
     void startDeadline();
     void cancel();
     [[nodiscard]] bool extendForTransfer();
+    [[nodiscard]] bool hasResponseBegun() const;
     void finish(LoopCallResult result);
 
     [[nodiscard]] bool isFinished() const noexcept { return !m_handler; }
@@ -156,6 +157,12 @@
     bool m_isClosed = false;
 };
 
+bool ClientCall::hasResponseBegun() const
+{
+    const auto held = connection.lock();
+    return !isFinished() && held && held->hasResponseBegun();
+}
+
 void ClientCall::startDeadline()
 {
     m_deadline = m_loop->after(options.deadline - EventLoop::now(), [weak = weak_from_this()] {
@@ -171,8 +178,7 @@
 
 bool ClientCall::extendForTransfer()
 {
-    const auto held = connection.lock();
-    if (options.transferTime.count() == 0 || !held || !held->hasResponseBegun())
+    if (options.transferTime.count() == 0 || !hasResponseBegun())
         return false;
     options.deadline += options.transferTime;
     options.transferTime = Milliseconds{0};
@@ -256,7 +262,7 @@
     }
     m_connectTimer = m_client->loop.after(m_client->limits.connectTime, [weak = weak_from_this()] {
         if (const auto self = weak.lock())
-            self->failed(ErrorKind::NotSent, "no connection in time");
+            self->failed(ErrorKind::DeadlineExceeded, "no connection in time");
     });
     m_socket.async_connect(*endpoint, [self = shared_from_this()](const error_code &error) { self->connected(error); });
 }
@@ -416,6 +422,12 @@
         call->cancel();
 }
 
+bool LoopCall::hasResponseBegun() const
+{
+    const auto call = m_call.lock();
+    return call && call->hasResponseBegun();
+}
+
 LoopClient::LoopClient(EventLoop &loop, LoopClientLimits limits)
     : m_state(std::make_shared<impl::ClientState>(loop, limits))
 {
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -30,8 +30,8 @@
 
 ControlDuty::ControlDuty(ControlDutyParts parts)
     : m_parts(std::move(parts)),
-      m_loopWatch(*m_parts.loop, "control", *m_parts.metrics, m_parts.log, [](LogEvent &) {}), m_relay(relayParts()),
-      m_table(m_relay.hooks()),
+      m_loopWatch(*m_parts.loop, "control", *m_parts.metrics, m_parts.log, [](LogEvent &) {}),
+      m_follower(followerParts()), m_relay(relayParts()), m_table(m_follower.hooks()),
       m_operatorWatch(
               *m_parts.loop, m_table, m_parts.documents.table, {}, m_parts.random, m_parts.log,
               [this](const TableReading &reading, bool isWhole) {
@@ -50,20 +50,29 @@
 {
 }
 
-TableRelayParts ControlDuty::relayParts()
+TableFollowerParts ControlDuty::followerParts()
 {
-    TableRelayParts parts;
+    TableFollowerParts parts;
     parts.loop = m_parts.loop;
     parts.client = m_parts.client;
     parts.platform = m_parts.table;
+    parts.metrics = m_parts.metrics;
     parts.log = m_parts.log;
     parts.self = {m_parts.region, m_parts.door};
     parts.doors = [this] { return servingDoors(); };
-    parts.metrics = m_parts.metrics;
     parts.loopLateness = [this] { return m_loopWatch.lateness(); };
     return parts;
 }
 
+TableRelayParts ControlDuty::relayParts()
+{
+    TableRelayParts parts;
+    parts.loop = m_parts.loop;
+    parts.log = m_parts.log;
+    parts.fleetSize = [this] { return servingDoors().size(); };
+    return parts;
+}
+
 std::vector<RelayDoor> ControlDuty::servingDoors() const
 {
     std::vector<RelayDoor> doors;
--- /dev/null
+++ b/src/proxy/table_follower.cpp
@@ -0,0 +1,320 @@
+#include <dandeliondock/codec/table_codec.h>
+#include <dandeliondock/core/error.h>
+#include <dandeliondock/core/log_limiter.h>
+#include <dandeliondock/proxy/relay_trust.h>
+#include <dandeliondock/proxy/table_follower.h>
+
+#include <algorithm>
+#include <optional>
+#include <utility>
+
+namespace dandeliondock {
+
+namespace impl {
+
+namespace {
+
+constexpr int ok = 200;
+constexpr int gone = 410;
+
+Milliseconds passedSince(MonotonicTime time)
+{
+    return std::chrono::duration_cast<Milliseconds>(EventLoop::now() - time);
+}
+
+} // namespace
+
+/// \brief What the readings of a follower share.
+class FollowerState
+{
+public:
+    explicit FollowerState(TableFollowerParts followerParts) : parts(std::move(followerParts)) {}
+
+    /// The proxy that is asked; empty when the platform is.
+    [[nodiscard]] std::optional<Address> parent(const TablePoll &poll) const;
+    [[nodiscard]] bool mayReadPlatform() const;
+    void readPlatform(const TablePoll &poll, Milliseconds hold, TableReadingHandler handler) const;
+    void noteWay(const Address &door, const TablePoll &poll, Milliseconds way, const TableReading &reading);
+    void passOver(const PassedOver &passed, const absl::Status &status);
+    void passOverSilent(const std::vector<PassedOver> &passed);
+
+    const TableFollowerParts parts;
+    RelayTrust trust;
+    int wholeFailures = 0; ///< in a row
+    bool isStopped = false;
+
+private:
+    LogLimiter m_wayLimiter;
+    MonotonicTime m_directUntil;
+};
+
+std::optional<Address> FollowerState::parent(const TablePoll &poll) const
+{
+    std::vector<RelayDoor> doors = parts.doors();
+    const MonotonicTime now = EventLoop::now();
+    // A whole table is long, and many read it at the same time: after a failure another proxy is asked for it first.
+    const bool isDirect = poll.isWhole ? doors.size() < crowdedFleet : now < m_directUntil;
+    if (isDirect)
+        return std::nullopt;
+    std::erase_if(doors, [this, now](const RelayDoor &item) { return !trust.mayFollow(item.door, now); });
+    return relayParent(parts.self, doors);
+}
+
+bool FollowerState::mayReadPlatform() const
+{
+    const std::vector<RelayDoor> doors = parts.doors();
+    if (doors.size() < crowdedFleet)
+        return true;
+    const auto before = std::count_if(doors.begin(), doors.end(), [this](const RelayDoor &item) {
+        return item.region == parts.self.region && item.door < parts.self.door;
+    });
+    return static_cast<std::size_t>(before) < directReaders;
+}
+
+void FollowerState::readPlatform(const TablePoll &poll, Milliseconds hold, TableReadingHandler handler) const
+{
+    if (poll.isWhole)
+        parts.platform.list(poll.table, std::move(handler));
+    else
+        parts.platform.changes(poll.table, poll.after, hold, std::move(handler));
+}
+
+void FollowerState::noteWay(const Address &door, const TablePoll &poll, Milliseconds way, const TableReading &reading)
+{
+    parts.metrics->latency("relay_way_seconds").record(way);
+    if (way < relaySlowWay || !m_wayLimiter.admits(EventLoop::now(), parts.log))
+        return;
+    LogEvent(LogLevel::Info, "relay.slow_way")
+            .field("door", door)
+            .field("table", poll.table)
+            .field("way_ms", way.count())
+            .field("held_ms", reading.heldFor.count())
+            .field("age_ms", reading.age.count())
+            .field("loop_late_ms", parts.loopLateness().count())
+            .write(parts.log);
+}
+
+void FollowerState::passOver(const PassedOver &passed, const absl::Status &status)
+{
+    if (mayReadPlatform())
+        m_directUntil = EventLoop::now() + directReading;
+    LogEvent(LogLevel::Info, "relay.passed_over")
+            .field("door", passed.door)
+            .field("for_ms", passed.length.count())
+            .field("after_ms", passed.after.count())
+            .field("loop_late_ms", parts.loopLateness().count())
+            .error(status)
+            .write(parts.log);
+}
+
+void FollowerState::passOverSilent(const std::vector<PassedOver> &passed)
+{
+    for (const PassedOver &item : passed)
+        passOver(item,
+                 makeError(ErrorKind::DeadlineExceeded, "still silent after somebody else answered a later call"));
+}
+
+/// \brief One reading of a table. Keeps itself alive until each of its calls has ended.
+class FollowerReading : public std::enable_shared_from_this<FollowerReading>
+{
+public:
+    FollowerReading(std::shared_ptr<FollowerState> state, TablePoll poll, TableReadingHandler handler)
+        : m_state(std::move(state)), m_poll(std::move(poll)), m_handler(std::move(handler))
+    {
+    }
+
+    void start()
+    {
+        if (const std::optional<Address> door = m_state->parent(m_poll))
+            askDoor(*door);
+        else
+            askPlatform(platformHold);
+    }
+
+private:
+    void askDoor(const Address &door);
+    void askPlatform(Milliseconds hold);
+    void awaitDue(Milliseconds time);
+    void overdue();
+    void askAnother();
+    void doorEnded(const Address &door, RelayCallId id, MonotonicTime askedAt, const LoopCallResult &result);
+    void failed(RelayCallId id, const absl::Status &status);
+    void finish(absl::StatusOr<TableReading> reading);
+
+    [[nodiscard]] Milliseconds hold() const { return m_poll.isWhole ? Milliseconds{0} : relayHold; }
+
+    /// Whether the platform is the next source after a failure or an overdue answer.
+    [[nodiscard]] bool isPlatformNext() const
+    {
+        return m_poll.isWhole ? m_state->wholeFailures >= wholeTries : m_state->mayReadPlatform();
+    }
+
+    std::shared_ptr<FollowerState> m_state;
+    TablePoll m_poll;
+    TableReadingHandler m_handler; ///< null once the reading has ended
+    LoopCall m_newest;
+    LoopTimer m_due;
+    int m_asked = 0;
+    int m_open = 0; ///< calls to other proxies that have not ended
+    bool m_isTransferAwaited = false;
+    bool m_hasAskedPlatform = false;
+};
+
+void FollowerReading::askDoor(const Address &door)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = std::string(tablePath);
+    request.body = encodeTablePoll(m_poll);
+    const MonotonicTime now = EventLoop::now();
+    const Milliseconds due = hold() + relayMargin;
+    const RelayCallId id = m_state->trust.asked(door, now, now + due);
+    LoopCallOptions options;
+    options.deadline = now + hold() + relayPatience;
+    options.transferTime = relayTransfer;
+    ++m_asked;
+    ++m_open;
+    m_newest = m_state->parts.client->send(door, request, options,
+                                           [self = shared_from_this(), door, id, now](const LoopCallResult &result) {
+                                               self->doorEnded(door, id, now, result);
+                                           });
+    awaitDue(due);
+}
+
+void FollowerReading::askPlatform(Milliseconds hold)
+{
+    ++m_asked;
+    m_hasAskedPlatform = true;
+    m_due.cancel();
+    m_state->readPlatform(
+            m_poll, hold,
+            [self = shared_from_this(), askedAt = EventLoop::now()](absl::StatusOr<TableReading> reading) {
+                if (reading.ok())
+                    self->m_state->passOverSilent(self->m_state->trust.platformAnswered(askedAt, EventLoop::now()));
+                self->finish(std::move(reading));
+            });
+}
+
+void FollowerReading::awaitDue(Milliseconds time)
+{
+    m_due = m_state->parts.loop->after(time, [weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->overdue();
+    });
+}
+
+void FollowerReading::overdue()
+{
+    if (!m_handler)
+        return;
+    if (m_newest.hasResponseBegun() && !std::exchange(m_isTransferAwaited, true)) {
+        awaitDue(relayTransfer);
+        return;
+    }
+    if (m_poll.isWhole)
+        ++m_state->wholeFailures;
+    askAnother();
+}
+
+void FollowerReading::askAnother()
+{
+    if (!m_poll.isWhole && m_asked >= changesAsked)
+        return;
+    const std::optional<Address> door = isPlatformNext() ? std::nullopt : m_state->parent(m_poll);
+    if (door)
+        askDoor(*door);
+    else
+        askPlatform(relayHold);
+}
+
+void FollowerReading::doorEnded(const Address &door, RelayCallId id, MonotonicTime askedAt,
+                                const LoopCallResult &result)
+{
+    --m_open;
+    if (m_state->isStopped)
+        return;
+    if (errorKind(result.status) == ErrorKind::DeadlineExceeded) {
+        m_state->trust.unanswered(id);
+        if (m_open == 0 && !m_hasAskedPlatform)
+            finish(makeError(ErrorKind::StoreUnavailable, "no proxy answered in time"));
+        return;
+    }
+    if (!result.status.ok()) {
+        failed(id, result.status);
+        return;
+    }
+    if (result.response.status == gone) {
+        m_state->passOverSilent(m_state->trust.answered(id, EventLoop::now()));
+        finish(makeError(ErrorKind::RevisionGap, "the proxy that is followed knows no such old changes"));
+        return;
+    }
+    if (result.response.status != ok) {
+        failed(id, makeError(ErrorKind::StoreUnavailable, "the proxy that is followed has lost the platform"));
+        return;
+    }
+    auto reading = decodeTableReading(result.response.body);
+    if (!reading.ok()) {
+        failed(id, reading.status());
+        return;
+    }
+    const Milliseconds way = passedSince(askedAt) - reading->heldFor;
+    m_state->noteWay(door, m_poll, way, *reading);
+    if (reading->age > relayStale) {
+        failed(id, makeError(ErrorKind::StoreUnavailable, "the proxy that is followed is behind"));
+        return;
+    }
+    reading->age += way;
+    m_state->passOverSilent(m_state->trust.answered(id, EventLoop::now()));
+    if (m_poll.isWhole)
+        m_state->wholeFailures = 0;
+    finish(*std::move(reading));
+}
+
+void FollowerReading::failed(RelayCallId id, const absl::Status &status)
+{
+    m_state->passOver(m_state->trust.failed(id, EventLoop::now()), status);
+    if (!m_handler || m_hasAskedPlatform)
+        return;
+    if (m_poll.isWhole)
+        ++m_state->wholeFailures;
+    if (isPlatformNext())
+        askPlatform(platformHold);
+    else if (m_open == 0)
+        finish(makeError(ErrorKind::StoreUnavailable, "the proxy that is followed has failed"));
+}
+
+void FollowerReading::finish(absl::StatusOr<TableReading> reading)
+{
+    m_due.cancel();
+    const TableReadingHandler handler = std::exchange(m_handler, nullptr);
+    if (handler && !m_state->isStopped)
+        handler(std::move(reading));
+}
+
+} // namespace impl
+
+TableFollower::TableFollower(TableFollowerParts parts)
+    : m_state(std::make_shared<impl::FollowerState>(std::move(parts)))
+{
+}
+
+TableFollower::~TableFollower()
+{
+    m_state->isStopped = true;
+}
+
+AsyncTableHooks TableFollower::hooks()
+{
+    AsyncTableHooks hooks = m_state->parts.platform;
+    hooks.list = [state = m_state](const TableName &table, TableReadingHandler handler) {
+        std::make_shared<impl::FollowerReading>(state, TablePoll{table, RowVersion(), true}, std::move(handler))
+                ->start();
+    };
+    hooks.changes = [state = m_state](const TableName &table, RowVersion after, Milliseconds,
+                                      TableReadingHandler handler) {
+        std::make_shared<impl::FollowerReading>(state, TablePoll{table, after, false}, std::move(handler))->start();
+    };
+    return hooks;
+}
+
+} // namespace dandeliondock
--- a/src/proxy/table_watch.cpp
+++ b/src/proxy/table_watch.cpp
@@ -39,8 +39,17 @@
 
 void TableWatch::follow()
 {
-    m_table.changes(m_name, m_upTo, m_pace.hold,
-                    [this](absl::StatusOr<TableReading> reading) { received(std::move(reading), false); });
+    const std::uint64_t call = ++m_lastCall;
+    m_timer = m_loop.after(m_pace.overdue, [this] {
+        ++m_lastCall;
+        failed(makeError(ErrorKind::StoreUnavailable, "no answer in time"));
+    });
+    m_table.changes(m_name, m_upTo, m_pace.hold, [this, call](absl::StatusOr<TableReading> reading) {
+        if (call == m_lastCall)
+            received(std::move(reading), false);
+        else
+            receivedLate(reading);
+    });
 }
 
 void TableWatch::received(absl::StatusOr<TableReading> reading, bool isWhole)
@@ -54,22 +63,34 @@
         failed(makeError(ErrorKind::StoreUnavailable, "the table that was read is older than what is known"));
         return;
     }
+    const std::size_t kept = reading->rows.size() + reading->removed.size();
+    m_mustRead = reading->changes >= kept + replacedChanges;
+    if (reading->upTo >= m_upTo)
+        take(*reading, isWhole);
+    m_timer = m_loop.after(kept > 0 ? m_pace.gather : Milliseconds{0}, [this] { next(); });
+}
+
+// The call that took the place of the late one goes on.
+void TableWatch::receivedLate(const absl::StatusOr<TableReading> &reading)
+{
+    if (reading.ok() && reading->upTo >= m_upTo)
+        take(*reading, false);
+}
+
+void TableWatch::take(const TableReading &reading, bool isWhole)
+{
     if (m_failures > 0 || !m_isSynced) {
         LogEvent(LogLevel::Info, "table.regained")
                 .field("table", m_name)
-                .field("version", reading->upTo)
+                .field("version", reading.upTo)
                 .field("failures", m_failures)
                 .write(m_log);
         m_onCurrent(true);
     }
     m_failures = 0;
     m_isSynced = true;
-    const std::size_t kept = reading->rows.size() + reading->removed.size();
-    m_mustRead = reading->changes >= kept + replacedChanges;
-    m_upTo = std::max(m_upTo, reading->upTo);
-    const bool hasNews = !reading->rows.empty() || !reading->removed.empty();
-    m_handler(*reading, isWhole);
-    m_timer = m_loop.after(hasNews ? m_pace.gather : Milliseconds{0}, [this] { next(); });
+    m_upTo = std::max(m_upTo, reading.upTo);
+    m_handler(reading, isWhole);
 }
 
 void TableWatch::failed(const absl::Status &status)
--- /dev/null
+++ b/tests/proxy/relay_trust_test.cpp
@@ -0,0 +1,94 @@
+#include <dandeliondock/proxy/relay_trust.h>
+
+#include <absl/strings/str_cat.h>
+
+#include <catch2/catch.hpp>
+#include <rapidcheck/catch.h>
+
+#include <set>
+
+namespace dandeliondock {
+namespace {
+
+const MonotonicTime start{Seconds(100)};
+constexpr Milliseconds due{700};
+const Address first("10.0.0.1:1");
+const Address second("10.0.0.2:1");
+
+} // namespace
+
+// Guards against a proxy that takes its own full link for the failure of those it follows.
+TEST_CASE("proxies whose answers are late but come in their order are not passed over", "[proxy]")
+{
+    rc::prop("any way that delays all answers alike", [] {
+        RelayTrust trust;
+        const auto way = Milliseconds(*rc::gen::inRange(0, 5'000));
+        const auto calls = *rc::gen::inRange(1, 8);
+        std::vector<std::pair<RelayCallId, MonotonicTime>> sent;
+        for (int index = 0; index < calls; ++index) {
+            const MonotonicTime now = start + due * index;
+            sent.emplace_back(trust.asked(Address(absl::StrCat("10.0.0.", index, ":1")), now, now + due), now);
+        }
+        for (const auto &[call, askedAt] : sent)
+            RC_ASSERT(trust.answered(call, askedAt + way).empty());
+    });
+}
+
+TEST_CASE("a proxy that is silent while another one answers is passed over and followed again later", "[proxy]")
+{
+    RelayTrust trust;
+    static_cast<void>(trust.asked(first, start, start + due));
+    CHECK(trust.mayFollow(first, start));
+    CHECK_FALSE(trust.mayFollow(first, start + due));
+    const MonotonicTime later = start + due;
+    const auto passed = trust.answered(trust.asked(second, later, later + due), later + Milliseconds(50));
+    REQUIRE(passed.size() == 1);
+    CHECK(passed.front().door == first);
+    CHECK(passed.front().length == relayDistrust);
+    CHECK(passed.front().after == due + Milliseconds(50));
+    CHECK(trust.mayFollow(second, later));
+}
+
+TEST_CASE("a platform that answers a later call shows that the followed proxy is silent", "[proxy]")
+{
+    RelayTrust trust;
+    static_cast<void>(trust.asked(first, start, start + due));
+    CHECK(trust.platformAnswered(start + Milliseconds(1), start + due * 2).empty());
+    CHECK(trust.platformAnswered(start + due, start + due * 2).size() == 1);
+}
+
+// Guards against one slow moment that counts once for each table and keeps a proxy away for twice the time.
+TEST_CASE("failures while a proxy is passed over count once", "[proxy]")
+{
+    RelayTrust trust;
+    const RelayCallId one = trust.asked(first, start, start + due);
+    const RelayCallId other = trust.asked(first, start, start + due);
+    CHECK(trust.failed(one, start).length == relayDistrust);
+    CHECK(trust.failed(other, start + Milliseconds(1)).length == relayDistrust);
+    CHECK_FALSE(trust.mayFollow(first, start + relayDistrust - Milliseconds(1)));
+    const MonotonicTime again = start + relayDistrust;
+    CHECK(trust.mayFollow(first, again));
+    CHECK(trust.failed(trust.asked(first, again, again + due), again).length == relayDistrust * 2);
+}
+
+TEST_CASE("an answer makes up for earlier failures", "[proxy]")
+{
+    RelayTrust trust;
+    const RelayCallId slow = trust.asked(first, start, start + due);
+    static_cast<void>(trust.failed(trust.asked(first, start, start + due), start));
+    CHECK_FALSE(trust.mayFollow(first, start));
+    CHECK(trust.answered(slow, start + due).empty());
+    CHECK(trust.mayFollow(first, start + due));
+}
+
+// Guards against calls that stay in the books and keep a proxy away for ever.
+TEST_CASE("a call that ended without an answer does not keep its proxy from being followed", "[proxy]")
+{
+    RelayTrust trust;
+    const RelayCallId call = trust.asked(first, start, start + due);
+    CHECK_FALSE(trust.mayFollow(first, start + due));
+    trust.unanswered(call);
+    CHECK(trust.mayFollow(first, start + due));
+}
+
+} // namespace dandeliondock
--- a/tests/proxy/table_watch_test.cpp
+++ b/tests/proxy/table_watch_test.cpp
@@ -58,4 +58,45 @@
     CHECK(taken == std::vector<std::uint64_t>{5, 9, 10});
 }
 
+// Guards against an answer that is thrown away because it was late, although it carries the change that is waited for.
+TEST_CASE("changes that arrive after they were overdue are taken", "[proxy]")
+{
+    LoopThread thread;
+    std::vector<TableReadingHandler> calls;
+    std::vector<std::uint64_t> taken;
+    std::vector<bool> current;
+    AsyncTableHooks hooks;
+    hooks.list = [&](const TableName &, const TableReadingHandler &handler) {
+        thread.loop().post([handler] { handler(readingUpTo(5)); });
+    };
+    hooks.changes = [&](const TableName &, RowVersion, Milliseconds, TableReadingHandler handler) {
+        calls.push_back(std::move(handler));
+    };
+    WatchPace pace = quickPace;
+    pace.overdue = Milliseconds(50);
+    std::unique_ptr<TableWatch> watch;
+    thread.run([&] {
+        watch = std::make_unique<TableWatch>(
+                thread.loop(), hooks, table, pace, seededRandom(1), LogSink(),
+                [&taken](const TableReading &reading, bool isWhole) {
+                    if (!isWhole)
+                        taken.push_back(reading.upTo.value());
+                },
+                [&current](bool isCurrent) { current.push_back(isCurrent); });
+        watch->start();
+    });
+    std::this_thread::sleep_for(Milliseconds(90));
+    thread.run([&] {
+        REQUIRE(calls.size() >= 2);
+        CHECK(current == std::vector<bool>{true, false});
+        calls.front()(readingUpTo(7));
+        CHECK(watch->isCurrent());
+    });
+    CHECK(taken == std::vector<std::uint64_t>{7});
+    // What the later call brings is older by now.
+    thread.run([&] { calls[1](readingUpTo(6)); });
+    thread.run([&] { watch.reset(); });
+    CHECK(taken == std::vector<std::uint64_t>{7});
+}
+
 } // namespace dandeliondock::testing
