Log when the budget for further attempts is spent, and count repeats at the doors

No decision is changed. A proxy logs retries.spent once a second and service with the requests and the attempts taken in 10 s; a request says when an earlier attempt reached a target (Dock-Repeat, absent otherwise, so that proxies of the version before still understand it), and a door counts first runs and repeats.

--- a/include/dandeliondock/attempts/retry_budget.h
+++ b/include/dandeliondock/attempts/retry_budget.h
@@ -17,6 +17,13 @@
     bool operator==(const RetryBudgetLimits &) const = default;
 };
 
+/// \brief What a budget holds of the last 10 s.
+struct RetryUsage
+{
+    std::uint64_t requests = 0;
+    std::uint64_t taken = 0;
+};
+
 /// \brief Bounds retries and hedges together to a share of the requests of the last 10 s.
 ///
 /// \remark Every method is thread-safe.
@@ -31,6 +38,8 @@
     /// \brief Takes one extra attempt; false when the budget is spent.
     [[nodiscard]] bool tryTake(MonotonicTime now);
 
+    [[nodiscard]] RetryUsage usage(MonotonicTime now) const;
+
 private:
     static constexpr std::size_t windowSeconds = 10;
 
@@ -42,9 +51,10 @@
     };
 
     Slot &slotAt(std::int64_t second);
+    [[nodiscard]] RetryUsage usageAt(std::int64_t second) const;
 
     const RetryBudgetLimits m_limits;
-    std::mutex m_mutex;
+    mutable std::mutex m_mutex;
     std::array<Slot, windowSeconds> m_slots;
 };
 
--- a/include/dandeliondock/proxy/door.h
+++ b/include/dandeliondock/proxy/door.h
@@ -71,10 +71,14 @@
     [[nodiscard]] const LocalTarget &target() const noexcept { return m_target; }
     [[nodiscard]] std::size_t openJobs() const noexcept { return m_jobs; }
 
+    /// \brief The part of the requests that the target works on that are repeats.
+    [[nodiscard]] Share repeatedPart() const noexcept;
+
 private:
     [[nodiscard]] DoorRefusal refusalFor(const DoorRequest &request, MonotonicTime now) const;
     void refuse(const DoorJobPtr &job, DoorRefusal refusal, Microseconds retryAfter);
     void run(const DoorJobPtr &job);
+    void noteRunning(impl::DoorJob &job, bool isRunning);
     void ended(const DoorJobPtr &job, LoopCallResult result);
     [[nodiscard]] DoorReply replyOf(const impl::DoorJob &job, LoopCallResult result) const;
     [[nodiscard]] DoorReply judgeResponse(HttpResponse response) const;
@@ -89,6 +93,8 @@
     absl::flat_hash_map<WaiterId, DoorJobPtr> m_waiting;
     std::uint64_t m_lastId = 0;
     std::size_t m_jobs = 0;
+    std::uint32_t m_running = 0; ///< requests that the target works on
+    std::uint32_t m_repeats = 0; ///< of these
     LogLimiter m_logLimiter;
     bool m_isStopped = false;
 };
--- a/include/dandeliondock/proxy/door_request.h
+++ b/include/dandeliondock/proxy/door_request.h
@@ -25,6 +25,7 @@
     RouteName route;
     WorkClass workClass = WorkClass::Interactive;
     bool isIdempotent = false;
+    bool isRepeat = false;     ///< an earlier attempt reached a target
     MonotonicTime deadline;    ///< nothing is done for the request after it
     MonotonicTime usefulUntil; ///< a response after it is worth less; the queue does not go past it
 };
--- a/include/dandeliondock/proxy/forward_plan.h
+++ b/include/dandeliondock/proxy/forward_plan.h
@@ -53,6 +53,12 @@
     /// \brief No target can be had for another attempt: how the request ends.
     [[nodiscard]] ForwardStep giveUp() const;
 
+    /// \brief Whether an attempt has reached a target.
+    [[nodiscard]] bool hasReachedTarget() const noexcept { return m_reached > 0; }
+
+    /// \brief Whether the budget refused another attempt.
+    [[nodiscard]] bool isBudgetSpent() const noexcept { return m_isBudgetSpent; }
+
     /// \brief Whether no attempt can have run the request.
     [[nodiscard]] bool hasNotRun() const;
 
@@ -65,6 +71,7 @@
     std::size_t m_current = 0;
     std::size_t m_offers = 0;  ///< attempts that ended at a door
     std::size_t m_reached = 0; ///< attempts that reached a target
+    bool m_isBudgetSpent = false;
 };
 
 } // namespace dandeliondock
--- a/include/dandeliondock/proxy/forwarder.h
+++ b/include/dandeliondock/proxy/forwarder.h
@@ -31,6 +31,8 @@
 /// \brief Shortest and longest time after which a refused caller may come back: a queue drains within it.
 inline constexpr Milliseconds shortestRetryAfter{60};
 inline constexpr Milliseconds longestRetryAfter{400};
+/// \brief Time between two lines that tell that the budget for further attempts at a service is spent.
+inline constexpr Milliseconds spentLogInterval{1'000};
 
 /// \brief What a forwarder works with.
 struct ForwarderParts
@@ -78,7 +80,16 @@
 
     [[nodiscard]] VersionChoice chooseVersionOf(const ServiceName &service);
     [[nodiscard]] const std::optional<VersionSplit> &splitFor(const ServiceVersions &versions);
-    [[nodiscard]] RetryBudget &budgetOf(const ServiceName &service);
+    struct ServiceRetries
+    {
+        explicit ServiceRetries(const RetryBudgetLimits &limits) : budget(limits) {}
+
+        RetryBudget budget;
+        MonotonicTime loggedAt;
+    };
+
+    [[nodiscard]] ServiceRetries &retriesOf(const ServiceName &service);
+    void logSpent(const ServiceName &service, MonotonicTime now);
     void noteResponseSize(const RouteName &route, std::size_t bytes);
     [[nodiscard]] Milliseconds retryAfter(Microseconds hint);
 
@@ -93,7 +104,7 @@
     absl::flat_hash_map<ServiceName, ServiceVersions> m_versions;
     /// Divisions of traffic by service, until the versions or the targets change.
     absl::flat_hash_map<ServiceName, std::optional<VersionSplit>> m_splits;
-    absl::flat_hash_map<ServiceName, std::unique_ptr<RetryBudget>> m_budgets;
+    absl::flat_hash_map<ServiceName, std::unique_ptr<ServiceRetries>> m_retries;
 };
 
 } // namespace dandeliondock
--- a/src/attempts/retry_budget.cpp
+++ b/src/attempts/retry_budget.cpp
@@ -25,19 +25,30 @@
     ++slotAt(secondOf(now)).requests;
 }
 
-bool RetryBudget::tryTake(MonotonicTime now)
+RetryUsage RetryBudget::usageAt(std::int64_t second) const
 {
-    const std::scoped_lock lock(m_mutex);
-    const std::int64_t second = secondOf(now);
-    std::uint64_t requests = 0;
-    std::uint64_t taken = 0;
+    RetryUsage used;
     for (const Slot &slot : m_slots) {
         if (slot.second <= second - static_cast<std::int64_t>(windowSeconds))
             continue;
-        requests += slot.requests;
-        taken += slot.taken;
+        used.requests += slot.requests;
+        used.taken += slot.taken;
     }
-    if (taken >= m_limits.floor + requests * m_limits.ofRequests.value() / fullShare.value())
+    return used;
+}
+
+RetryUsage RetryBudget::usage(MonotonicTime now) const
+{
+    const std::scoped_lock lock(m_mutex);
+    return usageAt(secondOf(now));
+}
+
+bool RetryBudget::tryTake(MonotonicTime now)
+{
+    const std::scoped_lock lock(m_mutex);
+    const std::int64_t second = secondOf(now);
+    const RetryUsage used = usageAt(second);
+    if (used.taken >= m_limits.floor + used.requests * m_limits.ofRequests.value() / fullShare.value())
         return false;
     ++slotAt(second).taken;
     return true;
--- a/src/proxy/door.cpp
+++ b/src/proxy/door.cpp
@@ -100,12 +100,10 @@
 void Door::run(const DoorJobPtr &job)
 {
     job->queueTimer.cancel();
-    job->isRunning = true;
     job->startedAt = EventLoop::now();
     DoorRequest &request = job->request;
     const auto left = std::chrono::duration_cast<Milliseconds>(request.deadline - job->startedAt).count();
     if (left <= 0) {
-        job->isRunning = false;
         m_queue.finished(job->request.route, std::nullopt);
         refuse(job, DoorRefusal::Late, Microseconds{0});
         runNext();
@@ -117,13 +115,28 @@
     options.deadline = request.deadline + targetAnswerSlack;
     options.reuseWithin = request.isIdempotent ? reusableConnection : provenConnection;
     options.echoHeader = m_parts.protocol.requestId;
+    m_parts.metrics->counter("door_runs_total", request.isRepeat ? "repeat" : "first").add();
+    noteRunning(*job, true);
     job->call = m_parts.client->send(m_parts.target, request.request, options,
                                      [this, job](LoopCallResult result) { ended(job, std::move(result)); });
 }
 
+Share Door::repeatedPart() const noexcept
+{
+    return m_running == 0 ? noShare : Share(m_repeats * fullShare.value() / m_running);
+}
+
+void Door::noteRunning(impl::DoorJob &job, bool isRunning)
+{
+    job.isRunning = isRunning;
+    m_running += isRunning ? 1 : -1;
+    if (job.request.isRepeat)
+        m_repeats += isRunning ? 1 : -1;
+}
+
 void Door::ended(const DoorJobPtr &job, LoopCallResult result)
 {
-    job->isRunning = false;
+    noteRunning(*job, false);
     const Microseconds latency = EventLoop::now() - job->startedAt;
     DoorReply reply = replyOf(*job, std::move(result));
     m_queue.finished(job->request.route, hasResponse(reply.outcome) ? std::optional(latency) : std::nullopt);
@@ -251,7 +264,8 @@
     job->queueTimer.cancel();
     if (m_waiting.erase(job->waiter) > 0)
         m_queue.withdraw(job->waiter);
-    if (std::exchange(job->isRunning, false)) {
+    if (job->isRunning) {
+        noteRunning(*job, false);
         job->call.cancel();
         m_queue.finished(job->request.route, std::nullopt);
         runNext();
--- a/src/proxy/door_request.cpp
+++ b/src/proxy/door_request.cpp
@@ -21,7 +21,8 @@
 constexpr absl::string_view serviceHeader = "Dock-Service";
 constexpr absl::string_view routeHeader = "Dock-Route";
 constexpr absl::string_view idHeader = "Dock-Id";
-constexpr absl::string_view termsHeader = "Dock-Terms"; // class, idempotent, ms to the deadline, ms of use
+constexpr absl::string_view termsHeader = "Dock-Terms";   // class, idempotent, ms to the deadline, ms of use
+constexpr absl::string_view repeatHeader = "Dock-Repeat"; // only on repeats
 constexpr absl::string_view outcomeHeader = "Dock-Outcome";
 constexpr absl::string_view refusalHeader = "Dock-Refusal";
 constexpr absl::string_view loadHeader = "Dock-Load"; // running, waiting, slots
@@ -116,6 +117,8 @@
                         absl::StrCat(static_cast<int>(request.workClass), ",", request.isIdempotent ? 1 : 0, ",",
                                      millisecondsLeft(request.deadline, now), ",",
                                      millisecondsLeft(request.usefulUntil, now)));
+    if (request.isRepeat)
+        message.headers.add(repeatHeader, "1");
     return message;
 }
 
@@ -137,6 +140,7 @@
     decoded.isIdempotent = terms[1] != 0;
     decoded.deadline = now + Milliseconds(terms[2]);
     decoded.usefulUntil = now + Milliseconds(terms[3]);
+    decoded.isRepeat = !takeText(request.headers, repeatHeader).empty();
     decoded.request = std::move(request);
     return decoded;
 }
--- a/src/proxy/forward_plan.cpp
+++ b/src/proxy/forward_plan.cpp
@@ -47,7 +47,10 @@
 
 bool ForwardPlan::mayReachAnotherTarget(MonotonicTime now)
 {
-    return m_reached < m_terms.attempts && now < m_terms.deadline && m_ledger.permitsAnother() && m_budget.tryTake(now);
+    if (m_reached >= m_terms.attempts || now >= m_terms.deadline || !m_ledger.permitsAnother())
+        return false;
+    m_isBudgetSpent = !m_budget.tryTake(now);
+    return !m_isBudgetSpent;
 }
 
 ForwardStep ForwardPlan::giveUp() const
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -122,7 +122,7 @@
     m_request.usefulUntil = route.targetLatency.count() > 0
                                     ? std::min(deadline.at(), arrived + std::max(route.targetLatency, shortestPatience))
                                     : m_request.deadline;
-    RetryBudget &retries = m_owner.budgetOf(m_request.service);
+    RetryBudget &retries = m_owner.retriesOf(m_request.service).budget;
     retries.recordRequest(arrived);
     m_plan.emplace(
             ForwardTerms{route.idempotent, route.attempts == 0 ? maxAttempts : route.attempts, m_request.deadline},
@@ -162,6 +162,7 @@
     const Endpoint &endpoint = m_claim->target->endpoint;
     m_request.target = endpoint.target;
     m_placement.tried.push_back(endpoint.target);
+    m_request.isRepeat = m_plan->hasReachedTarget();
     m_plan->begin();
     m_sentAt = MonotonicTime();
     if (endpoint.controlAddress == m_owner.m_parts.doorAddress) {
@@ -228,6 +229,8 @@
     m_job.reset();
     m_isTimedOut = m_isTimedOut || reply.outcome == DoorOutcome::TimedOut;
     const ForwardStep step = m_plan->conclude(reply.outcome, now);
+    if (m_plan->isBudgetSpent())
+        m_owner.logSpent(m_request.service, now);
     if (!hasResponse(reply.outcome)) {
         metrics().counter("attempts_unanswered_total", doorOutcomeName(reply.outcome)).add();
         logAttempt(reply, now);
@@ -403,12 +406,27 @@
     mean += (static_cast<double>(bytes) - mean) * sizeSmoothing;
 }
 
-RetryBudget &Forwarder::budgetOf(const ServiceName &service)
+Forwarder::ServiceRetries &Forwarder::retriesOf(const ServiceName &service)
 {
-    std::unique_ptr<RetryBudget> &budget = m_budgets[service];
-    if (!budget)
-        budget = std::make_unique<RetryBudget>(m_parts.retries);
-    return *budget;
+    std::unique_ptr<ServiceRetries> &retries = m_retries[service];
+    if (!retries)
+        retries = std::make_unique<ServiceRetries>(m_parts.retries);
+    return *retries;
+}
+
+void Forwarder::logSpent(const ServiceName &service, MonotonicTime now)
+{
+    ServiceRetries &retries = retriesOf(service);
+    if (now - retries.loggedAt < spentLogInterval)
+        return;
+    retries.loggedAt = now;
+    const RetryUsage usage = retries.budget.usage(now);
+    LogEvent(LogLevel::Info, "retries.spent")
+            .field("service", service)
+            .field("requests", usage.requests)
+            .field("taken", usage.taken)
+            .field("repeats_at_door", m_parts.door->repeatedPart())
+            .write(m_parts.log);
 }
 
 Milliseconds Forwarder::retryAfter(Microseconds hint)
--- a/tests/proxy/door_request_test.cpp
+++ b/tests/proxy/door_request_test.cpp
@@ -34,7 +34,14 @@
     CHECK(received->isIdempotent == sent.isIdempotent);
     CHECK(received->deadline == sent.deadline);
     CHECK(received->usefulUntil == sent.usefulUntil);
+    CHECK_FALSE(received->isRepeat);
     CHECK(received->request.headers.lines().empty());
+    DoorRequest again = sent;
+    again.isRepeat = true;
+    const auto repeat = decodeDoorRequest(encodeDoorRequest(again, MonotonicTime{}), MonotonicTime{});
+    REQUIRE(repeat.ok());
+    CHECK(repeat->isRepeat);
+    CHECK(repeat->request.headers.lines().empty());
 }
 
 // Guards against a caller that sends headers of the proxies' own protocol and so picks another target, or has an
