Do not repeat runs that failed for a call, and count the calls of repeated runs

Cause: a page view whose call was refused fails and was run again elsewhere. It makes its calls again, which no budget counted as repeats, so that a tenth at the page view's service and a tenth at the called one, with the floors of 64 proxies, came to more than the fifth that they share. Class: retries that multiply from level to level.

Ruled out: windows that do not coincide (own repeats 1,802 of 16,561 requests in 10 s, 10.9%).

Change: a door says when its target's failure follows the failure of a call (Dock-Cause; older proxies take it as a failure of the target's own), and such a request is answered instead of repeated. The part of repeats among the requests of a target counts in the budgets of the services that it calls. The budgets hand out 0.7 of the share instead of 0.5.

--- a/include/dandeliondock/attempts/retry_budget.h
+++ b/include/dandeliondock/attempts/retry_budget.h
@@ -22,9 +22,10 @@
 {
     std::uint64_t requests = 0;
     std::uint64_t taken = 0;
+    std::uint64_t inherited = 0; ///< requests that are calls of repeated runs, as estimated
 };
 
-/// \brief Bounds retries and hedges together to a share of the requests of the last 10 s.
+/// \brief Bounds retries, hedges and calls of repeated runs together to a share of the requests of the last 10 s.
 ///
 /// \remark Every method is thread-safe.
 class RetryBudget
@@ -35,6 +36,10 @@
     /// \brief Counts a caller's request.
     void recordRequest(MonotonicTime now);
 
+    /// \brief Counts a request that is, with the probability \c part, a call of a repeated run: it is one more for the
+    /// service that is called, and leaves less for extra attempts.
+    void recordInherited(MonotonicTime now, Share part);
+
     /// \brief Takes one extra attempt; false when the budget is spent.
     [[nodiscard]] bool tryTake(MonotonicTime now);
 
@@ -48,6 +53,7 @@
         std::int64_t second = -1;
         std::uint64_t requests = 0;
         std::uint64_t taken = 0;
+        std::uint64_t inheritedParts = 0; ///< of fullShare
     };
 
     Slot &slotAt(std::int64_t second);
--- a/include/dandeliondock/proxy/door.h
+++ b/include/dandeliondock/proxy/door.h
@@ -22,6 +22,9 @@
 /// \brief Time after the deadline in which the target's own response to it is still awaited.
 inline constexpr Milliseconds targetAnswerSlack{60};
 
+/// \brief Time within which a target fails after a call that it made has failed.
+inline constexpr Milliseconds callFailureTime{100};
+
 /// \brief What a door works with.
 struct DoorParts
 {
@@ -35,6 +38,8 @@
     std::function<void(const AttemptReport &, TicketNumber)> onAttempt;
     /// The versions of a service; null when nothing is known of them. The pointer is used at once.
     std::function<const ServiceVersions *(const ServiceName &)> versions;
+    /// When a request that began on this instance last failed.
+    std::function<MonotonicTime()> lastFailure;
 };
 
 namespace impl {
@@ -82,6 +87,7 @@
     void ended(const DoorJobPtr &job, LoopCallResult result);
     [[nodiscard]] DoorReply replyOf(const impl::DoorJob &job, LoopCallResult result) const;
     [[nodiscard]] DoorReply judgeResponse(HttpResponse response) const;
+    [[nodiscard]] bool hasCallFailed(const impl::DoorJob &job) const;
     void report(const impl::DoorJob &job, const DoorReply &reply, Microseconds latency);
     void finish(const DoorJobPtr &job, DoorReply reply);
     void runNext();
--- a/include/dandeliondock/proxy/forward_plan.h
+++ b/include/dandeliondock/proxy/forward_plan.h
@@ -17,6 +17,7 @@
 enum class DoorOutcome {
     Answered,   ///< the target answered
     Failed,     ///< the target answered with a failure of its own
+    CallFailed, ///< it answered with a failure because a call that it made had failed
     Refused,    ///< the door did not pass the request on
     NotSent,    ///< the door was not reached
     NotRun,     ///< the target said that it did not run the request
--- a/include/dandeliondock/proxy/forwarder.h
+++ b/include/dandeliondock/proxy/forwarder.h
@@ -75,6 +75,9 @@
 
     [[nodiscard]] const ProxyConfigPtr &config() const noexcept { return m_config; }
 
+    /// \brief When a request to another service last failed or was refused; the target's own calls are among these.
+    [[nodiscard]] MonotonicTime lastFailure() const noexcept { return m_lastFailure; }
+
 private:
     class Session;
 
@@ -89,6 +92,7 @@
     };
 
     [[nodiscard]] ServiceRetries &retriesOf(const ServiceName &service);
+    void noteFailure(const ServiceName &service);
     void logSpent(const ServiceName &service, MonotonicTime now);
     void noteResponseSize(const RouteName &route, std::size_t bytes);
     [[nodiscard]] Milliseconds retryAfter(Microseconds hint);
@@ -101,6 +105,7 @@
     absl::flat_hash_map<RouteName, double> m_responseSizes; ///< mean bytes by route
     LogLimiter m_attemptLimiter;
     LogLimiter m_endLimiter;
+    MonotonicTime m_lastFailure;
     absl::flat_hash_map<ServiceName, ServiceVersions> m_versions;
     /// Divisions of traffic by service, until the versions or the targets change.
     absl::flat_hash_map<ServiceName, std::optional<VersionSplit>> m_splits;
--- a/src/attempts/retry_budget.cpp
+++ b/src/attempts/retry_budget.cpp
@@ -15,7 +15,7 @@
 {
     Slot &slot = m_slots[static_cast<std::size_t>(second) % windowSeconds];
     if (slot.second != second)
-        slot = {second, 0, 0};
+        slot = {second, 0, 0, 0};
     return slot;
 }
 
@@ -25,15 +25,24 @@
     ++slotAt(secondOf(now)).requests;
 }
 
+void RetryBudget::recordInherited(MonotonicTime now, Share part)
+{
+    const std::scoped_lock lock(m_mutex);
+    slotAt(secondOf(now)).inheritedParts += part.value();
+}
+
 RetryUsage RetryBudget::usageAt(std::int64_t second) const
 {
     RetryUsage used;
+    std::uint64_t inheritedParts = 0;
     for (const Slot &slot : m_slots) {
         if (slot.second <= second - static_cast<std::int64_t>(windowSeconds))
             continue;
         used.requests += slot.requests;
         used.taken += slot.taken;
+        inheritedParts += slot.inheritedParts;
     }
+    used.inherited = inheritedParts / fullShare.value();
     return used;
 }
 
@@ -48,7 +57,7 @@
     const std::scoped_lock lock(m_mutex);
     const std::int64_t second = secondOf(now);
     const RetryUsage used = usageAt(second);
-    if (used.taken >= m_limits.floor + used.requests * m_limits.ofRequests.value() / fullShare.value())
+    if (used.taken + used.inherited >= m_limits.floor + used.requests * m_limits.ofRequests.value() / fullShare.value())
         return false;
     ++slotAt(second).taken;
     return true;
--- a/src/proxy/door.cpp
+++ b/src/proxy/door.cpp
@@ -139,12 +139,20 @@
     noteRunning(*job, false);
     const Microseconds latency = EventLoop::now() - job->startedAt;
     DoorReply reply = replyOf(*job, std::move(result));
+    if (reply.outcome == DoorOutcome::Failed && hasCallFailed(*job))
+        reply.outcome = DoorOutcome::CallFailed;
     m_queue.finished(job->request.route, hasResponse(reply.outcome) ? std::optional(latency) : std::nullopt);
     report(*job, reply, latency);
     finish(job, std::move(reply));
     runNext();
 }
 
+// Calls do not name the request that they belong to; a target fails at once when one of its calls does.
+bool Door::hasCallFailed(const impl::DoorJob &job) const
+{
+    return m_parts.lastFailure() >= std::max(job.startedAt, EventLoop::now() - callFailureTime);
+}
+
 DoorReply Door::replyOf(const impl::DoorJob &job, LoopCallResult result) const
 {
     if (result.status.ok())
@@ -201,6 +209,7 @@
     switch (reply.outcome) {
     case DoorOutcome::Answered:
     case DoorOutcome::Failed:
+    case DoorOutcome::CallFailed:
         report.outcome.result = AttemptResult::Answered;
         report.outcome.status = reply.response.status;
         break;
--- a/src/proxy/door_request.cpp
+++ b/src/proxy/door_request.cpp
@@ -24,14 +24,16 @@
 constexpr absl::string_view termsHeader = "Dock-Terms";   // class, idempotent, ms to the deadline, ms of use
 constexpr absl::string_view repeatHeader = "Dock-Repeat"; // only on repeats
 constexpr absl::string_view outcomeHeader = "Dock-Outcome";
+constexpr absl::string_view causeHeader = "Dock-Cause"; // of a failure that is not the target's own
+constexpr absl::string_view callCause = "call";
 constexpr absl::string_view refusalHeader = "Dock-Refusal";
 constexpr absl::string_view loadHeader = "Dock-Load"; // running, waiting, slots
 constexpr absl::string_view timeHeader = "Dock-Time-Ms";
 constexpr absl::string_view retryHeader = "Dock-Retry-Ms";
 constexpr absl::string_view detailHeader = "Dock-Detail";
 
-constexpr std::array<const char *, 7> outcomeNames = {"answered", "failed",       "refused",  "not_sent",
-                                                      "not_run",  "may_have_run", "timed_out"};
+constexpr std::array<const char *, 8> outcomeNames = {"answered", "failed",  "call_failed",  "refused",
+                                                      "not_sent", "not_run", "may_have_run", "timed_out"};
 constexpr std::array<const char *, 8> refusalNames = {"none",    "late",         "busy",          "displaced",
                                                       "leaving", "other_target", "other_version", "unreachable"};
 constexpr int refusedStatus = 503;
@@ -97,7 +99,7 @@
 
 bool hasResponse(DoorOutcome outcome) noexcept
 {
-    return outcome == DoorOutcome::Answered || outcome == DoorOutcome::Failed;
+    return outcome == DoorOutcome::Answered || outcome == DoorOutcome::Failed || outcome == DoorOutcome::CallFailed;
 }
 
 const char *doorOutcomeName(DoorOutcome outcome) noexcept
@@ -151,7 +153,11 @@
     removeReserved(message.headers);
     if (!hasResponse(reply.outcome))
         message.status = refusedStatus;
-    message.headers.add(outcomeHeader, outcomeNames.at(static_cast<std::size_t>(reply.outcome)));
+    // Proxies that do not know the cause take it as the target's own failure.
+    const bool isCallFailure = reply.outcome == DoorOutcome::CallFailed;
+    message.headers.add(outcomeHeader, doorOutcomeName(isCallFailure ? DoorOutcome::Failed : reply.outcome));
+    if (isCallFailure)
+        message.headers.add(causeHeader, callCause);
     if (reply.refusal != DoorRefusal::None)
         message.headers.add(refusalHeader, doorRefusalName(reply.refusal));
     if (reply.load)
@@ -174,6 +180,9 @@
     if (!outcome)
         return invalid(outcomeHeader);
     reply.outcome = static_cast<DoorOutcome>(*outcome);
+    const std::string cause = takeText(response.headers, causeHeader);
+    if (reply.outcome == DoorOutcome::Failed && cause == callCause)
+        reply.outcome = DoorOutcome::CallFailed;
     const auto refusal = indexOf(refusalNames, takeText(response.headers, refusalHeader));
     reply.refusal = refusal ? static_cast<DoorRefusal>(*refusal) : DoorRefusal::None;
     const std::vector<std::int64_t> load = takeNumbers(response.headers, loadHeader, 3);
--- a/src/proxy/forward_plan.cpp
+++ b/src/proxy/forward_plan.cpp
@@ -16,6 +16,8 @@
 ForwardStep ForwardPlan::conclude(DoorOutcome outcome, MonotonicTime now)
 {
     switch (outcome) {
+    // Another run makes the same calls, which were tried at several targets already.
+    case DoorOutcome::CallFailed:
     case DoorOutcome::Answered:
         m_ledger.conclude(m_current, AttemptResult::Answered);
         return ForwardStep::Answer;
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -15,6 +15,7 @@
 
 constexpr int badRequest = 400;
 constexpr int notFound = 404;
+constexpr int firstServerError = 500;
 constexpr int badGateway = 502;
 constexpr int unavailable = 503;
 constexpr int gatewayTimeout = 504;
@@ -30,6 +31,8 @@
         return isLeavingRefusal(reply.refusal) ? PlacementSign::Leaving : PlacementSign::Refused;
     case DoorOutcome::NotSent:
         return PlacementSign::Unreachable;
+    case DoorOutcome::CallFailed:
+        return PlacementSign::Nothing;
     case DoorOutcome::Failed:
     case DoorOutcome::NotRun:
     case DoorOutcome::MayHaveRun:
@@ -124,6 +127,8 @@
                                     : m_request.deadline;
     RetryBudget &retries = m_owner.retriesOf(m_request.service).budget;
     retries.recordRequest(arrived);
+    if (m_request.service != m_owner.m_parts.callerService)
+        retries.recordInherited(arrived, m_owner.m_parts.door->repeatedPart());
     m_plan.emplace(
             ForwardTerms{route.idempotent, route.attempts == 0 ? maxAttempts : route.attempts, m_request.deadline},
             retries);
@@ -284,6 +289,8 @@
 void Forwarder::Session::answer(HttpResponse response)
 {
     m_isDone = true;
+    if (response.status >= firstServerError)
+        m_owner.noteFailure(m_request.service);
     m_owner.noteResponseSize(m_request.route, response.body.size());
     m_owner.m_counters.latency.record(EventLoop::now() - m_exchange->arrivedAt());
     m_exchange->respond(std::move(response));
@@ -302,6 +309,7 @@
 void Forwarder::Session::refuse(absl::string_view reason, Microseconds retryHint)
 {
     m_isDone = true;
+    m_owner.noteFailure(m_request.service);
     const Milliseconds wait = m_owner.retryAfter(retryHint);
     metrics().counter("refusals_total", reason).add();
     logEnd(unavailable, reason);
@@ -314,6 +322,8 @@
 void Forwarder::Session::respondWith(int status, absl::string_view reason)
 {
     m_isDone = true;
+    if (status >= firstServerError)
+        m_owner.noteFailure(m_request.service);
     metrics().counter("failures_total", reason).add();
     logEnd(status, reason);
     HttpResponse response;
@@ -406,6 +416,13 @@
     mean += (static_cast<double>(bytes) - mean) * sizeSmoothing;
 }
 
+// A target does not call its own service.
+void Forwarder::noteFailure(const ServiceName &service)
+{
+    if (service != m_parts.callerService)
+        m_lastFailure = EventLoop::now();
+}
+
 Forwarder::ServiceRetries &Forwarder::retriesOf(const ServiceName &service)
 {
     std::unique_ptr<ServiceRetries> &retries = m_retries[service];
@@ -425,7 +442,7 @@
             .field("service", service)
             .field("requests", usage.requests)
             .field("taken", usage.taken)
-            .field("repeats_at_door", m_parts.door->repeatedPart())
+            .field("inherited", usage.inherited)
             .write(m_parts.log);
 }
 
--- a/src/proxy/proxy_settings.cpp
+++ b/src/proxy/proxy_settings.cpp
@@ -13,8 +13,8 @@
 
 namespace {
 
-// The proxies use half of the share that targets bear, as their windows and those of the targets do not coincide.
-constexpr double retryShareUsed = 0.5;
+// Any 10 s may cover parts of 11 slots of a budget, and the floor of each proxy comes on top.
+constexpr double retryShareUsed = 0.7;
 constexpr std::uint32_t retryFloor = 2;
 constexpr double mostGraceSeconds = 600;
 const std::set<std::string> logLevels{"debug", "info", "warn", "error"};
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -56,6 +56,7 @@
     parts.target = m_settings.target;
     parts.onAttempt = [this](const AttemptReport &report, TicketNumber rollout) { gather({report, rollout}); };
     parts.versions = [this](const ServiceName &service) { return m_forwarder.versions(service); };
+    parts.lastFailure = [this] { return m_forwarder.lastFailure(); };
     return parts;
 }
 
--- a/tests/attempts/limits_test.cpp
+++ b/tests/attempts/limits_test.cpp
@@ -31,6 +31,20 @@
     CHECK_FALSE(budget.tryTake(begin + Seconds(19)));
 }
 
+// Guards against a service that gets the repeats of its callers on top of a whole budget of its own ones.
+TEST_CASE("calls of repeated runs leave fewer extra attempts", "[attempts]")
+{
+    RetryBudget budget({Share(1'000), 1});
+    for (int i = 0; i < 20; ++i)
+        budget.recordRequest(begin);
+    for (int i = 0; i < 4; ++i)
+        budget.recordInherited(begin, Share(5'000));
+    CHECK(budget.usage(begin).inherited == 2);
+    CHECK(budget.tryTake(begin));
+    CHECK_FALSE(budget.tryTake(begin));
+    CHECK(budget.usage(begin).taken == 1);
+}
+
 // Guards against threads that spend the same part of the budget twice.
 TEST_CASE("threads share one retry budget", "[attempts]")
 {
--- a/tests/platform/proxy_test.cpp
+++ b/tests/platform/proxy_test.cpp
@@ -26,8 +26,10 @@
     return absl::StrCat(R"({"version":"r)", version, R"(","routes":{)", R"("lookup":{"host":"h","prefix":")", prefix,
                         R"(","kind":"safe","timeout_ms":2000,"priority":2,"service":"s","max_attempts":2},)",
                         R"("order":{"host":"h","prefix":"/order/","kind":"unsafe","timeout_ms":2000,"priority":1,)",
-                        R"("service":"s","max_attempts":2}},"services":{"s":{"health_path":"/health",)",
-                        R"("max_connections":130}},"limits":{}})");
+                        R"("service":"s","max_attempts":2},)",
+                        R"("call":{"host":"h","prefix":"/call/","kind":"safe","timeout_ms":2000,"priority":2,)",
+                        R"("service":"t","max_attempts":2}},"services":{"s":{"health_path":"/health",)",
+                        R"("max_connections":130},"t":{"health_path":"/health","max_connections":130}},"limits":{}})");
 }
 
 /// A target that counts what it runs and may lose its answers.
@@ -45,7 +47,10 @@
 
     ~Target()
     {
-        m_thread.run([this] { m_server.reset(); });
+        m_thread.run([this] {
+            m_server.reset();
+            m_client.reset();
+        });
     }
 
     [[nodiscard]] Address address() const { return Address(absl::StrCat("127.0.0.1:", m_port)); }
@@ -53,6 +58,16 @@
     std::atomic<int> runs{0};
     std::atomic<bool> losesAnswers{false};
     std::atomic<bool> deniesRun{false}; ///< in a header of the proxies' own protocol
+    std::atomic<bool> fails{false};     ///< by itself
+
+    /// Makes a call of its own through a proxy before each answer, and fails when the call does.
+    void callThrough(const Address &proxy)
+    {
+        m_thread.run([&] {
+            m_client = std::make_unique<LoopClient>(m_thread.loop());
+            m_proxy = proxy;
+        });
+    }
 
 private:
     void run(const LoopExchangePtr &exchange)
@@ -62,7 +77,22 @@
             exchange->abort();
             return;
         }
+        if (!m_client) {
+            answer(exchange, fails ? 500 : 200);
+            return;
+        }
+        HttpRequest call{"GET", "/call/1", {}, {}};
+        call.headers.add("Host", "h");
+        call.headers.add("X-Dandeliondock-Attempt-Id", absl::StrCat("call", runs.load()));
+        m_client->send(m_proxy, call, {EventLoop::now() + patience}, [this, exchange](const LoopCallResult &result) {
+            answer(exchange, result.response.status == 200 ? 200 : 500);
+        });
+    }
+
+    void answer(const LoopExchangePtr &exchange, int status)
+    {
         HttpResponse response;
+        response.status = status;
         const auto &headers = exchange->request().headers;
         response.headers.add("X-Dandeliondock-Attempt-Id", headers.first("X-Dandeliondock-Attempt-Id").value_or(""));
         response.headers.add("X-Dandeliondock-Server-Seal", "seal");
@@ -76,6 +106,8 @@
     std::uint16_t m_port;
     LoopThread m_thread;
     std::unique_ptr<LoopServer> m_server;
+    std::unique_ptr<LoopClient> m_client;
+    Address m_proxy;
 };
 
 /// A proxy with its target.
@@ -207,6 +239,28 @@
     CHECK(deployment.second.target.runs == runs);
 }
 
+// Guards against repeats that multiply from service to service: each repeated run makes its calls again, which fail in
+// the same way, and the targets that are called get more of them than the shared budget allows.
+TEST_CASE("a run that failed because its call failed is not repeated, one that failed by itself is", "[platform]")
+{
+    Deployment deployment;
+    REQUIRE(deployment.announce(deployment.first, "ready", 1) == 200);
+    REQUIRE(deployment.announce(deployment.second, "ready", 1) == 200);
+    for (Instance *instance : {&deployment.first, &deployment.second})
+        REQUIRE(deployment.eventually([&] { return deployment.serves(*instance); }));
+    const auto runs = [&] { return deployment.first.target.runs + deployment.second.target.runs; };
+    deployment.first.target.fails = true;
+    deployment.second.target.fails = true;
+    int before = runs();
+    CHECK(deployment.ask(deployment.first, "/a/1").status == 500);
+    CHECK(runs() == before + 2);
+    for (Instance *instance : {&deployment.first, &deployment.second})
+        instance->target.callThrough(instance->settings.callers);
+    before = runs();
+    CHECK(deployment.ask(deployment.first, "/a/1").status == 500);
+    CHECK(runs() == before + 1);
+}
+
 // Guards against an order that runs twice, or is said not to have run, when its answer is lost.
 TEST_CASE("a lost answer is tried elsewhere only for a request that may run twice", "[platform]")
 {
--- a/tests/proxy/door_request_test.cpp
+++ b/tests/proxy/door_request_test.cpp
@@ -90,5 +90,24 @@
     CHECK(received->response.headers.lines() == std::vector<HttpHeader>{{"Docket", "12"}});
 }
 
+// Guards against proxies of the version before that refuse a reply because it tells the cause of a failure.
+TEST_CASE("a failure for a call travels as a failure with a cause", "[proxy]")
+{
+    DoorReply sent;
+    sent.outcome = DoorOutcome::CallFailed;
+    sent.response.status = 500;
+    const HttpResponse message = encodeDoorReply(sent);
+    CHECK(message.headers.first("Dock-Outcome") == "failed");
+    const auto received = decodeDoorReply(message);
+    REQUIRE(received.ok());
+    CHECK(received->outcome == DoorOutcome::CallFailed);
+    CHECK(received->response.status == 500);
+    CHECK(received->response.headers.lines().empty());
+    sent.outcome = DoorOutcome::Failed;
+    const auto own = decodeDoorReply(encodeDoorReply(sent));
+    REQUIRE(own.ok());
+    CHECK(own->outcome == DoorOutcome::Failed);
+}
+
 } // namespace
 } // namespace dandeliondock
--- a/tests/proxy/forward_plan_test.cpp
+++ b/tests/proxy/forward_plan_test.cpp
@@ -90,6 +90,9 @@
     ForwardPlan idempotent({true, 2, later}, budget);
     idempotent.begin();
     CHECK(idempotent.conclude(DoorOutcome::Failed, now) == ForwardStep::Send);
+    ForwardPlan caller({true, 2, later}, budget);
+    caller.begin();
+    CHECK(caller.conclude(DoorOutcome::CallFailed, now) == ForwardStep::Answer);
     ForwardPlan order({false, 2, later}, budget);
     order.begin();
     CHECK(order.conclude(DoorOutcome::Failed, now) == ForwardStep::Answer);
