Do not take the place of a rollout's driver whose answers are late

A report to the driver was given up after 1 s and its connection closed; on an instance whose own link is full an answer takes up to 1.3 s, so that a reporter never heard the driver and claimed its rollout after 1.6 s, which begins the collection of evidence anew.

Change: an answer is awaited for 3 s; the silence that makes a proxy claim a rollout stays at 1.6 s. A report to a former driver is dropped when another one takes over.

Test: 'a driver whose answers are late keeps its rollout, one that is silent loses it'; failed before (the follower claimed).

--- a/include/dandeliondock/proxy/rollout_control.h
+++ b/include/dandeliondock/proxy/rollout_control.h
@@ -118,6 +118,7 @@
     MonotonicTime m_claimFrom;
     MonotonicTime m_lastContact;
     LoopTimer m_timer;
+    LoopCall m_report; ///< in progress
     bool m_isWriting = false;
     bool m_isReporting = false;
     bool m_isStopped = false;
--- a/src/proxy/rollout_control.cpp
+++ b/src/proxy/rollout_control.cpp
@@ -8,7 +8,8 @@
 
 namespace {
 
-constexpr Milliseconds reportTime{1'000};
+// On a link that is full an answer takes a second and more.
+constexpr Milliseconds reportPatience{3'000};
 
 } // namespace
 
@@ -52,6 +53,8 @@
         m_lastContact = EventLoop::now();
         m_driver.reset();
         m_window.parentChanged();
+        m_report.cancel();
+        m_isReporting = false;
     }
     const bool hasChanged = m_versions != next;
     m_versions = std::move(next);
@@ -293,8 +296,8 @@
     request.target = std::string(outcomesPath);
     request.body = encodeOutcomeReport(report);
     LoopCallOptions options;
-    options.deadline = EventLoop::now() + reportTime;
-    m_parts.client->send(
+    options.deadline = EventLoop::now() + reportPatience;
+    m_report = m_parts.client->send(
             m_versions->rollout->driver, request, options,
             [this, sequence = report.batch ? report.batch->sequence : SequenceNumber()](const LoopCallResult &result) {
                 m_isReporting = false;
--- a/tests/proxy/rollout_control_test.cpp
+++ b/tests/proxy/rollout_control_test.cpp
@@ -1,11 +1,17 @@
+#include "support/child_process.h"
 #include "support/loop_thread.h"
 
 #include <dandeliondock/codec/proxy_codec.h>
+#include <dandeliondock/http/loop_server.h>
 #include <dandeliondock/proxy/rollout_control.h>
 
+#include <absl/strings/str_cat.h>
+
 #include <catch2/catch.hpp>
 
+#include <atomic>
 #include <memory>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -93,6 +99,44 @@
     return row;
 }
 
+/// A driver that takes reports and answers them after a time.
+class SlowDriver
+{
+public:
+    explicit SlowDriver(std::optional<Milliseconds> way) : address(absl::StrCat("127.0.0.1:", freePort()))
+    {
+        m_thread.run([&] {
+            m_server = std::make_unique<LoopServer>(m_thread.loop(), [this, way](const LoopExchangePtr &exchange) {
+                ++reports;
+                if (!way)
+                    return;
+                m_timers.push_back(m_thread.loop().after(*way, [this, exchange] {
+                    HttpResponse response;
+                    response.body = encodeServiceVersions(rowOf(RolloutState::Running, address.c_str()));
+                    exchange->respond(std::move(response));
+                }));
+            });
+            REQUIRE(m_server->listen(Address(address)).ok());
+        });
+    }
+
+    ~SlowDriver()
+    {
+        m_thread.run([this] {
+            m_timers.clear();
+            m_server.reset();
+        });
+    }
+
+    const std::string address;
+    std::atomic<int> reports{0};
+
+private:
+    LoopThread m_thread;
+    std::vector<LoopTimer> m_timers;
+    std::unique_ptr<LoopServer> m_server;
+};
+
 bool tellsCompletion(const std::vector<TableTransaction> &commits)
 {
     const std::string completed = std::to_string(static_cast<int>(RolloutState::Completed));
@@ -180,4 +224,33 @@
     CHECK(driver.taken().size() == 1);
 }
 
+// Guards against a proxy whose own link is full and that takes the place of a driver which answers it late.
+TEST_CASE("a driver whose answers are late keeps its rollout, one that is silent loses it", "[proxy]")
+{
+    constexpr Milliseconds lateAnswer{1'100};
+    SlowDriver late(lateAnswer);
+    SlowDriver silent(std::nullopt);
+    SlowDriver next(Milliseconds{0});
+    Controlled follower("127.0.0.1:1");
+    Controlled claimant("127.0.0.1:2");
+    follower.run([&](RolloutControl &item) {
+        item.setRow(rowOf(RolloutState::Running, late.address.c_str()), RowVersion(5));
+    });
+    claimant.run([&](RolloutControl &item) {
+        item.setRow(rowOf(RolloutState::Running, silent.address.c_str()), RowVersion(5));
+    });
+    std::this_thread::sleep_for(driverSilence + rolloutTick * 2);
+    CHECK(claimant.taken().size() == 1);
+    // The report to the former driver does not keep the new one from hearing.
+    claimant.run([&](RolloutControl &item) {
+        ServiceVersions row = rowOf(RolloutState::Running, next.address.c_str());
+        row.rollout->fence = Fence(3);
+        item.setRow(row, RowVersion(200));
+    });
+    std::this_thread::sleep_for(rolloutTick * 2);
+    CHECK(next.reports > 0);
+    std::this_thread::sleep_for(lateAnswer * 2);
+    CHECK(follower.taken().empty());
+}
+
 } // namespace dandeliondock::testing
