End responses without an end before they use up time and memory

A body without an end was read up to 64 MiB for each connection, on instances of 160 MB with 12 to 18 slots; interim responses and responses to other requests were passed over until the call's deadline.

Change: the bodies that are being received share 32 MiB, and the longest one fails beyond that; one response is bounded by the same. At most 16 responses are passed over while one is awaited. The bound on a head, 64 kB, is explicit (Beast's own was 8 kB).

Tests: 'a response without an end fails soon and leaves other calls alone', 'when responses hold too much memory the longest one fails'; both failed before (the first call took the peer's 5 s, the second ended at its deadline).

--- a/include/dandeliondock/http/loop_client.h
+++ b/include/dandeliondock/http/loop_client.h
@@ -74,7 +74,10 @@
     /// Time without an acknowledgement from the peer's host after which a connection counts as dead.
     Milliseconds silence{3'000};
     std::size_t idlePerAddress = 64;
-    ByteCount responseBytes{67'108'864};
+    ByteCount responseBytes{33'554'432};
+    /// Bytes of the bodies that are being received on all connections; beyond them the longest response fails, so that
+    /// peers that send without an end cannot use up an instance's memory of 160 MB.
+    ByteCount heldBytes{33'554'432};
 };
 
 /// \brief An HTTP/1.1 client on an event loop. It sends each request once and never repeats it by itself.
--- a/src/http/loop_client.cpp
+++ b/src/http/loop_client.cpp
@@ -21,6 +21,9 @@
 
 namespace {
 
+// Interim responses, and responses to other requests, that are passed over while one is awaited.
+constexpr int mostPassedOver = 16;
+constexpr std::uint32_t mostHeaderBytes = 65'536;
 // Part of the peer's keep-alive time that is left unused, as the close may already be on its way.
 constexpr Milliseconds keepAliveMargin{1'000};
 
@@ -99,11 +102,19 @@
     void forget(const Address &address, const std::shared_ptr<ClientConnection> &connection);
     void closeAll();
 
+    /// \brief Notes how much of a response a connection holds; the longest one fails when all hold too much.
+    void noteHeld(const std::shared_ptr<ClientConnection> &connection, std::size_t bytes);
+
+    /// \brief The connection holds nothing any more.
+    void noteReleased(const std::shared_ptr<ClientConnection> &connection);
+
     EventLoop &loop;
     const LoopClientLimits limits;
     std::uint64_t opened = 0;
 
 private:
+    absl::flat_hash_map<std::shared_ptr<ClientConnection>, std::size_t> m_held;
+    std::size_t m_heldBytes = 0;
     absl::flat_hash_map<Address, std::vector<std::shared_ptr<ClientConnection>>> m_idle;
 };
 
@@ -121,6 +132,9 @@
     void send(const std::shared_ptr<ClientCall> &call);
     void close();
 
+    /// \brief Fails the call in progress, as the responses of all calls hold too much memory.
+    void giveUpResponse() { failed(ErrorKind::Truncated, "the responses being received hold too much memory"); }
+
     [[nodiscard]] bool isClosed() const noexcept { return m_isClosed; }
 
     /// \brief Whether the first bytes of the response have arrived.
@@ -135,7 +149,9 @@
     void connected(const error_code &error);
     void read();
     void headRead(const error_code &error);
+    void readBody();
     void readDone(const error_code &error);
+    void passOver();
     void writeDone(const error_code &error, std::size_t bytes);
     void responded();
     void failed(ErrorKind kind, absl::string_view detail);
@@ -153,6 +169,7 @@
     MonotonicTime m_idleSince;
     Microseconds m_keepAlive = std::chrono::hours(1);
     bool m_isWritten = false;
+    int m_passedOver = 0; ///< responses, while the one that is awaited has not come
     bool m_skippedResponse = false;
     bool m_isClosed = false;
 };
@@ -242,6 +259,29 @@
         std::erase(found->second, connection);
 }
 
+void ClientState::noteHeld(const std::shared_ptr<ClientConnection> &connection, std::size_t bytes)
+{
+    std::size_t &held = m_held[connection];
+    m_heldBytes += bytes - held;
+    held = bytes;
+    if (m_heldBytes <= limits.heldBytes.value())
+        return;
+    const auto longest = std::max_element(m_held.begin(), m_held.end(), [](const auto &left, const auto &right) {
+        return left.second < right.second;
+    });
+    const std::shared_ptr<ClientConnection> dropped = longest->first;
+    dropped->giveUpResponse();
+}
+
+void ClientState::noteReleased(const std::shared_ptr<ClientConnection> &connection)
+{
+    const auto found = m_held.find(connection);
+    if (found == m_held.end())
+        return;
+    m_heldBytes -= found->second;
+    m_held.erase(found);
+}
+
 void ClientState::closeAll()
 {
     const auto idle = std::exchange(m_idle, {});
@@ -284,6 +324,7 @@
 void ClientConnection::send(const std::shared_ptr<ClientCall> &call)
 {
     m_call = call;
+    m_passedOver = 0;
     m_isWritten = false;
     call->connection = weak_from_this();
     call->message.set(http::field::host, call->message[http::field::host].empty()
@@ -315,6 +356,7 @@
 {
     m_parser = std::make_unique<Parser>();
     m_parser->body_limit(m_client->limits.responseBytes.value());
+    m_parser->header_limit(mostHeaderBytes);
     http::async_read_header(
             m_socket, m_buffer, *m_parser,
             [self = shared_from_this()](const error_code &error, std::size_t) { self->headRead(error); });
@@ -327,8 +369,30 @@
         return;
     }
     reserveForBody(*m_parser, m_buffer);
-    http::async_read(m_socket, m_buffer, *m_parser,
-                     [self = shared_from_this()](const error_code &e, std::size_t) { self->readDone(e); });
+    readBody();
+}
+
+void ClientConnection::readBody()
+{
+    http::async_read_some(m_socket, m_buffer, *m_parser,
+                          [self = shared_from_this()](const error_code &error, std::size_t) {
+                              if (self->m_isClosed || !self->m_call || error || self->m_parser->is_done()) {
+                                  self->readDone(error);
+                                  return;
+                              }
+                              self->m_client->noteHeld(self, self->m_parser->get().body().size());
+                              if (!self->m_isClosed)
+                                  self->readBody();
+                          });
+}
+
+// A peer that sends such responses without an end would be read until the call's deadline.
+void ClientConnection::passOver()
+{
+    if (++m_passedOver > mostPassedOver)
+        failed(ErrorKind::MayHaveRun, "too many responses that are not the one to this request");
+    else
+        read();
 }
 
 void ClientConnection::readDone(const error_code &error)
@@ -345,7 +409,7 @@
         return;
     }
     if (m_parser->get().result_int() < 200) {
-        read();
+        passOver();
         return;
     }
     responded();
@@ -363,6 +427,7 @@
 {
     const bool endsWithConnection = m_parser->need_eof();
     const bool keepAlive = m_parser->keep_alive() && !endsWithConnection;
+    m_client->noteReleased(shared_from_this());
     auto message = m_parser->release();
     LoopCallResult result;
     result.wasSent = true;
@@ -371,7 +436,7 @@
     if (isForOtherRequest(result.response.headers)) {
         m_skippedResponse = true;
         if (keepAlive)
-            read();
+            passOver();
         else
             failed(ErrorKind::MayHaveRun, "the connection ended after a response to another request");
         return;
@@ -410,6 +475,7 @@
     m_connectTimer.cancel();
     error_code ignored;
     m_socket.close(ignored);
+    m_client->noteReleased(shared_from_this());
     m_client->forget(m_address, shared_from_this());
     m_call.reset();
 }
--- a/tests/http/loop_client_test.cpp
+++ b/tests/http/loop_client_test.cpp
@@ -8,6 +8,7 @@
 
 #include <future>
 #include <memory>
+#include <thread>
 
 namespace dandeliondock::testing {
 namespace {
@@ -20,13 +21,28 @@
     return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+constexpr std::size_t pieces = 400; ///< in which bytes without an end are written; bounded, as tests must end
+const std::string piece(65'536, 'x');
+
+/// Answers with a beginning and then with the same bytes again and again.
+RawListener::Script endless(const std::string &beginning, const std::string &again)
+{
+    return [beginning, again](const RawConnection &connection, int) {
+        static_cast<void>(connection.readUntil("body"));
+        connection.write(beginning);
+        for (std::size_t index = 0; index < pieces; ++index)
+            connection.write(again);
+        static_cast<void>(connection.readAll());
+    };
+}
+
 /// A client on its own loop, whose calls are waited for.
 class Caller
 {
 public:
-    Caller()
+    explicit Caller(const LoopClientLimits &limits = {})
     {
-        m_thread.run([this] { m_client = std::make_unique<LoopClient>(m_thread.loop()); });
+        m_thread.run([&] { m_client = std::make_unique<LoopClient>(m_thread.loop(), limits); });
     }
 
     ~Caller()
@@ -177,4 +193,62 @@
     CHECK(caller.stop() < bodySize / shortestPiece);
 }
 
+// Guards against targets that send bytes without an end: they held a caller until its deadline, and a few of them
+// filled the memory of the whole process.
+TEST_CASE("a response without an end fails soon and leaves other calls alone", "[http]")
+{
+    LoopClientLimits limits;
+    limits.responseBytes = ByteCount(100'000'000);
+    limits.heldBytes = ByteCount(1'000'000);
+    Caller caller(limits);
+    constexpr Milliseconds longTime{30'000};
+    constexpr Milliseconds soon{2'000};
+    const auto kindOf = [&](const RawListener &listener) {
+        const auto begin = std::chrono::steady_clock::now();
+        const ErrorKind kind = errorKind(caller.call(listener.address(), "1", "POST", longTime).status);
+        CHECK(std::chrono::steady_clock::now() - begin < soon);
+        return kind;
+    };
+    RawListener unframed(endless("HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", piece));
+    CHECK(kindOf(unframed) == ErrorKind::Truncated);
+    RawListener chunked(
+            endless("HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "10000\r\n" + piece + "\r\n"));
+    CHECK(kindOf(chunked) == ErrorKind::Truncated);
+    RawListener head(endless("HTTP/1.1 200 OK\r\nId: 1\r\n", "X: " + piece.substr(0, 1'000) + "\r\n"));
+    CHECK(kindOf(head) == ErrorKind::MayHaveRun);
+    RawListener interim(endless("", "HTTP/1.1 102 Processing\r\n\r\n"));
+    CHECK(kindOf(interim) == ErrorKind::MayHaveRun);
+    RawListener others(endless("", responseTo("another", "wrong")));
+    CHECK(kindOf(others) == ErrorKind::MayHaveRun);
+    RawListener sound([](const RawConnection &connection, int) {
+        static_cast<void>(connection.readUntil("body"));
+        connection.write(responseTo("1", std::string(900'000, 'x')));
+        static_cast<void>(connection.readAll());
+    });
+    CHECK(caller.call(sound.address(), "1").status.ok());
+}
+
+// Guards against a bound for each response that many of them exceed together, and against a sound response that pays
+// for one without an end.
+TEST_CASE("when responses hold too much memory the longest one fails", "[http]")
+{
+    LoopClientLimits limits;
+    limits.heldBytes = ByteCount(1'000'000);
+    RawListener half([](const RawConnection &connection, int) {
+        static_cast<void>(connection.readUntil("body"));
+        connection.write("HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 300000\r\n\r\n" + std::string(200'000, 'x'));
+        std::this_thread::sleep_for(Milliseconds(1'000));
+        connection.write(std::string(100'000, 'x'));
+        static_cast<void>(connection.readAll());
+    });
+    RawListener unframed(endless("HTTP/1.1 200 OK\r\nId: 1\r\n\r\n", piece));
+    Caller caller(limits);
+    auto sound = std::async(std::launch::async, [&] { return caller.call(half.address(), "1"); });
+    std::this_thread::sleep_for(Milliseconds(200));
+    CHECK(errorKind(caller.call(unframed.address(), "1").status) == ErrorKind::Truncated);
+    const LoopCallResult whole = sound.get();
+    REQUIRE(whole.status.ok());
+    CHECK(whole.response.body.size() == 300'000);
+}
+
 } // namespace dandeliondock::testing
