--- a/include/dandeliondock/proxy/door.h
+++ b/include/dandeliondock/proxy/door.h
@@ -99,6 +99,8 @@
     absl::flat_hash_map<WaiterId, DoorJobPtr> m_waiting;
     std::uint64_t m_lastId = 0;
     std::size_t m_jobs = 0;
+    Counter &m_firstRuns;
+    Counter &m_repeatedRuns;
     std::uint32_t m_running = 0; ///< requests that the target works on
     std::uint32_t m_repeats = 0; ///< of these
     LogLimiter m_logLimiter;
--- a/src/proxy/door.cpp
+++ b/src/proxy/door.cpp
@@ -31,7 +31,11 @@
 
 } // namespace
 
-Door::Door(DoorParts parts) : m_parts(std::move(parts)) {}
+Door::Door(DoorParts parts)
+    : m_parts(std::move(parts)), m_firstRuns(m_parts.metrics->counter("door_runs_total", "first")),
+      m_repeatedRuns(m_parts.metrics->counter("door_runs_total", "repeat"))
+{
+}
 
 Door::~Door() = default;
 
@@ -115,7 +119,7 @@
     options.deadline = request.deadline + targetAnswerSlack;
     options.reuseWithin = request.isIdempotent ? reusableConnection : provenConnection;
     options.echoHeader = m_parts.protocol.requestId;
-    m_parts.metrics->counter("door_runs_total", request.isRepeat ? "repeat" : "first").add();
+    (request.isRepeat ? m_repeatedRuns : m_firstRuns).add();
     noteRunning(*job, true);
     job->call = m_parts.client->send(m_parts.target, request.request, options,
                                      [this, job](LoopCallResult result) { ended(job, std::move(result)); });
