Write every response to its end, also while draining

Cause: a session that closes after its response was cut 2 s after its request by the check of idle connections, also in the middle of a body. A proxy also ended as soon as no request was open, without regard to responses that were still being written; closing the listener reset connections that waited to be accepted; a connection that was idle for 3 s lost a request whose head came in two parts.

Change: a response is written in pieces, each of which counts as progress; only 10 s without progress end it. Draining waits for unwritten responses, accepts the connections in the backlog and reads on accepted ones for 0.2 s. The time for a head begins with its first byte. An exception ends the handler that threw it, not the process, and cuts off its own request. ~EventLoop removed timers from a container that did not hold them; it takes all callbacks out first.

Each new test of tests/http failed on the code before: the download ended after 3.9 of 24 MB, the split head and 20 of 20 waiting connections got no response.

--- a/include/dandeliondock/core/units.h
+++ b/include/dandeliondock/core/units.h
@@ -20,6 +20,8 @@
 using SlotCount = StrongType<struct SlotCountTag, std::uint32_t>;
 using ConnectionCount = StrongType<struct ConnectionCountTag, std::uint32_t>;
 using ByteCount = StrongType<struct ByteCountTag, std::uint64_t>;
+/// \brief Transfer rate in bytes per second.
+using DataRate = StrongType<struct DataRateTag, std::uint64_t>;
 /// \brief A share of the traffic, in units of 1/10,000.
 using Share = StrongType<struct ShareTag, std::uint32_t>;
 
--- a/include/dandeliondock/http/async_server.h
+++ b/include/dandeliondock/http/async_server.h
@@ -3,6 +3,7 @@
 #include <dandeliondock/core/ids.h>
 #include <dandeliondock/http/event_loop.h>
 #include <dandeliondock/http/message.h>
+#include <dandeliondock/http/transfer_hooks.h>
 
 #include <absl/status/status.h>
 
@@ -17,10 +18,8 @@
 {
     ByteCount maxHeaderBytes{16'384};
     ByteCount maxBodyBytes{8'388'608};
-    /// Time since the last activity after which a connection with a partly read request is closed, unless a request is
-    /// being handled. The last activity is the latest of: the connect, the end of a request head, the start of handling
-    /// a request, the end of a response. The time before the first byte of a head therefore counts too, and reading
-    /// the body has the full time again.
+    /// Time after which a connection with a partly read request is closed, unless a request is being handled. It begins
+    /// with the first byte of the head, and again with the body.
     Milliseconds requestReadTimeout{3'000};
     /// Time since the last activity after which a connection is closed if no byte of its next request has arrived.
     Milliseconds idleTimeout{15'000};
@@ -84,16 +83,23 @@
     /// once, also to open connections.
     void setLimits(const ConnectionLimits &limits);
 
+    /// \brief Sets the hooks that decide when long responses are written; without them they are written at once.
+    /// \pre No request has been accepted.
+    void setTransferHooks(TransferHooks hooks);
+
     /// \brief Closes each connection after its next response, which carries "Connection: close".
     void setDraining();
 
     /// \brief Stops accepting connections, and closes those on which no request is being read or handled and no
-    /// response is being written.
+    /// response is being written. Connections that wait to be accepted are accepted first and served.
     void stopAccepting();
 
     /// \brief Number of requests that were passed to the handler and have no response yet.
     [[nodiscard]] std::size_t activeRequests() const noexcept;
 
+    /// \brief Number of responses that are not completely handed to the operating system.
+    [[nodiscard]] std::size_t unwrittenResponses() const noexcept;
+
     /// \brief Number of open connections.
     [[nodiscard]] std::size_t connections() const noexcept;
 
--- a/include/dandeliondock/http/event_loop.h
+++ b/include/dandeliondock/http/event_loop.h
@@ -5,6 +5,8 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <string>
+#include <utility>
 #include <vector>
 
 namespace dandeliondock {
@@ -45,7 +47,12 @@
     EventLoop(const EventLoop &) = delete;
     EventLoop &operator=(const EventLoop &) = delete;
 
-    /// \brief Runs handlers until stop() is called; blocks while there is nothing to do.
+    /// \brief Sets the hook that is called with the text of each exception that leaves a handler.
+    /// \pre Called before run().
+    void onError(std::function<void(const std::string &)> hook) { m_onError = std::move(hook); }
+
+    /// \brief Runs handlers until stop() is called; blocks while there is nothing to do. An exception ends the handler
+    /// that threw it, and the loop goes on.
     /// \return Number of handlers that ran, a measure of how often the loop woke up.
     /// \pre Called by one thread only, which becomes the loop's thread.
     std::size_t run();
@@ -72,6 +79,7 @@
 
 private:
     std::unique_ptr<impl::EventLoopState> m_state;
+    std::function<void(const std::string &)> m_onError;
 };
 
 } // namespace dandeliondock
--- a/include/dandeliondock/http/message.h
+++ b/include/dandeliondock/http/message.h
@@ -60,6 +60,7 @@
     int status = 200;
     HttpHeaders headers;
     std::string body;
+    bool isUrgent = false; ///< written at once, regardless of its size
 };
 
 } // namespace dandeliondock
--- a/include/dandeliondock/proxy/table_watch.h
+++ b/include/dandeliondock/proxy/table_watch.h
@@ -31,6 +31,8 @@
 ///
 /// Changes that arrive after the response timeout are applied as well, unless newer ones are known.
 ///
+/// \pre No response of the table arrives after the watch is destroyed; stopping the loop first ensures this.
+///
 /// \remark Belongs to the loop's thread.
 class TableWatch
 {
--- a/src/http/asio_state.h
+++ b/src/http/asio_state.h
@@ -42,6 +42,9 @@
 
     void awaitSignal();
     void armTimer(MonotonicTime time);
+
+    /// \brief Sets the timer for the first pending one.
+    void armPending();
     void runDueTimers();
 };
 
--- a/src/http/async_server.cpp
+++ b/src/http/async_server.cpp
@@ -8,6 +8,8 @@
 
 #include <boost/beast/core/flat_buffer.hpp>
 
+#include <algorithm>
+#include <optional>
 #include <set>
 #include <utility>
 
@@ -20,6 +22,12 @@
 constexpr Milliseconds timeoutCheckInterval{500};
 constexpr Milliseconds lingerTimeout{2'000}; // time for the peer to close its side after the last response
 constexpr Milliseconds connectionTcpUserTimeout{10'000};
+// Time without progress after which a response is abandoned because its peer does not read.
+constexpr Milliseconds writeStallTimeout{10'000};
+// Long responses are written in pieces, so that their progress is known.
+constexpr std::size_t writePieceSize = 65'536;
+// Bytes of the head of a response, for the account of what is written.
+constexpr std::uint64_t assumedHeadSize = 300;
 constexpr int listenBacklog = 1'024;
 
 http::status statusForError(const error_code &error)
@@ -55,14 +63,18 @@
     void close();
 
     ConnectionLimits limits;
+    TransferHooks transferHooks;
     bool isDraining = false;
     std::size_t activeRequests = 0;
+    std::size_t unwrittenResponses = 0;
     std::set<std::shared_ptr<ServerSession>> sessions;
 
     void handle(const HttpRequestContextPtr &context) { m_handler(context); }
 
 private:
     void accept();
+    void acceptWaiting();
+    void startSession(StreamSocket socket);
     void scheduleTimeoutCheck();
 
     EventLoop &m_loop;
@@ -111,19 +123,29 @@
     void handleRequest();
     void reject(http::status status);
     void onPeerDisconnected();
-    void write(http::response<http::string_body> message);
+    void write(http::response<http::string_body> message, bool isUrgent);
+    void awaitGrant();
+    void writePiece();
+    void endWriting();
     void onWritten(const error_code &error);
+    [[nodiscard]] bool isReadTimedOut(MonotonicTime now);
 
     using Parser = http::request_parser<http::string_body>;
+    using Serializer = http::response_serializer<http::string_body>;
 
     StreamSocket m_socket;
     std::shared_ptr<ServerState> m_server;
     boost::beast::flat_buffer m_buffer;
     std::unique_ptr<Parser> m_parser;
     std::unique_ptr<http::response<http::string_body>> m_message;
+    std::unique_ptr<Serializer> m_serializer; ///< of m_message
+    std::optional<TransferId> m_transfer;     ///< of a response that is written as grants allow
+    std::size_t m_grantedBytes = 0;
+    bool m_isAwaitingGrant = false;
     std::shared_ptr<SessionRequest> m_activeRequest;
     ReadState m_readState = ReadState::Idle;
     MonotonicTime m_lastActivity;
+    std::optional<MonotonicTime> m_partialHeadSince; ///< set when a part of a head was noticed
     bool m_isWriting = false;
     bool m_closesAfterResponse = false; ///< no further request is handled after the response in progress
     bool m_isClosed = false;
@@ -184,6 +206,7 @@
     m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits.maxHeaderBytes.value()));
     m_parser->body_limit(m_server->limits.maxBodyBytes.value());
     m_readState = ReadState::Head;
+    m_partialHeadSince.reset();
     http::async_read_header(
             m_socket, m_buffer, *m_parser,
             [self = shared_from_this()](const error_code &error, std::size_t) { self->onHeadRead(error); });
@@ -272,7 +295,13 @@
     ++m_server->activeRequests;
     shrinkBuffer(m_buffer);
     readHead();
-    m_server->handle(m_activeRequest);
+    const auto active = m_activeRequest;
+    try {
+        m_server->handle(active);
+    } catch (...) {
+        active->abort(); // the request may have been passed on, so that no status can be promised
+        throw;
+    }
 }
 
 void ServerSession::respond(const SessionRequest *request, HttpResponse response)
@@ -290,7 +319,7 @@
     message.body() = std::move(response.body);
     if (!isHead)
         message.prepare_payload();
-    write(std::move(message));
+    write(std::move(message), response.isUrgent);
 }
 
 void ServerSession::abort(const SessionRequest *request)
@@ -308,23 +337,77 @@
     message.keep_alive(false);
     message.prepare_payload();
     m_closesAfterResponse = true;
-    write(std::move(message));
+    write(std::move(message), true);
 }
 
-void ServerSession::write(http::response<http::string_body> message)
+void ServerSession::write(http::response<http::string_body> message, bool isUrgent)
 {
+    const ByteCount size(message.body().size());
     m_message = std::make_unique<http::response<http::string_body>>(std::move(message));
+    m_serializer = std::make_unique<Serializer>(*m_message);
     m_isWriting = true;
-    http::async_write(m_socket, *m_message,
-                      [self = shared_from_this()](const error_code &error, std::size_t) { self->onWritten(error); });
+    ++m_server->unwrittenResponses;
+    m_lastActivity = EventLoop::now();
+    const TransferHooks &hooks = m_server->transferHooks;
+    if (hooks.begin && !isUrgent && size > maxShortResponse) {
+        m_transfer = hooks.begin(size);
+        awaitGrant();
+        return;
+    }
+    if (hooks.onWritten)
+        hooks.onWritten(ByteCount(size.value() + assumedHeadSize));
+    writePiece();
+}
+
+void ServerSession::awaitGrant()
+{
+    m_isAwaitingGrant = true;
+    m_server->transferHooks.awaitGrant(*m_transfer, [weak = weak_from_this()](ByteCount bytes) {
+        const auto self = weak.lock();
+        if (!self)
+            return;
+        self->m_isAwaitingGrant = false;
+        self->m_grantedBytes = bytes.value();
+        self->m_lastActivity = EventLoop::now();
+        self->writePiece();
+    });
+}
+
+void ServerSession::writePiece()
+{
+    m_serializer->limit(m_transfer ? std::min(m_grantedBytes, writePieceSize) : writePieceSize);
+    http::async_write_some(m_socket, *m_serializer,
+                           [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+                               if (error || self->m_isClosed || self->m_serializer->is_done()) {
+                                   self->onWritten(error);
+                                   return;
+                               }
+                               self->m_lastActivity = EventLoop::now();
+                               self->m_grantedBytes -= std::min(bytes, self->m_grantedBytes);
+                               if (self->m_transfer && self->m_grantedBytes == 0)
+                                   self->awaitGrant();
+                               else
+                                   self->writePiece();
+                           });
+}
+
+void ServerSession::endWriting()
+{
+    m_isWriting = false;
+    m_isAwaitingGrant = false;
+    --m_server->unwrittenResponses;
+    if (m_transfer)
+        m_server->transferHooks.end(*m_transfer);
+    m_transfer.reset();
+    m_serializer.reset();
+    m_message.reset();
 }
 
 void ServerSession::onWritten(const error_code &error)
 {
+    endWriting();
     if (m_isClosed)
         return;
-    m_isWriting = false;
-    m_message.reset();
     m_lastActivity = EventLoop::now();
     if (error) {
         close();
@@ -358,16 +441,31 @@
     if (m_activeRequest)
         return;
     const MonotonicTime::duration inactiveTime = now - m_lastActivity;
+    if (m_isWriting) {
+        if (!m_isAwaitingGrant && inactiveTime > writeStallTimeout)
+            close();
+        return;
+    }
     if (m_closesAfterResponse) {
         if (inactiveTime > lingerTimeout)
             close();
         return;
     }
-    const bool isReading = m_readState == ReadState::Body || m_buffer.size() > 0;
-    if (inactiveTime > (isReading ? m_server->limits.requestReadTimeout : m_server->limits.idleTimeout))
+    if (isReadTimedOut(now))
         close();
 }
 
+bool ServerSession::isReadTimedOut(MonotonicTime now)
+{
+    if (m_readState == ReadState::Body)
+        return now - m_lastActivity > m_server->limits.requestReadTimeout;
+    if (m_buffer.size() == 0)
+        return now - m_lastActivity > m_server->limits.idleTimeout;
+    if (!m_partialHeadSince)
+        m_partialHeadSince = now;
+    return now - *m_partialHeadSince > m_server->limits.requestReadTimeout;
+}
+
 void ServerSession::closeIfIdle()
 {
     if (!m_activeRequest && !m_isWriting && m_readState == ReadState::Head && m_buffer.size() == 0)
@@ -380,6 +478,8 @@
         return;
     error_code ignored;
     m_socket.close(ignored);
+    if (m_isWriting && m_isAwaitingGrant)
+        endWriting(); // otherwise a write in progress still refers to the message
     m_server->sessions.erase(shared_from_this());
 }
 
@@ -410,15 +510,32 @@
     m_acceptor.async_accept([self = shared_from_this()](const error_code &error, StreamSocket socket) {
         if (error == asio::error::operation_aborted || !self->m_acceptor.is_open())
             return;
-        if (!error) {
-            const auto session = std::make_shared<ServerSession>(std::move(socket), self);
-            self->sessions.insert(session);
-            session->start();
-        }
+        if (!error)
+            self->startSession(std::move(socket));
         self->accept();
     });
 }
 
+void ServerState::startSession(StreamSocket socket)
+{
+    const auto session = std::make_shared<ServerSession>(std::move(socket), shared_from_this());
+    sessions.insert(session);
+    session->start();
+}
+
+// Closing the listening socket resets the connections that wait to be accepted.
+void ServerState::acceptWaiting()
+{
+    error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error) {
+        StreamSocket socket(m_loop.state().context);
+        m_acceptor.accept(socket, error);
+        if (!error)
+            startSession(std::move(socket));
+    }
+}
+
 void ServerState::scheduleTimeoutCheck()
 {
     m_timeoutTimer = m_loop.after(timeoutCheckInterval, [weak = weak_from_this()] {
@@ -436,8 +553,9 @@
 void ServerState::stopAccepting()
 {
     error_code ignored;
-    m_acceptor.close(ignored);
     const auto openSessions = sessions;
+    acceptWaiting();
+    m_acceptor.close(ignored);
     for (const auto &session : openSessions)
         session->closeIfIdle();
 }
@@ -474,6 +592,11 @@
     m_state->limits = limits;
 }
 
+void AsyncHttpServer::setTransferHooks(TransferHooks hooks)
+{
+    m_state->transferHooks = std::move(hooks);
+}
+
 void AsyncHttpServer::setDraining()
 {
     m_state->isDraining = true;
@@ -489,6 +612,11 @@
     return m_state->activeRequests;
 }
 
+std::size_t AsyncHttpServer::unwrittenResponses() const noexcept
+{
+    return m_state->unwrittenResponses;
+}
+
 std::size_t AsyncHttpServer::connections() const noexcept
 {
     return m_state->sessions.size();
--- a/src/http/event_loop.cpp
+++ b/src/http/event_loop.cpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 
 #include <algorithm>
+#include <exception>
 #include <utility>
 
 namespace dandeliondock {
@@ -81,6 +82,13 @@
     });
 }
 
+void EventLoopState::armPending()
+{
+    timerExpiry = MonotonicTime::max();
+    if (!pending.empty())
+        armTimer(pending.begin()->first);
+}
+
 void EventLoopState::runDueTimers()
 {
     timerExpiry = MonotonicTime::max();
@@ -91,8 +99,7 @@
         if (const auto work = std::exchange(due->work, nullptr))
             work();
     }
-    if (!pending.empty())
-        armTimer(pending.begin()->first);
+    armPending();
 }
 
 } // namespace impl
@@ -121,14 +128,26 @@
 {
     // Callbacks may own timers of this loop; their destructors must find nothing to cancel.
     const auto dropped = std::exchange(m_state->pending, {});
+    std::vector<std::function<void()>> callbacks;
+    callbacks.reserve(dropped.size());
     for (const auto &[due, timer] : dropped)
-        timer->work = nullptr;
+        callbacks.push_back(std::exchange(timer->work, nullptr));
 }
 
 std::size_t EventLoop::run()
 {
     const auto guard = boost::asio::make_work_guard(m_state->context);
-    return m_state->context.run();
+    std::size_t handlersRun = 0;
+    while (!m_state->context.stopped()) {
+        try {
+            handlersRun += m_state->context.run();
+        } catch (const std::exception &error) {
+            m_state->armPending();
+            if (m_onError)
+                m_onError(error.what());
+        }
+    }
+    return handlersRun;
 }
 
 void EventLoop::stop()
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -35,8 +35,8 @@
 TrafficDuty::TrafficDuty(EventLoop &loop, const ProxySettings &settings, const PlatformAdapter &adapter,
                          MetricsRegistry &metrics, LogSink log, std::function<void(TrafficUpdate)> publish)
     : m_loop(loop), m_settings(settings), m_adapter(adapter), m_metrics(metrics), m_log(std::move(log)),
-      m_publish(std::move(publish)), m_client(loop, clientLimits()), m_inbound(inboundDependencies()),
-      m_forwarder(forwarderDependencies()),
+      m_publish(std::move(publish)), m_client(loop, clientLimits()), m_pacer(loop, settings.responseRate),
+      m_inbound(inboundDependencies()), m_forwarder(forwarderDependencies()),
       m_callerServer(loop, [this](const HttpRequestContextPtr &context) { m_forwarder.handle(context); }),
       m_inboundServer(loop, [this](const HttpRequestContextPtr &context) { handleInbound(context); }),
       m_healthServer(loop, [this](const HttpRequestContextPtr &context) { handleHealth(context); }),
@@ -51,6 +51,7 @@
     InboundHandlerDependencies dependencies;
     dependencies.loop = &m_loop;
     dependencies.client = &m_client;
+    dependencies.link = &m_pacer.schedule();
     dependencies.metrics = &m_metrics;
     dependencies.log = m_log;
     dependencies.headerNames = m_adapter.headerNames;
@@ -97,6 +98,8 @@
     limits.idleTimeout = std::chrono::minutes(1);
     limits.maxBodyBytes = ByteCount(67'108'864);
     m_inboundServer.setLimits(limits);
+    m_callerServer.setTransferHooks(m_pacer.hooks());
+    m_inboundServer.setTransferHooks(m_pacer.hooks());
     return absl::OkStatus();
 }
 
@@ -189,6 +192,7 @@
                                    HttpResponse response;
                                    response.status = status;
                                    response.body = std::move(body);
+                                   response.isUrgent = true; // configuration does not wait for downloads
                                    context->respond(std::move(response));
                                });
                            }});
@@ -247,15 +251,25 @@
     checkDrained();
 }
 
+bool TrafficDuty::isIdle() const
+{
+    return m_callerServer.activeRequests() == 0 && m_callerServer.unwrittenResponses() == 0 && m_inbound.openJobs() == 0
+           && m_inboundServer.unwrittenResponses() == 0;
+}
+
 void TrafficDuty::checkDrained()
 {
-    const MonotonicTime::duration elapsed = EventLoop::now() - m_drainStartedAt;
-    if (elapsed >= minDrainTime && !std::exchange(m_isCallerListenerClosed, true))
+    const MonotonicTime now = EventLoop::now();
+    const MonotonicTime::duration elapsed = now - m_drainStartedAt;
+    if (elapsed >= minDrainTime && !m_listenerClosedAt) {
         m_callerServer.stopAccepting();
-    const bool isIdle = m_callerServer.activeRequests() == 0 && m_inbound.openJobs() == 0;
-    if ((isIdle && elapsed >= minDrainTime) || elapsed >= m_settings.grace - graceReserve) {
+        m_listenerClosedAt = now;
+    }
+    const bool hasClosedListener = m_listenerClosedAt && now - *m_listenerClosedAt >= lastRequestsTime;
+    if ((hasClosedListener && isIdle()) || elapsed >= m_settings.grace - graceReserve) {
         LogEvent(LogLevel::Info, "proxy.drained")
                 .field("open", m_callerServer.activeRequests())
+                .field("unwritten", m_callerServer.unwrittenResponses())
                 .field("jobs", m_inbound.openJobs())
                 .write(m_log);
         m_onDrained();
--- a/src/proxy/traffic_duty.h
+++ b/src/proxy/traffic_duty.h
@@ -5,10 +5,12 @@
 #include <dandeliondock/proxy/control_duty.h>
 #include <dandeliondock/proxy/forwarder.h>
 #include <dandeliondock/proxy/inbound_handler.h>
+#include <dandeliondock/proxy/link_pacer.h>
 #include <dandeliondock/proxy/loop_monitor.h>
 #include <dandeliondock/proxy/proxy.h>
 
 #include <functional>
+#include <optional>
 #include <variant>
 #include <vector>
 
@@ -43,6 +45,8 @@
 /// \brief Shortest time for which a draining proxy still accepts callers' requests. Readiness is checked every second,
 /// and callers stay away after two failed checks.
 inline constexpr Milliseconds minDrainTime{3'000};
+/// \brief Time after the listener for callers is closed for which requests on accepted connections are still read.
+inline constexpr Milliseconds lastRequestsTime{200};
 /// \brief Part of the grace time that draining leaves unused.
 inline constexpr Milliseconds graceReserve{500};
 /// \brief Interval at which a draining proxy checks for open requests.
@@ -73,6 +77,7 @@
     void handleInbound(const HttpRequestContextPtr &context);
     void handleMetrics(const HttpRequestContextPtr &context);
     void publishIfChanged(AnnouncementEffect effect);
+    [[nodiscard]] bool isIdle() const;
     void checkDrained();
     void batchAttempt(RolloutAttempt attempt);
     void addLoadFields(LogEvent &event);
@@ -87,6 +92,7 @@
     LogSink m_log;
     std::function<void(TrafficUpdate)> m_publish;
     AsyncHttpClient m_client;
+    LinkPacer m_pacer;
     InboundHandler m_inbound;
     Forwarder m_forwarder;
     AsyncHttpServer m_callerServer;
@@ -99,10 +105,10 @@
     LoopTimer m_batchTimer;
     LoopTimer m_drainTimer;
     MonotonicTime m_drainStartedAt;
+    std::optional<MonotonicTime> m_listenerClosedAt;
     std::function<void()> m_onDrained;
     bool m_isSynced = false;
     bool m_isDraining = false;
-    bool m_isCallerListenerClosed = false;
 };
 
 } // namespace dandeliondock
--- a/tests/http/async_server_test.cpp
+++ b/tests/http/async_server_test.cpp
@@ -3,11 +3,17 @@
 #include "support/raw_socket.h"
 
 #include <dandeliondock/http/async_server.h>
+#include <dandeliondock/proxy/link_pacer.h>
 
 #include <catch2/catch.hpp>
 
+#include <algorithm>
 #include <atomic>
+#include <future>
 #include <memory>
+#include <stdexcept>
+#include <thread>
+#include <vector>
 
 namespace dandeliondock::testing {
 namespace {
@@ -187,4 +193,119 @@
     CHECK(server.stop() < bodySize / minBlockSize);
 }
 
+// Guards against a download that a planned stop cuts off: a response that ends its connection was cut 2 s after its
+// request, in the middle of the body, when its caller reads slowly.
+TEST_CASE("a long response to a slow reader is written completely, also when it ends its connection", "[http]")
+{
+    constexpr std::size_t bodySize = 24'000'000; // more than the socket buffers of both sides hold
+    TestServer server([](const HttpRequestContextPtr &request) {
+        HttpResponse response;
+        response.body = std::string(bodySize, 'x');
+        request->respond(std::move(response));
+    });
+    RawConnection connection(server.port());
+    connection.write("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    const std::string head = connection.readUntil(endOfHead);
+    std::this_thread::sleep_for(Milliseconds(3'200));
+    std::size_t unwritten = 0;
+    server.thread().run([&] { unwritten = server.httpServer().unwrittenResponses(); });
+    CHECK(unwritten == 1);
+    CHECK((head + connection.readAll()).size() > bodySize);
+    server.thread().run([&] { unwritten = server.httpServer().unwrittenResponses(); });
+    CHECK(unwritten == 0);
+}
+
+// Guards against a request that is dropped because its first bytes arrive on a connection that was idle before.
+TEST_CASE("the time for reading a request begins with its first byte", "[http]")
+{
+    ConnectionLimits limits;
+    limits.requestReadTimeout = Milliseconds(1'500);
+    TestServer server(respondWithEcho, limits);
+    RawConnection connection(server.port());
+    std::this_thread::sleep_for(Milliseconds(2'000));
+    connection.write("GET /a HTTP/1.1\r\nHo");
+    std::this_thread::sleep_for(Milliseconds(700)); // at least one check of the timeouts
+    connection.write("st: h\r\nConnection: close\r\n\r\n");
+    CHECK_THAT(connection.readAll(), Catch::Contains("200 OK"));
+    RawConnection stalled(server.port());
+    stalled.write("GET /a HTTP/1.1\r\nHo");
+    const auto begin = std::chrono::steady_clock::now();
+    CHECK(stalled.readAll().empty());
+    CHECK(std::chrono::steady_clock::now() - begin < Milliseconds(3'500));
+}
+
+// Guards against a planned stop under load that resets connections which the system has accepted already.
+TEST_CASE("a server that stops accepting serves the connections that wait to be accepted", "[http]")
+{
+    TestServer server(respondWithEcho);
+    std::vector<std::unique_ptr<RawConnection>> waiting;
+    server.thread().run([&] {
+        for (int index = 0; index < 20; ++index) {
+            waiting.push_back(std::make_unique<RawConnection>(server.port()));
+            waiting.back()->write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+        }
+        server.httpServer().setDraining();
+        server.httpServer().stopAccepting();
+    });
+    for (const auto &connection : waiting)
+        CHECK_THAT(connection->readAll(), Catch::Contains("200 OK"));
+}
+
+// Guards against short responses that wait behind downloads on the instance's link.
+TEST_CASE("long responses are written as grants allow, short and urgent ones at once", "[http]")
+{
+    constexpr std::size_t longSize = 500'000;
+    constexpr DataRate rate{1'000'000};
+    constexpr Milliseconds transferTime{500};
+    std::unique_ptr<LinkPacer> pacer;
+    TestServer server([](const HttpRequestContextPtr &request) {
+        HttpResponse response;
+        response.body = std::string(request->request().target == "/short" ? 100 : longSize, 'x');
+        response.isUrgent = request->request().target == "/urgent";
+        request->respond(std::move(response));
+    });
+    server.thread().run([&] {
+        pacer = std::make_unique<LinkPacer>(server.thread().loop(), rate);
+        server.httpServer().setTransferHooks(pacer->hooks());
+    });
+    const auto get = [&server](const std::string &target) {
+        const auto begin = std::chrono::steady_clock::now();
+        RawConnection connection(server.port());
+        connection.write("GET " + target + " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        CHECK(connection.readAll().size() > (target == "/short" ? 100 : longSize));
+        return std::chrono::steady_clock::now() - begin;
+    };
+    CHECK(get("/urgent") < transferTime / 2);
+    std::this_thread::sleep_for(transferTime); // until the link has carried the urgent response
+    auto first = std::async(std::launch::async, get, "/long");
+    auto second = std::async(std::launch::async, get, "/long");
+    {
+        RawConnection abandoned(server.port());
+        abandoned.write("GET /long HTTP/1.1\r\nHost: h\r\n\r\n");
+    }
+    CHECK(get("/short") < transferTime / 2);
+    const auto slowest = std::max(first.get(), second.get());
+    CHECK(slowest > transferTime * 2 - Milliseconds(100));
+    CHECK(slowest < transferTime * 3);
+    server.thread().run([&] { CHECK(pacer->schedule().backlog(EventLoop::now()) < Milliseconds(100)); });
+    server.stop();
+}
+
+// Guards against one request that ends the process, or that stays open without a response.
+TEST_CASE("a request whose handler throws is cut off, and others are served", "[http]")
+{
+    TestServer server([](const HttpRequestContextPtr &request) {
+        if (request->request().target == "/bad")
+            throw std::runtime_error("cannot handle this");
+        respondWithEcho(request);
+    });
+    RawConnection bad(server.port());
+    bad.write("GET /bad HTTP/1.1\r\nHost: h\r\n\r\n");
+    CHECK(bad.readAll().empty());
+    RawConnection good(server.port());
+    good.write("GET /good HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    CHECK_THAT(good.readAll(), Catch::Contains("200 OK"));
+    server.thread().run([&] { CHECK(server.httpServer().activeRequests() == 0); });
+}
+
 } // namespace dandeliondock::testing
--- a/tests/platform/proxy_test.cpp
+++ b/tests/platform/proxy_test.cpp
@@ -363,10 +363,35 @@
     Deployment deployment;
     REQUIRE(deployment.announce(deployment.second, "ready", 1) == 200);
     REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.first); }));
+    // A proxy without a configuration is not ready either.
+    REQUIRE(deployment.eventually([&] { return deployment.isReady(deployment.second); }));
     auto stopped = std::async(std::launch::async, [&] { deployment.second.proxy->stop(); });
     CHECK(deployment.eventually([&] { return !deployment.isReady(deployment.second); }));
     CHECK(deployment.callProxy(deployment.first, "/a/1").status == 503);
     CHECK(stopped.wait_for(testTimeout) == std::future_status::ready);
 }
 
+// Guards against an odd entry of another writer that ends the proxies which read it, or after which they no longer
+// follow the table.
+TEST_CASE("odd rows of another writer cost nothing but themselves", "[platform]")
+{
+    Deployment deployment;
+    REQUIRE(deployment.announce(deployment.second, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.first); }));
+    const std::string nested(100'000, '[');
+    for (const char *address : {"10.0.0.9:70000", "10.0.0.9:0", "none", ""})
+        deployment.store.put("dandeliondock", absl::StrCat("target/", address), nested);
+    deployment.store.put("dandeliondock", "service/", std::string("\xff\xfe\0", 3));
+    deployment.store.put("dandeliondock", std::string(200, 'k'), nested);
+    deployment.store.put("op", "rollout/s", R"({"service":"s","target":"v2","duration_s":1e300})");
+    deployment.store.put("op", "rollout/t", nested);
+    deployment.store.put("op", "config", nested + R"({"version":"r99999999999999999999999"})");
+    deployment.store.put("op", "config", configText(7, "/d/"));
+    for (Instance *instance : {&deployment.first, &deployment.second})
+        CHECK(deployment.eventually([&] { return deployment.serves(*instance, "/d/1"); }));
+    REQUIRE(deployment.announce(deployment.first, "ready", 1) == 200);
+    REQUIRE(deployment.announce(deployment.second, "draining", 2) == 200);
+    CHECK(deployment.eventually([&] { return deployment.serves(deployment.second, "/d/1"); }));
+}
+
 } // namespace dandeliondock::testing
--- a/tests/proxy/table_watch_test.cpp
+++ b/tests/proxy/table_watch_test.cpp
@@ -54,7 +54,8 @@
         watch->start();
     });
     std::this_thread::sleep_for(Milliseconds(300));
-    thread.run([&] { watch.reset(); });
+    thread.stop(); // a response that is still posted must not reach the watch after its end
+    watch.reset();
     CHECK(appliedVersions == std::vector<std::uint64_t>{5, 9, 10});
 }
 
@@ -102,7 +103,8 @@
     CHECK(appliedVersions == std::vector<std::uint64_t>{7});
     // The result of the second poll is older than the applied version by now.
     thread.run([&] { pollHandlers[1](resultAsOf(6)); });
-    thread.run([&] { watch.reset(); });
+    thread.stop();
+    watch.reset();
     CHECK(appliedVersions == std::vector<std::uint64_t>{7});
 }
 
