Share the instance's link: short responses first, long ones only if they arrive in time

Calls to the same targets, 0.5 kB each, waited behind all downloads on the link and timed out; the bookings that made them failed after a second of work. Admission knew slots and time, not bytes.

Change: the settings name the rate of the link (link_mbps). LinkSchedule, a decision module, grants long responses only the bytes that the link carries, oldest first; short responses and control messages are written at once. A long response is refused at once, with the time after which it fits, when what is ahead of it takes half of the time until its target latency. The backlog is reported with the load, and the balancer prefers targets whose links have room.

--- a/bench/proxy_hop.cpp
+++ b/bench/proxy_hop.cpp
@@ -69,6 +69,8 @@
     InboundHandlerDependencies inboundDependencies;
     inboundDependencies.loop = &loop;
     inboundDependencies.client = &client;
+    LinkSchedule link{DataRate()};
+    inboundDependencies.link = &link;
     inboundDependencies.metrics = &metrics;
     inboundDependencies.headerNames = headerNames();
     inboundDependencies.target = targetAddress;
--- a/include/dandeliondock/proxy/forwarder.h
+++ b/include/dandeliondock/proxy/forwarder.h
@@ -12,6 +12,7 @@
 #include <dandeliondock/proxy/header_names.h>
 #include <dandeliondock/proxy/inbound_handler.h>
 #include <dandeliondock/proxy/proxy_config.h>
+#include <dandeliondock/proxy/response_sizes.h>
 #include <dandeliondock/proxy/service_versions.h>
 #include <dandeliondock/proxy/target_balancer.h>
 #include <dandeliondock/proxy/weighted_choice.h>
@@ -100,7 +101,6 @@
     [[nodiscard]] ServiceRetries &retriesFor(const ServiceName &service);
     void recordFailure(const ServiceName &service);
     void logBudgetSpent(const ServiceName &service, MonotonicTime now);
-    void recordResponseSize(const RouteName &route, std::size_t bytes);
     [[nodiscard]] Milliseconds retryAfter(Microseconds hint);
 
     ForwarderDependencies m_dependencies;
@@ -108,7 +108,7 @@
     ProxyConfigPtr m_config;
     TargetBalancer m_balancer;
     WeightedChoice m_weightedChoice;
-    absl::flat_hash_map<RouteName, double> m_responseSizes; ///< mean response bytes of each route
+    ResponseSizes m_responseSizes;
     LogRateLimiter m_attemptLogLimiter;
     LogRateLimiter m_endLogLimiter;
     MonotonicTime m_lastDependencyFailure;
--- a/include/dandeliondock/proxy/inbound_handler.h
+++ b/include/dandeliondock/proxy/inbound_handler.h
@@ -7,7 +7,9 @@
 #include <dandeliondock/proxy/header_names.h>
 #include <dandeliondock/proxy/inbound_queue.h>
 #include <dandeliondock/proxy/inbound_request.h>
+#include <dandeliondock/proxy/link_schedule.h>
 #include <dandeliondock/proxy/local_target.h>
+#include <dandeliondock/proxy/response_sizes.h>
 #include <dandeliondock/proxy/service_versions.h>
 #include <dandeliondock/routing/routing_hooks.h>
 
@@ -30,6 +32,7 @@
 {
     EventLoop *loop = nullptr;
     AsyncHttpClient *client = nullptr;
+    LinkSchedule *link = nullptr; ///< of this instance
     MetricsRegistry *metrics = nullptr;
     LogSink log;
     HeaderNames headerNames;
@@ -87,6 +90,10 @@
 
 private:
     [[nodiscard]] InboundRefusal refusalFor(const InboundRequest &request, MonotonicTime now) const;
+    [[nodiscard]] TargetLoad load() const;
+    void enqueue(const InboundJobPtr &job, MonotonicTime now);
+    void reserveLink(impl::InboundJob &job, ByteCount response);
+    void releaseLink(impl::InboundJob &job);
     void refuse(const InboundJobPtr &job, InboundRefusal refusal, Microseconds retryAfter);
     void run(const InboundJobPtr &job);
     void setRunning(impl::InboundJob &job, bool isRunning);
@@ -102,6 +109,7 @@
     InboundHandlerDependencies m_dependencies;
     LocalTarget m_target;
     InboundQueue m_queue;
+    ResponseSizes m_responseSizes;
     absl::flat_hash_map<WaiterId, InboundJobPtr> m_waiting;
     std::uint64_t m_lastWaiterId = 0;
     std::size_t m_openJobs = 0;
--- a/include/dandeliondock/proxy/inbound_request.h
+++ b/include/dandeliondock/proxy/inbound_request.h
@@ -39,7 +39,8 @@
     Leaving,      ///< the target or its proxy is shutting down, or the target is not serving yet
     OtherTarget,  ///< the target on this instance has another id or service
     OtherVersion, ///< the target has a version that gets no traffic
-    Unreachable   ///< no connection to the target
+    Unreachable,  ///< no connection to the target
+    LinkFull      ///< the instance's link cannot deliver the response in time
 };
 
 /// \brief Returns the name of a refusal for metrics, logs and headers. Thread-safe.
--- a/include/dandeliondock/proxy/proxy_settings.h
+++ b/include/dandeliondock/proxy/proxy_settings.h
@@ -26,6 +26,7 @@
     Address store;             ///< address of the platform's table
     Milliseconds grace{6'000}; ///< time from SIGTERM until the process is killed
     RetryBudgetLimits retries; ///< limits of this proxy, for each service
+    DataRate responseRate;     ///< part of the link's rate that responses may use; 0: unlimited
     std::string logLevel = "info";
 
     bool operator==(const ProxySettings &) const = default;
--- a/include/dandeliondock/proxy/target_balancer.h
+++ b/include/dandeliondock/proxy/target_balancer.h
@@ -35,6 +35,9 @@
 /// \brief Round trip that costs as much as a full target. On a saturated link, responses are delayed by hundreds of
 /// milliseconds regardless of the load of the target.
 inline constexpr Milliseconds fullTargetRoundTrip{250};
+/// \brief Backlog of a target's link that costs a long response as much as a full target; the cost grows with the cube
+/// of the backlog, as it does with the load.
+inline constexpr Milliseconds fullTargetLinkBacklog{400};
 /// \brief Weight of the recent failure rate in the cost of a target.
 inline constexpr double failureCost = 1.5;
 
--- a/include/dandeliondock/proxy/target_load.h
+++ b/include/dandeliondock/proxy/target_load.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <dandeliondock/core/units.h>
+
 #include <cstdint>
 
 namespace dandeliondock {
@@ -11,6 +13,9 @@
     std::uint32_t waiting = 0; ///< requests in the inbound queue
     std::uint32_t slots = 0;   ///< requests that the target processes at once
 
+    /// Time that the link of the target's instance needs for the responses that are queued or expected.
+    Microseconds linkBacklog{0};
+
     bool operator==(const TargetLoad &) const = default;
 };
 
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -20,7 +20,6 @@
 constexpr int unavailable = 503;
 constexpr int gatewayTimeout = 504;
 constexpr Milliseconds noConfigRetryDelay{300};
-constexpr double responseSizeSmoothing = 0.1;
 
 TargetFeedback feedbackFor(const InboundResult &result)
 {
@@ -135,7 +134,7 @@
                    retries);
     m_balancerRequest.service = m_request.service;
     m_balancerRequest.version = m_owner.chooseVersionFor(m_request.service);
-    m_balancerRequest.responseSize = ByteCount(static_cast<std::uint64_t>(m_owner.m_responseSizes[route.name]));
+    m_balancerRequest.responseSize = m_owner.m_responseSizes.mean(route.name);
     prepareRequest();
     return true;
 }
@@ -297,7 +296,7 @@
     m_isDone = true;
     if (response.status >= firstServerError)
         m_owner.recordFailure(m_request.service);
-    m_owner.recordResponseSize(m_request.route, response.body.size());
+    m_owner.m_responseSizes.record(m_request.route, response.body.size());
     m_owner.m_counters.latency.record(EventLoop::now() - m_context->arrivedAt());
     m_context->respond(std::move(response));
 }
@@ -370,7 +369,7 @@
     if (m_config && config->state->revision() <= m_config->state->revision())
         return;
     m_config = std::move(config);
-    absl::erase_if(m_responseSizes, [this](const auto &item) { return m_config->state->route(item.first) == nullptr; });
+    m_responseSizes.retain([this](const RouteName &route) { return m_config->state->route(route) != nullptr; });
 }
 
 void Forwarder::setVersions(const ServiceVersions &versions)
@@ -418,12 +417,6 @@
                          std::nullopt);
 }
 
-void Forwarder::recordResponseSize(const RouteName &route, std::size_t bytes)
-{
-    double &mean = m_responseSizes.try_emplace(route, static_cast<double>(bytes)).first->second;
-    mean += (static_cast<double>(bytes) - mean) * responseSizeSmoothing;
-}
-
 // Requests to the service of the local target are not calls made by that target: it does not call its own service.
 void Forwarder::recordFailure(const ServiceName &service)
 {
--- a/src/proxy/inbound_handler.cpp
+++ b/src/proxy/inbound_handler.cpp
@@ -19,6 +19,7 @@
     AsyncHttpCall call;
     MonotonicTime arrivedAt;
     MonotonicTime startedAt;
+    ByteCount reservedBytes; ///< reserved on the link for the response
     bool isRunning = false;
 };
 
@@ -64,32 +65,66 @@
         refuse(job, refusal, Microseconds{0});
         return job;
     }
+    enqueue(job, now);
+    return job;
+}
+
+void InboundHandler::enqueue(const InboundJobPtr &job, MonotonicTime now)
+{
+    const InboundRequest &request = job->request;
+    const MonotonicTime softDeadline = std::min(request.deadline, request.softDeadline);
+    const ByteCount response = m_responseSizes.mean(request.route);
+    const LinkAdmission link = m_dependencies.link->admit(response, softDeadline, now);
+    if (!link.isAdmitted) {
+        refuse(job, InboundRefusal::LinkFull, link.retryAfter);
+        return;
+    }
     job->waiter = WaiterId(++m_lastWaiterId);
-    const MonotonicTime queueDeadline = std::min(job->request.deadline, job->request.softDeadline);
+    const MonotonicTime queueDeadline = softDeadline - m_dependencies.link->transferTime(response);
     const InboundAdmission admission =
-            m_queue.admit(job->waiter, {job->request.route, job->request.workClass}, queueDeadline, now);
+            m_queue.admit(job->waiter, {request.route, request.workClass}, queueDeadline, now);
+    if (admission.verdict == InboundVerdict::Refuse) {
+        refuse(job, InboundRefusal::Busy, admission.retryAfter);
+        return;
+    }
+    reserveLink(*job, response);
     if (admission.verdict == InboundVerdict::Run) {
         run(job);
-    } else if (admission.verdict == InboundVerdict::Refuse) {
-        refuse(job, InboundRefusal::Busy, admission.retryAfter);
-    } else {
-        m_waiting[job->waiter] = job;
-        job->queueTimer = m_dependencies.loop->after(queueDeadline - now, [this, weak = std::weak_ptr(job)] {
-            if (const auto waiting = weak.lock(); waiting && m_waiting.erase(waiting->waiter) > 0) {
-                m_queue.withdraw(waiting->waiter);
-                refuse(waiting, InboundRefusal::Late, Microseconds{0});
-            }
-        });
+        return;
     }
-    if (admission.displaced) {
-        const auto displaced = m_waiting.find(*admission.displaced);
-        if (displaced != m_waiting.end()) {
-            const InboundJobPtr displacedJob = displaced->second;
-            m_waiting.erase(displaced);
-            refuse(displacedJob, InboundRefusal::Displaced, Microseconds{0});
+    m_waiting[job->waiter] = job;
+    job->queueTimer = m_dependencies.loop->after(queueDeadline - now, [this, weak = std::weak_ptr(job)] {
+        if (const auto waiting = weak.lock(); waiting && m_waiting.erase(waiting->waiter) > 0) {
+            m_queue.withdraw(waiting->waiter);
+            refuse(waiting, InboundRefusal::Late, Microseconds{0});
         }
+    });
+    if (!admission.displaced)
+        return;
+    const auto displaced = m_waiting.find(*admission.displaced);
+    if (displaced != m_waiting.end()) {
+        const InboundJobPtr displacedJob = displaced->second;
+        m_waiting.erase(displaced);
+        refuse(displacedJob, InboundRefusal::Displaced, Microseconds{0});
     }
-    return job;
+}
+
+void InboundHandler::reserveLink(impl::InboundJob &job, ByteCount response)
+{
+    job.reservedBytes = response;
+    m_dependencies.link->reserve(response);
+}
+
+void InboundHandler::releaseLink(impl::InboundJob &job)
+{
+    m_dependencies.link->release(std::exchange(job.reservedBytes, ByteCount{}));
+}
+
+TargetLoad InboundHandler::load() const
+{
+    TargetLoad load = m_queue.load();
+    load.linkBacklog = m_dependencies.link->backlog(EventLoop::now());
+    return load;
 }
 
 void InboundHandler::refuse(const InboundJobPtr &job, InboundRefusal refusal, Microseconds retryAfter)
@@ -147,6 +182,8 @@
     if (result.outcome == ForwardOutcome::Failed && hasDependencyFailed(*job))
         result.outcome = ForwardOutcome::CallFailed;
     m_queue.recordFinished(job->request.route, hasResponse(result.outcome) ? std::optional(latency) : std::nullopt);
+    if (result.outcome == ForwardOutcome::Responded)
+        m_responseSizes.record(job->request.route, result.response.body.size());
     reportAttempt(*job, result, latency);
     finish(job, std::move(result));
     runNext();
@@ -242,7 +279,8 @@
     if (!handler)
         return;
     --m_openJobs;
-    result.load = m_queue.load();
+    releaseLink(*job);
+    result.load = load();
     result.inboundTime = EventLoop::now() - job->arrivedAt;
     if (!hasResponse(result.outcome) && m_logLimiter.allow(EventLoop::now(), m_dependencies.log)) {
         LogEvent(LogLevel::Info, "door.not_answered")
@@ -279,6 +317,7 @@
         return;
     job->handler = nullptr;
     --m_openJobs;
+    releaseLink(*job);
     job->queueTimer.cancel();
     if (m_waiting.erase(job->waiter) > 0)
         m_queue.withdraw(job->waiter);
--- a/src/proxy/inbound_request.cpp
+++ b/src/proxy/inbound_request.cpp
@@ -1,3 +1,4 @@
+#include <dandeliondock/core/checked_number.h>
 #include <dandeliondock/core/error.h>
 #include <dandeliondock/proxy/inbound_request.h>
 
@@ -27,15 +28,16 @@
 constexpr absl::string_view causeHeader = "Dock-Cause"; // cause of a failure that is not the target's own
 constexpr absl::string_view callCause = "call";
 constexpr absl::string_view refusalHeader = "Dock-Refusal";
-constexpr absl::string_view loadHeader = "Dock-Load"; // running, waiting, slots
+constexpr absl::string_view loadHeader = "Dock-Load";    // running, waiting, slots
+constexpr absl::string_view linkHeader = "Dock-Link-Ms"; // backlog of the link; absent if there is none
 constexpr absl::string_view timeHeader = "Dock-Time-Ms";
 constexpr absl::string_view retryHeader = "Dock-Retry-Ms";
 constexpr absl::string_view detailHeader = "Dock-Detail";
 
 constexpr std::array<const char *, 8> outcomeNames = {"answered", "failed",  "call_failed",  "refused",
                                                       "not_sent", "not_run", "may_have_run", "timed_out"};
-constexpr std::array<const char *, 8> refusalNames = {"none",    "late",         "busy",          "displaced",
-                                                      "leaving", "other_target", "other_version", "unreachable"};
+constexpr std::array<const char *, 9> refusalNames = {
+        "none", "late", "busy", "displaced", "leaving", "other_target", "other_version", "unreachable", "link_full"};
 constexpr int refusedStatus = 503;
 
 absl::Status invalidHeader(absl::string_view header)
@@ -70,6 +72,15 @@
     return numbers;
 }
 
+// Removes a header with a number of milliseconds; returns 0 if it is missing, malformed or negative.
+Milliseconds takeDuration(HttpHeaders &headers, absl::string_view name)
+{
+    const std::vector<std::int64_t> numbers = takeNumbers(headers, name, 1);
+    if (numbers.empty())
+        return Milliseconds{0};
+    return std::max(checkedDuration(numbers.front()).value_or(Milliseconds{0}), Milliseconds{0});
+}
+
 template <typename Names>
 std::optional<std::size_t> indexOf(const Names &names, absl::string_view name)
 {
@@ -141,8 +152,12 @@
         return invalidHeader(termsHeader);
     decoded.workClass = static_cast<WorkClass>(terms[0]);
     decoded.isIdempotent = terms[1] != 0;
-    decoded.deadline = now + Milliseconds(terms[2]);
-    decoded.softDeadline = now + Milliseconds(terms[3]);
+    const auto remaining = checkedDuration(terms[2]);
+    const auto softRemaining = checkedDuration(terms[3]);
+    if (!remaining || !softRemaining)
+        return invalidHeader(termsHeader);
+    decoded.deadline = now + *remaining;
+    decoded.softDeadline = now + *softRemaining;
     decoded.isRepeat = !takeHeader(request.headers, repeatHeader).empty();
     decoded.request = std::move(request);
     return decoded;
@@ -161,9 +176,13 @@
         message.headers.add(causeHeader, callCause);
     if (result.refusal != InboundRefusal::None)
         message.headers.add(refusalHeader, inboundRefusalName(result.refusal));
-    if (result.load)
+    if (result.load) {
         message.headers.add(loadHeader,
                             absl::StrCat(result.load->running, ",", result.load->waiting, ",", result.load->slots));
+        const auto backlog = std::chrono::duration_cast<Milliseconds>(result.load->linkBacklog);
+        if (backlog.count() > 0)
+            message.headers.add(linkHeader, absl::StrCat(backlog.count()));
+    }
     message.headers.add(timeHeader, absl::StrCat(std::chrono::duration_cast<Milliseconds>(result.inboundTime).count()));
     if (result.retryAfter.count() > 0) {
         message.headers.add(retryHeader,
@@ -188,15 +207,17 @@
     result.refusal = refusal ? static_cast<InboundRefusal>(*refusal) : InboundRefusal::None;
     const std::vector<std::int64_t> load = takeNumbers(response.headers, loadHeader, 3);
     if (!load.empty()) {
-        result.load = TargetLoad{static_cast<std::uint32_t>(load[0]), static_cast<std::uint32_t>(load[1]),
-                                 static_cast<std::uint32_t>(load[2])};
+        const auto running = checkedCount(load[0]);
+        const auto waiting = checkedCount(load[1]);
+        const auto slots = checkedCount(load[2]);
+        if (running && waiting && slots)
+            result.load = TargetLoad{*running, *waiting, *slots};
     }
-    const std::vector<std::int64_t> time = takeNumbers(response.headers, timeHeader, 1);
-    if (!time.empty())
-        result.inboundTime = Milliseconds(time[0]);
-    const std::vector<std::int64_t> retry = takeNumbers(response.headers, retryHeader, 1);
-    if (!retry.empty())
-        result.retryAfter = Milliseconds(retry[0]);
+    const Milliseconds backlog = takeDuration(response.headers, linkHeader);
+    if (result.load)
+        result.load->linkBacklog = backlog;
+    result.inboundTime = takeDuration(response.headers, timeHeader);
+    result.retryAfter = takeDuration(response.headers, retryHeader);
     result.detail = takeHeader(response.headers, detailHeader);
     result.response = std::move(response);
     return result;
--- a/src/proxy/proxy_settings.cpp
+++ b/src/proxy/proxy_settings.cpp
@@ -18,6 +18,10 @@
 constexpr double retryShareFactor = 0.7;
 constexpr std::uint32_t retryFloor = 2;
 constexpr double maxGraceSeconds = 600;
+// The rest of the link is left for requests, control messages and the headers of packets.
+constexpr double responseLinkShare = 0.92;
+constexpr double maxLinkMbps = 1'000'000;
+constexpr double bytesPerMegabit = 125'000;
 const std::set<std::string> logLevels{"debug", "info", "warn", "error"};
 
 class ProxySettingsReader
@@ -76,6 +80,15 @@
         }
         settings.retries.requestShare = Share(static_cast<std::uint32_t>(share * retryShareFactor * fullShare.value()));
         settings.retries.floor = retryFloor;
+        if (m_given.contains("link_mbps")) {
+            const double mbps = m_message.link_mbps();
+            const bool isValid = mbps >= 0 && mbps <= maxLinkMbps;
+            m_errors.require(isValid, "link_mbps", absl::StrCat(mbps),
+                             "must be a number of Mbit/s from 0, which stands for unlimited, to 1000000");
+            if (isValid)
+                settings.responseRate =
+                        DataRate(static_cast<std::uint64_t>(mbps * bytesPerMegabit * responseLinkShare));
+        }
         if (!m_message.log_level().empty())
             settings.logLevel = m_message.log_level();
         m_errors.require(logLevels.contains(settings.logLevel), "log_level", settings.logLevel,
--- a/src/proxy/target_balancer.cpp
+++ b/src/proxy/target_balancer.cpp
@@ -1,3 +1,4 @@
+#include <dandeliondock/http/transfer_hooks.h>
 #include <dandeliondock/proxy/target_balancer.h>
 #include <dandeliondock/routing/rendezvous.h>
 
@@ -40,6 +41,11 @@
     double cost = load * load * load + linearLoadCost * load;
     cost += distanceCost(target.tier, responseSize) + failureCost * target.failureRate;
     cost += std::chrono::duration<double>(target.roundTrip) / std::chrono::duration<double>(fullTargetRoundTrip);
+    if (isFresh && responseSize > maxShortResponse) {
+        const double backlog = std::chrono::duration<double>(target.reported.linkBacklog)
+                               / std::chrono::duration<double>(fullTargetLinkBacklog);
+        cost += backlog * backlog * backlog;
+    }
     if (now - target.servingSince < coldTargetTime)
         cost += coldTargetCost;
     return cost;
--- a/tests/proxy/inbound_request_test.cpp
+++ b/tests/proxy/inbound_request_test.cpp
@@ -109,5 +109,41 @@
     CHECK(targetFailure->outcome == ForwardOutcome::Failed);
 }
 
+// Guards against targets that are chosen for downloads although their link has a long queue.
+TEST_CASE("the backlog of the link is a part of the reported load", "[proxy]")
+{
+    InboundResult sent;
+    sent.refusal = InboundRefusal::LinkFull;
+    sent.load = TargetLoad{3, 0, 16, Milliseconds(420)};
+    const auto received = decodeInboundResult(encodeInboundResult(sent));
+    REQUIRE(received.ok());
+    CHECK(received->refusal == InboundRefusal::LinkFull);
+    REQUIRE(received->load.has_value());
+    CHECK(received->load->linkBacklog == Milliseconds(420));
+    sent.load = TargetLoad{3, 0, 16, Milliseconds(0)};
+    CHECK_FALSE(encodeInboundResult(sent).headers.first("Dock-Link-Ms").has_value());
+}
+
+// Guards against numbers of another process that overflow a clock or a counter.
+TEST_CASE("numbers out of range in the headers between proxies are refused or ignored", "[proxy]")
+{
+    for (const char *terms : {"1,1,9223372036854775807,100", "1,1,100,-9223372036854775807", "1,1,100,86400001"}) {
+        HttpRequest message = encodeInboundRequest(requestFor("t-1"), MonotonicTime{});
+        message.headers.set("Dock-Terms", terms);
+        CHECK_FALSE(decodeInboundRequest(std::move(message), MonotonicTime{}).ok());
+    }
+    InboundResult sent;
+    sent.load = TargetLoad{3, 0, 16, Milliseconds(1)};
+    HttpResponse message = encodeInboundResult(sent);
+    message.headers.set("Dock-Load", "-1,0,99999999999");
+    message.headers.set("Dock-Time-Ms", "9223372036854775807");
+    message.headers.set("Dock-Retry-Ms", "-5");
+    const auto received = decodeInboundResult(message);
+    REQUIRE(received.ok());
+    CHECK_FALSE(received->load.has_value());
+    CHECK(received->inboundTime == Microseconds(0));
+    CHECK(received->retryAfter == Microseconds(0));
+}
+
 } // namespace
 } // namespace dandeliondock
--- a/tests/proxy/target_balancer_test.cpp
+++ b/tests/proxy/target_balancer_test.cpp
@@ -176,4 +176,22 @@
     CHECK(requestsToFailing < 50);
 }
 
+// Guards against downloads that wait on the full link of one target while the links of others are idle.
+TEST_CASE("the backlog of a target's link counts for long responses only", "[proxy]")
+{
+    BalancedTarget target;
+    target.endpoint = endpoint("a", "east", "a");
+    target.reported = {2, 0, slots, fullTargetLinkBacklog};
+    target.reportedAt = at(0);
+    target.servingSince = at(-60'000);
+    BalancedTarget idleLink = target;
+    idleLink.reported.linkBacklog = Milliseconds(0);
+    const auto costDifference = [&](std::uint64_t size) {
+        return TargetBalancer::cost(target, ByteCount(size), at(10))
+               - TargetBalancer::cost(idleLink, ByteCount(size), at(10));
+    };
+    CHECK(costDifference(500) == Approx(0));
+    CHECK(costDifference(90'000) == Approx(1));
+}
+
 } // namespace dandeliondock
