Match responses to one sending only, and check every number of a message

Cause: a target that sends an earlier refusal again on a kept connection was believed: a response without an id was taken for the answer to the request in progress, and a retry has the id of the attempt before, so that 'not run' was said of a request that ran. Numbers of rows, headers and heartbeats were added to clocks and cast without a range; a row of the shared table could name an address with port 70000, or that of another target; one odd row made a whole page of the table unreadable.

Change: a response without an id is skipped on a connection that carried earlier requests; no id is sent twice on one connection, which carries at most 256 requests. core/checked_number.h converts numbers of other processes within stated ranges. The row of a target must repeat the address of its key. Rows of a page are read one by one; unreadable ones are counted and logged.

--- a/include/dandeliondock/codec/proxy_codec.h
+++ b/include/dandeliondock/codec/proxy_codec.h
@@ -20,11 +20,12 @@
 };
 
 // Conversions of the table rows and messages that proxies exchange, to and from bytes. All functions are thread-safe.
-// The decoders of rows return InvalidRow if the bytes cannot be parsed and InvalidMessage if a field is invalid.
+// The decoders of rows return InvalidRow if the bytes cannot be parsed or a number is out of range, and InvalidMessage
+// if another field is invalid. \c inboundAddress is the address in the key of the row, which the row must repeat.
 // decodeOutcomeReport() returns InvalidMessage.
 
 [[nodiscard]] std::string encodeTargetRow(const Endpoint &endpoint);
-[[nodiscard]] absl::StatusOr<Endpoint> decodeTargetRow(absl::string_view bytes);
+[[nodiscard]] absl::StatusOr<Endpoint> decodeTargetRow(const Address &inboundAddress, absl::string_view bytes);
 
 [[nodiscard]] std::string encodeServiceVersions(const ServiceVersions &versions);
 [[nodiscard]] absl::StatusOr<ServiceVersions> decodeServiceVersions(const ServiceName &service,
--- a/include/dandeliondock/http/async_client.h
+++ b/include/dandeliondock/http/async_client.h
@@ -27,7 +27,8 @@
     /// Added to the deadline once, if the response has begun to arrive when the deadline is reached.
     Milliseconds transferExtension{0};
     /// Header that matches responses to requests: a response in which it has another value than in the request belongs
-    /// to another request and is skipped. Empty disables the check.
+    /// to another request and is skipped, as is one without it on a connection that carried earlier requests. A value
+    /// is never sent twice on one connection. Empty disables these checks.
     std::string correlationHeader{};
 };
 
--- a/include/dandeliondock/store/async_table.h
+++ b/include/dandeliondock/store/async_table.h
@@ -23,11 +23,12 @@
 {
     std::vector<TableRow> rows;
     std::vector<RowKey> removed;
-    std::size_t changes = 0;  ///< number of changes added, including those that a later change replaced
-    RowVersion asOfVersion;   ///< version of the table up to which changes are included
-    WallTime tableTime;       ///< time of the table's own clock
-    Milliseconds age{0};      ///< time since the platform confirmed the data; 0 unless a proxy relayed it
-    Milliseconds holdTime{0}; ///< time for which the relaying proxy held the poll
+    std::size_t unreadable = 0; ///< rows that were left out because their fields could not be read
+    std::size_t changes = 0;    ///< number of changes added, including those that a later change replaced
+    RowVersion asOfVersion;     ///< version of the table up to which changes are included
+    WallTime tableTime;         ///< time of the table's own clock
+    Milliseconds age{0};        ///< time since the platform confirmed the data; 0 unless a proxy relayed it
+    Milliseconds holdTime{0};   ///< time for which the relaying proxy held the poll
 
     /// \brief Appends a changed row; it replaces an earlier change with the same key.
     void put(TableRow row)
--- a/src/codec/proxy_codec.cpp
+++ b/src/codec/proxy_codec.cpp
@@ -1,6 +1,8 @@
 #include <dandeliondock/codec/protobuf_codec.h>
 #include <dandeliondock/codec/proxy_codec.h>
 #include <dandeliondock/codec/record_codec.h>
+#include <dandeliondock/core/checked_number.h>
+#include <dandeliondock/settings/ip_address.h>
 
 #include <proxy.pb.h>
 
@@ -13,9 +15,9 @@
     return time.time_since_epoch().count();
 }
 
-WallTime decodeTime(std::int64_t unixMs)
+absl::Status invalidRow(absl::string_view reason)
 {
-    return WallTime(Milliseconds(unixMs));
+    return makeError(ErrorKind::InvalidRow, reason);
 }
 
 } // namespace
@@ -25,12 +27,19 @@
     return encodeEndpoint(endpoint).SerializeAsString();
 }
 
-absl::StatusOr<Endpoint> decodeTargetRow(absl::string_view bytes)
+absl::StatusOr<Endpoint> decodeTargetRow(const Address &inboundAddress, absl::string_view bytes)
 {
     const auto message = parseMessage<wire::EndpointRecord>(bytes, ErrorKind::InvalidRow, "the row of a target");
     if (!message.ok())
         return message.status();
-    return decodeEndpoint(*message);
+    auto endpoint = decodeEndpoint(*message);
+    if (!endpoint.ok())
+        return endpoint.status();
+    if (endpoint->controlAddress != inboundAddress || !parseIpEndpoint(inboundAddress.value()))
+        return invalidRow("the inbound address must be the one of the row's key, with a port from 1 to 65535");
+    if (!checkedCount(endpoint->slots.value()))
+        return invalidRow("the number of slots is out of range");
+    return endpoint;
 }
 
 std::string encodeServiceVersions(const ServiceVersions &versions)
@@ -71,11 +80,16 @@
     const auto record = decodeRollout(message);
     if (!record.ok())
         return record.status();
+    const auto startedAt = checkedTime(row->started_ms());
+    const auto deadline = checkedTime(row->deadline_ms());
+    const auto stageStartedAt = checkedTime(row->stage_since_ms());
+    if (!startedAt || !deadline || !stageStartedAt)
+        return invalidRow("a time of the rollout is out of range");
     versions.rollout = RolloutProgress{*record,
                                        VersionName(row->target()),
-                                       decodeTime(row->started_ms()),
-                                       decodeTime(row->deadline_ms()),
-                                       decodeTime(row->stage_since_ms()),
+                                       *startedAt,
+                                       *deadline,
+                                       *stageStartedAt,
                                        Address(row->driver()),
                                        FencingToken(row->fence()),
                                        row->notified()};
--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -12,8 +12,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <algorithm>
+#include <cstddef>
 #include <optional>
+#include <string>
 #include <utility>
+#include <vector>
 
 namespace dandeliondock {
 
@@ -26,6 +29,8 @@
 constexpr std::uint32_t maxHeaderBytes = 65'536;
 // Subtracted from the peer's keep-alive timeout, because the peer's close may already be on its way.
 constexpr Milliseconds keepAliveMargin{1'000};
+// Requests that one connection carries; it remembers their ids.
+constexpr std::size_t maxCarriedRequests = 256;
 
 std::optional<Milliseconds> keepAliveTimeout(const HttpHeaders &headers)
 {
@@ -99,6 +104,7 @@
     ClientState(EventLoop &eventLoop, AsyncClientLimits clientLimits) : loop(eventLoop), limits(clientLimits) {}
 
     void start(const Address &address, const std::shared_ptr<ClientCall> &call);
+    [[nodiscard]] std::shared_ptr<ClientConnection> takeIdle(const Address &address, const ClientCall &call);
     void keepIdle(const Address &address, const std::shared_ptr<ClientConnection> &connection);
     void removeIdle(const Address &address, const std::shared_ptr<ClientConnection> &connection);
     void closeIdle();
@@ -145,7 +151,16 @@
 
     [[nodiscard]] bool isReusable(MonotonicTime now, Microseconds within) const noexcept
     {
-        return !m_isClosed && now - m_idleSince <= std::min<Microseconds>(within, m_keepAliveLimit);
+        return !m_isClosed && m_carriedIds.size() < maxCarriedRequests
+               && now - m_idleSince <= std::min<Microseconds>(within, m_keepAliveLimit);
+    }
+
+    /// \brief Whether a request with the id of \c call was sent on this connection. The response to the earlier one,
+    /// sent twice by a faulty peer, would be taken for the response to the later one.
+    [[nodiscard]] bool hasCarried(const ClientCall &call) const
+    {
+        return !call.expectedCorrelation.empty()
+               && std::find(m_carriedIds.begin(), m_carriedIds.end(), call.expectedCorrelation) != m_carriedIds.end();
     }
 
 private:
@@ -172,7 +187,8 @@
     MonotonicTime m_idleSince;
     Microseconds m_keepAliveLimit = std::chrono::hours(1);
     bool m_isWritten = false;
-    int m_skippedCount = 0; ///< number of responses skipped while the expected one is awaited
+    std::vector<std::string> m_carriedIds; ///< of the requests that were sent on this connection
+    int m_skippedCount = 0;                ///< number of responses skipped while the expected one is awaited
     bool m_skippedOtherResponse = false;
     bool m_isClosed = false;
 };
@@ -231,19 +247,29 @@
 void ClientState::start(const Address &address, const std::shared_ptr<ClientCall> &call)
 {
     call->startDeadline();
+    if (const auto connection = takeIdle(address, *call)) {
+        connection->send(call);
+        return;
+    }
+    ++opened;
+    std::make_shared<ClientConnection>(shared_from_this(), address)->connect(call);
+}
+
+// Takes the connection that was used last; closes those that may not be reused any more.
+std::shared_ptr<ClientConnection> ClientState::takeIdle(const Address &address, const ClientCall &call)
+{
     auto &idle = m_idle[address];
     const MonotonicTime now = EventLoop::now();
-    while (!idle.empty()) {
-        const auto connection = idle.back();
-        idle.pop_back();
-        if (connection->isReusable(now, call->options.maxConnectionIdle)) {
-            connection->send(call);
-            return;
-        }
+    for (std::size_t index = idle.size(); index > 0; --index) {
+        const auto connection = idle[index - 1];
+        if (connection->hasCarried(call))
+            continue;
+        idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(index - 1));
+        if (connection->isReusable(now, call.options.maxConnectionIdle))
+            return connection;
         connection->close();
     }
-    ++opened;
-    std::make_shared<ClientConnection>(shared_from_this(), address)->connect(call);
+    return nullptr;
 }
 
 void ClientState::keepIdle(const Address &address, const std::shared_ptr<ClientConnection> &connection)
@@ -334,6 +360,8 @@
     call->message.set(http::field::host, call->message[http::field::host].empty()
                                                  ? boost::beast::string_view(m_address.value())
                                                  : call->message[http::field::host]);
+    if (!call->options.correlationHeader.empty())
+        m_carriedIds.push_back(call->expectedCorrelation);
     if (call->isHead)
         m_parser->skip(true);
     call->maybeSent = true;
@@ -424,7 +452,10 @@
     if (m_call->options.correlationHeader.empty())
         return false;
     const auto correlation = headers.first(m_call->options.correlationHeader);
-    return correlation && *correlation != m_call->expectedCorrelation;
+    // Without an id, a response on a connection with earlier requests may be a second copy of one to these.
+    if (!correlation)
+        return m_carriedIds.size() > 1;
+    return *correlation != m_call->expectedCorrelation;
 }
 
 void ClientConnection::onResponseRead()
@@ -438,7 +469,7 @@
     result.response.status = static_cast<int>(message.result_int());
     copyHeaders(message, result.response.headers);
     if (isForOtherRequest(result.response.headers)) {
-        m_skippedOtherResponse = true;
+        m_skippedOtherResponse = true; // its copies may follow, so that the connection is not reused
         if (keepAlive)
             skipResponse();
         else
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -244,7 +244,7 @@
     absl::string_view name = row.key.value();
     absl::Status status;
     if (absl::ConsumePrefix(&name, targetPrefix)) {
-        const auto endpoint = decodeTargetRow(row.value);
+        const auto endpoint = decodeTargetRow(Address(std::string(name)), row.value);
         status = endpoint.status();
         if (endpoint.ok()) {
             m_endpoints[endpoint->controlAddress] = *endpoint;
@@ -261,8 +261,14 @@
                 m_dependencies.publish(*versions);
         }
     }
-    if (!status.ok())
-        LogEvent(LogLevel::Warn, "table.row_refused").field("row", row.key).error(status).write(m_dependencies.log);
+    if (status.ok())
+        return;
+    m_dependencies.metrics->counter("table_rows_refused_total").add();
+    LogEvent(LogLevel::Warn, "table.row_refused")
+            .field("row", row.key)
+            .field("version", row.version)
+            .error(status)
+            .write(m_dependencies.log);
 }
 
 void ControlDuty::removeSharedRow(const RowKey &key)
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -38,6 +38,8 @@
     {
         if (absl::Status status = m_traffic.listen(); !status.ok())
             return status;
+        logErrors(m_controlLoop, "control");
+        logErrors(m_trafficLoop, "traffic");
         m_control.start();
         m_controlThread = std::thread([this] { m_controlLoop.run(); });
         m_trafficThread = std::thread([this] { m_trafficLoop.run(); });
@@ -59,6 +61,15 @@
     }
 
 private:
+    // One message that cannot be handled must not end the process.
+    void logErrors(EventLoop &loop, absl::string_view duty)
+    {
+        loop.onError([this, duty](const std::string &text) {
+            m_metrics.counter("duty_errors_total", duty).add();
+            LogEvent(LogLevel::Error, "duty.error").field("duty", duty).field("detail", text).write(m_log);
+        });
+    }
+
     ControlDutyDependencies controlDependencies()
     {
         ControlDutyDependencies dependencies;
--- a/src/proxy/table_watch.cpp
+++ b/src/proxy/table_watch.cpp
@@ -87,6 +87,13 @@
                 .write(m_log);
         m_onCurrentChanged(true);
     }
+    if (result.unreadable > 0) {
+        LogEvent(LogLevel::Warn, "table.rows_unreadable")
+                .field("table", m_name)
+                .field("version", result.asOfVersion)
+                .field("rows", result.unreadable)
+                .write(m_log);
+    }
     m_failures = 0;
     m_isSynced = true;
     m_asOfVersion = std::max(m_asOfVersion, result.asOfVersion);
--- a/tests/http/async_client_test.cpp
+++ b/tests/http/async_client_test.cpp
@@ -115,6 +115,62 @@
     CHECK(result.response.body == "right");
 }
 
+// Guards against a refusal that is taken for the response to a request that runs: a faulty target sends an earlier one
+// again on a kept connection, without an id.
+TEST_CASE("a response without an id on a reused connection is not taken for the response to the request", "[http]")
+{
+    const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    RawListener listener([&refusal](const RawConnection &connection, int) {
+        static_cast<void>(connection.readUntil("body"));
+        connection.write(responseTo("1", "first"));
+        static_cast<void>(connection.readUntil("body"));
+        connection.write(refusal);
+        std::this_thread::sleep_for(Milliseconds(50));
+        connection.write(responseTo("2", "second"));
+        static_cast<void>(connection.readAll());
+    });
+    TestClient client;
+    REQUIRE(client.call(listener.address(), "1").status.ok());
+    const AsyncCallResult second = client.call(listener.address(), "2");
+    REQUIRE(second.status.ok());
+    CHECK(second.response.body == "second");
+    CHECK(listener.connections() == 1);
+    // The only request of a connection needs no id to be matched.
+    RawListener single([&refusal](const RawConnection &connection, int) {
+        static_cast<void>(connection.readUntil("body"));
+        connection.write(refusal);
+        static_cast<void>(connection.readAll());
+    });
+    const AsyncCallResult refused = client.call(single.address(), "3");
+    REQUIRE(refused.status.ok());
+    CHECK(refused.response.status == 503);
+}
+
+// Guards against the response to an attempt that is taken for the response to the retry with the same id: a target that
+// runs the retry sends its refusal of the first attempt again.
+TEST_CASE("a request with the same id is not sent twice on a connection", "[http]")
+{
+    RawListener listener([](const RawConnection &connection, int number) {
+        static_cast<void>(connection.readUntil("body"));
+        if (number > 0) {
+            connection.write(responseTo("1", "run"));
+            static_cast<void>(connection.readAll());
+            return;
+        }
+        const std::string refusal = "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nContent-Length: 0\r\n\r\n";
+        connection.write(refusal);
+        static_cast<void>(connection.readUntil("body"));
+        connection.write(refusal);
+        static_cast<void>(connection.readAll());
+    });
+    TestClient client;
+    CHECK(client.call(listener.address(), "1").response.status == 503);
+    const AsyncCallResult retry = client.call(listener.address(), "1");
+    REQUIRE(retry.status.ok());
+    CHECK(retry.response.body == "run");
+    CHECK(listener.connections() == 2);
+}
+
 // Guards against bytes after a response that are parsed as the response to the next request on the connection.
 TEST_CASE("a connection with bytes after a response is not reused", "[http]")
 {
