--- a/include/dandeliondock/proxy/target_balancer.h
+++ b/include/dandeliondock/proxy/target_balancer.h
@@ -37,7 +37,7 @@
 inline constexpr Milliseconds fullTargetRoundTrip{250};
 /// \brief Backlog of a target's link that costs a long response as much as a full target; the cost grows with the cube
 /// of the backlog, as it does with the load.
-inline constexpr Milliseconds fullTargetLinkBacklog{400};
+inline constexpr Milliseconds fullTargetLinkBacklog{600};
 /// \brief Weight of the recent failure rate in the cost of a target.
 inline constexpr double failureCost = 1.5;
 
