--- a/tests/platform/proxy_test.cpp
+++ b/tests/platform/proxy_test.cpp
@@ -1,6 +1,7 @@
 #include "support/child_process.h"
 #include "support/fake_store.h"
 #include "support/loop_thread.h"
+#include "support/raw_socket.h"
 
 #include <platform/adapter.h>
 
@@ -58,6 +59,7 @@
     std::atomic<int> runs{0};
     std::atomic<bool> losesResponses{false};    ///< closes the connection after executing a request
     std::atomic<bool> claimsNotExecuted{false}; ///< by a header of the proxies' own protocol
+    std::atomic<std::size_t> bodySize{0};       ///< shortest body of a response
     std::atomic<bool> fails{false};             ///< responds with status 500, unless callServiceThrough() was called
 
     /// From now on, calls another service through \c proxy before each response and fails when that call fails.
@@ -101,6 +103,7 @@
             response.headers.add("Dock-Outcome", "not_run");
         response.body = absl::StrCat(headers.first("X-Dandeliondock-Caller-Service").value_or("none"), " ",
                                      activeRequest->request().target);
+        response.body.resize(std::max<std::size_t>(response.body.size(), bodySize), 'x');
         activeRequest->respond(std::move(response));
     }
 
@@ -114,7 +117,7 @@
 /// A proxy with its target.
 struct Instance
 {
-    Instance(const std::string &name, const Address &store)
+    Instance(const std::string &name, const Address &store, Milliseconds grace, DataRate responseRate)
     {
         const auto freeAddress = [] { return Address(absl::StrCat("127.0.0.1:", freePort())); };
         settings.node = NodeId(name);
@@ -128,7 +131,8 @@
         settings.target = target.address();
         settings.service = ServiceName("s");
         settings.store = store;
-        settings.grace = Milliseconds(1'500);
+        settings.grace = grace;
+        settings.responseRate = responseRate;
         auto started = Proxy::start(settings, platform::adapter(), nullptr);
         REQUIRE(started.ok());
         proxy = *std::move(started);
@@ -143,7 +147,8 @@
 class Deployment
 {
 public:
-    Deployment() : first("one", store.address()), second("two", store.address())
+    explicit Deployment(Milliseconds grace = Milliseconds(1'500), DataRate responseRate = {})
+        : first("one", store.address(), grace, responseRate), second("two", store.address(), grace, responseRate)
     {
         store.put("op", "config", configText(1, "/a/"));
         m_thread.run([this] { m_client = std::make_unique<AsyncHttpClient>(m_thread.loop()); });
@@ -394,4 +399,22 @@
     CHECK(deployment.eventually([&] { return deployment.serves(deployment.second, "/d/1"); }));
 }
 
+// Guards against a planned stop that cuts off a download which its caller's link needs seconds for.
+TEST_CASE("a download that is being delivered when its proxy is stopped arrives completely", "[platform]")
+{
+    constexpr std::size_t downloadSize = 4'000'000;
+    Deployment deployment(Milliseconds(8'000), DataRate(1'000'000));
+    REQUIRE(deployment.announce(deployment.first, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.first); }));
+    deployment.first.target.bodySize = downloadSize;
+    const std::string callers = deployment.first.settings.callers.value();
+    RawConnection caller(static_cast<std::uint16_t>(std::stoi(callers.substr(callers.rfind(':') + 1))));
+    caller.write("GET /a/big HTTP/1.1\r\nHost: h\r\nX-Dandeliondock-Attempt-Id: big\r\n\r\n");
+    const std::string begin = caller.readUntil("\r\n\r\n");
+    REQUIRE_THAT(begin, Catch::Contains("200 OK"));
+    auto stopped = std::async(std::launch::async, [&] { deployment.first.proxy->stop(); });
+    CHECK((begin + caller.readAll()).size() > downloadSize);
+    CHECK(stopped.wait_for(testTimeout) == std::future_status::ready);
+}
+
 } // namespace dandeliondock::testing
