--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -261,7 +261,7 @@
     auto &idle = m_idle[address];
     const MonotonicTime now = EventLoop::now();
     for (std::size_t index = idle.size(); index > 0; --index) {
-        const auto connection = idle[index - 1];
+        auto connection = idle[index - 1];
         if (connection->hasCarried(call))
             continue;
         idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(index - 1));
