--- a/include/dandeliondock/proxy/link_pacer.h
+++ b/include/dandeliondock/proxy/link_pacer.h
@@ -28,6 +28,7 @@
 
 private:
     void grantDue();
+    void finishGranting();
 
     EventLoop &m_loop;
     LinkSchedule m_schedule;
--- a/src/proxy/link_pacer.cpp
+++ b/src/proxy/link_pacer.cpp
@@ -1,5 +1,7 @@
 #include <dandeliondock/proxy/link_pacer.h>
 
+#include <absl/cleanup/cleanup.h>
+
 #include <utility>
 
 namespace dandeliondock {
@@ -26,6 +28,7 @@
 {
     if (std::exchange(m_isGranting, true))
         return;
+    const absl::Cleanup finish = [this] { finishGranting(); }; // also when a handler throws
     while (const std::optional<TransferGrant> grant = m_schedule.grant(EventLoop::now())) {
         const auto awaiting = m_awaiting.find(grant->transfer);
         if (awaiting == m_awaiting.end())
@@ -34,6 +37,10 @@
         m_awaiting.erase(awaiting);
         handler(grant->bytes);
     }
+}
+
+void LinkPacer::finishGranting()
+{
     m_isGranting = false;
     const std::optional<MonotonicTime> next = m_schedule.nextGrantAt();
     if (next)
