--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -47,8 +47,7 @@
 {
     json routes;
     for (int number = 1; number <= version; ++number)
-        routes["r" + std::to_string(number)] =
-                route("/n" + std::to_string(number) + "/", "safe", "quote-desk", 2);
+        routes["r" + std::to_string(number)] = route("/n" + std::to_string(number) + "/", "safe", "quote-desk", 2);
     return config(version, routes, {"quote-desk"});
 }
 
@@ -103,7 +102,8 @@
                 const long sentAt = record.ms();
                 const auto answer = callOnce(
                         machines[number]->outbound,
-                        clientRequest("GET", "orders.example", "/n" + std::to_string(version) + "/1", id, 1'000), 1'500);
+                        clientRequest("GET", "orders.example", "/n" + std::to_string(version) + "/1", id, 1'000),
+                        1'500);
                 ++probes;
                 if (answer && answer->status() == 404) {
                     ++late;
--- a/review/3/case.cpp
+++ b/review/3/case.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-constexpr long drainMs = 2'000; // bounds.drain_ms
+constexpr long drainMs = 2'000;  // bounds.drain_ms
 constexpr int contactMs = 3'000; // bounds.contact_ms
 
 } // namespace
--- a/review/support/harness.h
+++ b/review/support/harness.h
@@ -89,6 +89,7 @@
     {
         if (!m_out)
             notRun("cannot write " + path);
+        endOnSignal();
     }
 
     void line(const std::string &text)
@@ -103,6 +104,21 @@
     }
 
 private:
+    /// Ends the processes that were started when the case itself is stopped.
+    static void endOnSignal()
+    {
+        static sigset_t signals;
+        sigemptyset(&signals);
+        sigaddset(&signals, SIGTERM);
+        sigaddset(&signals, SIGINT);
+        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+        std::thread([] {
+            int number = 0;
+            sigwait(&signals, &number);
+            notRun("stopped by a signal");
+        }).detach();
+    }
+
     std::mutex m_mutex;
     std::ofstream m_out;
     const Clock::time_point m_start = Clock::now();
@@ -467,7 +483,8 @@
 
     json rowJson(const RowId &id, const Row &row) const
     {
-        json result = {{"table", id.first}, {"part", ""}, {"key", id.second}, {"value", row.value}, {"ver", row.version}};
+        json result = {
+                {"table", id.first}, {"part", ""}, {"key", id.second}, {"value", row.value}, {"ver", row.version}};
         if (row.isRemoved)
             result["removed"] = true;
         return result;
@@ -605,9 +622,8 @@
     };
 
     Backend(const Machine &machine, Record &record, std::string backendId)
-        : id(std::move(backendId)), born(std::chrono::duration_cast<Ms>(
-                                                std::chrono::system_clock::now().time_since_epoch())
-                                                .count()),
+        : id(std::move(backendId)),
+          born(std::chrono::duration_cast<Ms>(std::chrono::system_clock::now().time_since_epoch()).count()),
           m_machine(machine), m_record(record),
           m_server(machine.ip, std::atoi(machine.app.c_str() + machine.app.find(':') + 1),
                    [this](const auto &connection) { serve(connection); })
@@ -621,10 +637,7 @@
     }
 
     /// Sends a heartbeat; returns the status, 0 without an answer within a second.
-    int beat(const std::string &state, std::uint64_t number)
-    {
-        return send("heartbeat", beatBody(state, number));
-    }
+    int beat(const std::string &state, std::uint64_t number) { return send("heartbeat", beatBody(state, number)); }
 
     [[nodiscard]] json beatBody(const std::string &state, std::uint64_t number) const
     {
@@ -826,9 +839,16 @@
         posix_spawn_file_actions_init(&actions);
         posix_spawn_file_actions_addopen(&actions, 1, m_log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
         posix_spawn_file_actions_adddup2(&actions, 1, 2);
-        if (posix_spawn(&m_pid, program.c_str(), &actions, nullptr, arguments, environment) != 0)
+        posix_spawnattr_t attributes;
+        posix_spawnattr_init(&attributes);
+        sigset_t none;
+        sigemptyset(&none);
+        posix_spawnattr_setsigmask(&attributes, &none);
+        posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK);
+        if (posix_spawn(&m_pid, program.c_str(), &actions, &attributes, arguments, environment) != 0)
             notRun("cannot start " + program);
         posix_spawn_file_actions_destroy(&actions);
+        posix_spawnattr_destroy(&attributes);
         {
             const std::scoped_lock lock(processMutex());
             runningProcesses().insert(m_pid);
@@ -915,8 +935,8 @@
 
 inline json route(const std::string &prefix, const std::string &kind, const std::string &service, int priority)
 {
-    return {{"host", "orders.example"}, {"prefix", prefix},         {"kind", kind},       {"timeout_ms", 2'000},
-            {"target_latency_ms", 400}, {"priority", priority},     {"service", service}, {"max_attempts", 2}};
+    return {{"host", "orders.example"}, {"prefix", prefix},     {"kind", kind},       {"timeout_ms", 2'000},
+            {"target_latency_ms", 400}, {"priority", priority}, {"service", service}, {"max_attempts", 2}};
 }
 
 inline json config(int version, const json &routes, const std::set<std::string> &services)
@@ -930,8 +950,8 @@
                      {"header_timeout_ms", 3'000},
                      {"idle_timeout_ms", 15'000}}}};
     for (const std::string &service : services)
-        result["services"][service] = {{"health_path", "/health"}, {"max_connections", 130}, {"protocol", "h1"},
-                                       {"tls", false}};
+        result["services"][service] = {
+                {"health_path", "/health"}, {"max_connections", 130}, {"protocol", "h1"}, {"tls", false}};
     return result;
 }
 
