Match a route's prefix only where it begins the path

Callers saw: an order, POST /orders/prices, was executed twice.

Cause: RouteTable cut the final slash off every prefix and looked up the whole path as well, so that the prefix /orders/prices/ matched the path /orders/prices, which it does not begin. The attempt tracker was ruled out: it did what the idempotent route allows.

Change: prefixes are kept as written. The lookup tries each part of the path that ends with a slash and the same part without it, longest first. A prefix without a final slash, which the product's own tickets use, still matches its own path and what lies below it.

--- a/include/dandeliondock/routing/route_table.h
+++ b/include/dandeliondock/routing/route_table.h
@@ -11,8 +11,9 @@
 
 /// \brief Routes of one configuration, looked up by host and longest path prefix.
 ///
-/// A prefix matches complete segments of the raw path: "/orders" matches "/orders" and "/orders/7?full=1", but not
-/// "/orders2". If no route of the host matches, the routes without a host apply.
+/// A prefix matches a raw path that begins with it, in complete segments: "/orders" matches "/orders" and
+/// "/orders/7?full=1", but not "/orders2"; "/orders/" matches "/orders/7", but not "/orders". If no route of the host
+/// matches, the routes without a host apply.
 ///
 /// \remark Immutable; every method is thread-safe.
 class RouteTable
--- a/src/routing/route_table.cpp
+++ b/src/routing/route_table.cpp
@@ -1,7 +1,6 @@
 #include <dandeliondock/routing/route_table.h>
 
 #include <absl/strings/ascii.h>
-#include <absl/strings/strip.h>
 
 #include <algorithm>
 #include <utility>
@@ -24,12 +23,6 @@
     return host.substr(0, colon);
 }
 
-// "/" becomes the empty prefix, which matches every path that begins with '/'.
-absl::string_view withoutTrailingSlash(absl::string_view prefix)
-{
-    return absl::StripSuffix(prefix, "/");
-}
-
 } // namespace
 
 RouteTable::RouteTable(ConfigStatePtr state) : m_state(std::move(state))
@@ -56,10 +49,9 @@
 void RouteTable::add(const Route &route)
 {
     HostRoutes &routes = m_hosts[absl::AsciiStrToLower(route.host)];
-    const absl::string_view prefix = withoutTrailingSlash(route.pathPrefix);
     // Of two routes with the same host and prefix, all nodes use the one whose name comes first.
-    routes.prefixes.try_emplace(std::string(prefix), Entry{&route, m_state->service(route.service)});
-    routes.longestPrefix = std::max(routes.longestPrefix, prefix.size());
+    routes.prefixes.try_emplace(route.pathPrefix, Entry{&route, m_state->service(route.service)});
+    routes.longestPrefix = std::max(routes.longestPrefix, route.pathPrefix.size());
 }
 
 RouteTable::Entry RouteTable::find(absl::string_view host, absl::string_view path) const
@@ -72,19 +64,23 @@
 
 RouteTable::Entry RouteTable::findPrefix(const HostRoutes &routes, absl::string_view path)
 {
-    // Looks up only prefixes that end at a segment boundary and are no longer than the longest prefix, which bounds the
-    // number of lookups for a long path.
-    std::size_t end = path.size();
-    if (end > routes.longestPrefix)
-        end = path.rfind('/', routes.longestPrefix);
-    while (true) {
-        const auto found = routes.prefixes.find(path.substr(0, end));
+    // Looks up only prefixes that end at the end of a segment and are no longer than the longest prefix, which bounds
+    // the number of lookups for a long path.
+    if (path.size() <= routes.longestPrefix) {
+        const auto found = routes.prefixes.find(path);
         if (found != routes.prefixes.end())
             return found->second;
-        if (end == 0)
-            return {};
-        end = path.rfind('/', end - 1);
     }
+    std::size_t slash = path.rfind('/', routes.longestPrefix);
+    while (slash != absl::string_view::npos) {
+        for (const std::size_t length : {slash + 1, slash}) {
+            const auto found = routes.prefixes.find(path.substr(0, length));
+            if (found != routes.prefixes.end())
+                return found->second;
+        }
+        slash = slash == 0 ? absl::string_view::npos : path.rfind('/', slash - 1);
+    }
+    return {};
 }
 
 } // namespace dandeliondock
--- a/tests/platform/proxy_test.cpp
+++ b/tests/platform/proxy_test.cpp
@@ -28,6 +28,8 @@
                         R"(","kind":"safe","timeout_ms":2000,"priority":2,"service":"s","max_attempts":2},)",
                         R"("order":{"host":"h","prefix":"/order/","kind":"unsafe","timeout_ms":2000,"priority":1,)",
                         R"("service":"s","max_attempts":2},)",
+                        R"("order-prices":{"host":"h","prefix":"/order/prices/","kind":"safe","timeout_ms":2000,)",
+                        R"("priority":2,"service":"s","max_attempts":2},)",
                         R"("call":{"host":"h","prefix":"/call/","kind":"safe","timeout_ms":2000,"priority":2,)",
                         R"("service":"t","max_attempts":2}},"services":{"s":{"health_path":"/health",)",
                         R"("max_connections":130},"t":{"health_path":"/health","max_connections":130}},"limits":{}})");
@@ -286,6 +288,24 @@
     CHECK(deployment.first.target.runs + deployment.second.target.runs == before + 3);
 }
 
+// Guards against an order that is executed twice because its path, without a final slash, is taken for one of a nested
+// idempotent route.
+TEST_CASE("a request of a non-idempotent route is not retried by the rules of a route nested in it", "[platform]")
+{
+    Deployment deployment;
+    REQUIRE(deployment.announce(deployment.first, "ready", 1) == 200);
+    REQUIRE(deployment.announce(deployment.second, "ready", 1) == 200);
+    for (Instance *instance : {&deployment.first, &deployment.second})
+        REQUIRE(deployment.eventually([&] { return deployment.serves(*instance); }));
+    deployment.first.target.losesResponses = true;
+    deployment.second.target.losesResponses = true;
+    const int before = deployment.first.target.runs + deployment.second.target.runs;
+    CHECK(deployment.callProxy(deployment.first, "/order/prices", "POST").status == 502);
+    CHECK(deployment.first.target.runs + deployment.second.target.runs == before + 1);
+    CHECK(deployment.callProxy(deployment.first, "/order/prices/", "POST").status == 502);
+    CHECK(deployment.first.target.runs + deployment.second.target.runs == before + 3);
+}
+
 // Guards against an order that is reported as not executed, or that is sent to another target, because a caller or a
 // target sends headers of the proxies' own protocol.
 TEST_CASE("headers of the proxies' own protocol are ignored when a caller or a target sends them", "[platform]")
