Find a source for the tables when the first proxies of a region are lost

Cause: the number of proxies that may read from the platform was fixed, and counted over all rows of the table, those of lost instances too. The proxies that remained called lost peers one after the other; an unresponsive peer was excluded for a while and then called again in place of a working source, and a call whose connection was not made in time was forgotten before any other source could respond. Logs: table.regained every 3.8 s with failures=2, by the full read; relay.passed_over names lost proxies only. Ruled out: processor time (loop_late_ms=0) and the store (the calls that reach it are answered at once).

Change: the number of readers doubles with each call to a peer that gets no response, until a peer responds, with or without data; unresponsive peers do not count. Such a peer is called again by a probe beside a read, and used after it has responded. A call without a response stays evidence until another source responds to a later call. The parent is selected without sorting all peers.

Evidence: "a proxy that remains when all proxies before it are lost applies changes in time" failed before (2,005 ms, the limit of its wait) and passes. Widening stays off where it hurts: "the loss of one parent does not make a proxy of high rank read from the platform", and the test of the first proxies of a region is unchanged.

--- a/include/dandeliondock/proxy/relay_peer_health.h
+++ b/include/dandeliondock/proxy/relay_peer_health.h
@@ -3,16 +3,19 @@
 #include <dandeliondock/core/ids.h>
 #include <dandeliondock/core/strong_type.h>
 #include <dandeliondock/core/units.h>
+#include <dandeliondock/proxy/relay_parent.h>
 
 #include <absl/container/flat_hash_map.h>
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <vector>
 
 namespace dandeliondock {
 
-/// \brief Time for which a peer is excluded after its first failure; doubles with each failure after an exclusion.
+/// \brief Time for which a peer is excluded after its first failure, and the longest such time; it doubles with each
+/// failure after an exclusion.
 inline constexpr Milliseconds initialPeerExclusion{3'000};
 inline constexpr Milliseconds maxPeerExclusion{30'000};
 
@@ -33,6 +36,9 @@
 /// saturated. It counts once another peer or the platform has responded to a call that was sent after the response of
 /// the peer was due.
 ///
+/// A peer that was excluded because it did not respond stays excluded until it responds to a probe, so that a lost peer
+/// delays no further read.
+///
 /// \remark Not thread-safe.
 class RelayPeerHealth
 {
@@ -48,29 +54,52 @@
     /// \return Like callSucceeded().
     [[nodiscard]] std::vector<PeerExclusion> platformResponded(MonotonicTime sentAt, MonotonicTime now);
 
-    /// \brief Records that a call failed, and excludes the peer. Further failures during its exclusion do not extend
-    /// the exclusion.
+    /// \brief Records that the connection of a call failed before a response, and excludes the peer for a time. Further
+    /// failures during its exclusion do not extend the exclusion.
     /// \return The exclusion in force; an empty one when the call is unknown.
     [[nodiscard]] PeerExclusion callFailed(RelayCallId call, MonotonicTime now);
 
-    /// \brief Forgets a call that ended without a response.
-    void callTimedOut(RelayCallId call) { m_calls.erase(call); }
+    /// \brief Records an unusable response to a call, and excludes the peer like callFailed().
+    [[nodiscard]] PeerExclusion callRejected(RelayCallId call, MonotonicTime now);
+
+    /// \brief Records that no response to a call arrived in time. The call stays evidence against the peer until some
+    /// source responds to a later call.
+    void callTimedOut(RelayCallId call, MonotonicTime now);
 
     /// \brief Whether a peer may be called: it is not excluded and no call to it is overdue.
     [[nodiscard]] bool isAvailable(const Address &peer, MonotonicTime now) const;
 
+    /// \brief Whether a peer is excluded because it did not respond.
+    [[nodiscard]] bool isUnresponsive(const Address &peer) const;
+
+    /// \brief Whether any peer is excluded because it did not respond.
+    [[nodiscard]] bool hasUnresponsivePeers() const;
+
+    /// \brief Whether a probe may be sent to an unresponsive peer: the time of its exclusion has passed and no call to
+    /// it is in progress.
+    [[nodiscard]] bool isProbeDue(const Address &peer, MonotonicTime now) const;
+
+    /// \brief Returns the number of calls, sent since the latest response of any peer, whose response is overdue or did
+    /// not arrive in time.
+    [[nodiscard]] std::size_t unansweredCalls(MonotonicTime now) const;
+
+    /// \brief Forgets the exclusions of peers that are no longer known.
+    void retain(const std::vector<RelayPeer> &peers);
+
 private:
     struct Call
     {
         Address peer;
         MonotonicTime sentAt;
         MonotonicTime due;
+        bool hasTimedOut = false;
     };
 
     struct Exclusion
     {
         MonotonicTime until;
         Milliseconds duration{0};
+        bool isUnresponsive = false; ///< in force until the peer responds to a probe
     };
 
     /// Whether no exclusion of the peer is in force.
@@ -79,11 +108,15 @@
     /// sent. \c respondingPeer is empty for a response of the platform.
     [[nodiscard]] std::vector<PeerExclusion> excludeUnresponsive(MonotonicTime sentAt, const Address &respondingPeer,
                                                                  MonotonicTime now);
-    [[nodiscard]] PeerExclusion exclude(const Address &peer, MonotonicTime sentAt, MonotonicTime now);
+    PeerExclusion exclude(const Call &call, MonotonicTime now);
+    void recordResponse(MonotonicTime now);
+    void forgetOldCalls(MonotonicTime now);
 
     std::map<RelayCallId, Call> m_calls;
     absl::flat_hash_map<Address, Exclusion> m_exclusions;
     std::uint64_t m_lastCallId = 0;
+    MonotonicTime m_lastResponseAt;
+    std::size_t m_timedOutCalls = 0; ///< calls without a response that were sent since the latest response of any peer
 };
 
 } // namespace dandeliondock
--- a/src/proxy/relay_parent.cpp
+++ b/src/proxy/relay_parent.cpp
@@ -15,8 +15,10 @@
             firstOfLowerRegions = peer;
     }
     if (!earlierAddresses.empty()) {
-        std::sort(earlierAddresses.begin(), earlierAddresses.end());
-        return earlierAddresses[(earlierAddresses.size() - 1) / relayFanOut];
+        const auto parent =
+                earlierAddresses.begin() + static_cast<std::ptrdiff_t>((earlierAddresses.size() - 1) / relayFanOut);
+        std::nth_element(earlierAddresses.begin(), parent, earlierAddresses.end());
+        return *parent;
     }
     return firstOfLowerRegions ? std::optional(firstOfLowerRegions->address) : std::nullopt;
 }
--- a/src/proxy/table_relay_client.cpp
+++ b/src/proxy/table_relay_client.cpp
@@ -16,6 +16,7 @@
 
 constexpr int statusOk = 200;
 constexpr int statusGone = 410;
+constexpr std::size_t maxReaderDoublings = 16; // 524,288 proxies in a region
 
 Milliseconds elapsedSince(MonotonicTime time)
 {
@@ -35,8 +36,12 @@
 
     /// Returns the peer to call; empty when the platform is to be called.
     [[nodiscard]] std::optional<Address> selectParent(const TablePoll &poll) const;
+    /// Returns an unresponsive peer that would be the parent if it responded again, when a probe to it is due.
+    [[nodiscard]] std::optional<Address> peerToProbe() const;
     /// Whether this proxy may read from the platform when its parent fails.
     [[nodiscard]] bool mayReadPlatform() const;
+    AsyncHttpCall sendPoll(const Address &peer, const TablePoll &poll, Milliseconds hold,
+                           AsyncCallHandler handler) const;
     void readPlatform(const TablePoll &poll, Milliseconds hold, TableReadHandler handler) const;
     void recordRoundTrip(const Address &peer, const TablePoll &poll, Milliseconds roundTrip,
                          const TableReadResult &result);
@@ -67,15 +72,46 @@
     return relayParent(dependencies.self, peers);
 }
 
+std::optional<Address> RelayClientState::peerToProbe() const
+{
+    if (!peerHealth.hasUnresponsivePeers())
+        return std::nullopt;
+    std::vector<RelayPeer> peers = dependencies.peers();
+    const MonotonicTime now = EventLoop::now();
+    std::erase_if(peers, [this, now](const RelayPeer &peer) {
+        return !peerHealth.isAvailable(peer.address, now) && !peerHealth.isProbeDue(peer.address, now);
+    });
+    const std::optional<Address> parent = relayParent(dependencies.self, peers);
+    return parent && peerHealth.isProbeDue(*parent, now) ? parent : std::nullopt;
+}
+
+// When many peers are lost at once, those that remain may all rank behind the number of readers, and it takes a call to
+// find out that a peer is lost. The number of readers therefore doubles with each call that gets no response, until the
+// proxies that remain read from the platform. Peers that respond, even without data, keep it low.
 bool RelayClientState::mayReadPlatform() const
 {
     const std::vector<RelayPeer> peers = dependencies.peers();
     if (peers.size() < largeFleetThreshold)
         return true;
     const auto earlierPeers = std::count_if(peers.begin(), peers.end(), [this](const RelayPeer &peer) {
-        return peer.region == dependencies.self.region && peer.address < dependencies.self.address;
+        return peer.region == dependencies.self.region && peer.address < dependencies.self.address
+               && !peerHealth.isUnresponsive(peer.address);
     });
-    return static_cast<std::size_t>(earlierPeers) < maxPlatformReaders;
+    const std::size_t doublings = std::min(peerHealth.unansweredCalls(EventLoop::now()), maxReaderDoublings);
+    return static_cast<std::size_t>(earlierPeers) < maxPlatformReaders << doublings;
+}
+
+AsyncHttpCall RelayClientState::sendPoll(const Address &peer, const TablePoll &poll, Milliseconds hold,
+                                         AsyncCallHandler handler) const
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.target = std::string(relayTablePath);
+    request.body = encodeTablePoll(poll);
+    AsyncCallOptions options;
+    options.deadline = EventLoop::now() + hold + relayResponseTimeout;
+    options.transferExtension = relayTransferTimeout;
+    return dependencies.client->send(peer, request, options, std::move(handler));
 }
 
 void RelayClientState::readPlatform(const TablePoll &poll, Milliseconds hold, TableReadHandler handler) const
@@ -104,12 +140,15 @@
 
 void RelayClientState::recordExclusion(const PeerExclusion &exclusion, const absl::Status &status)
 {
+    const MonotonicTime now = EventLoop::now();
     if (mayReadPlatform())
-        m_platformPreferredUntil = EventLoop::now() + platformFallbackTime;
+        m_platformPreferredUntil = now + platformFallbackTime;
+    peerHealth.retain(dependencies.peers());
     LogEvent(LogLevel::Info, "relay.passed_over")
             .field("door", exclusion.address)
             .field("for_ms", exclusion.duration.count())
             .field("after_ms", exclusion.sinceCall.count())
+            .field("unanswered_calls", peerHealth.unansweredCalls(now))
             .field("loop_late_ms", dependencies.loopLateness().count())
             .error(status)
             .write(dependencies.log);
@@ -133,6 +172,8 @@
 
     void start()
     {
+        if (const std::optional<Address> peer = m_poll.isFull ? std::nullopt : m_state->peerToProbe())
+            probe(*peer);
         if (const std::optional<Address> peer = m_state->selectParent(m_poll))
             callPeer(*peer);
         else
@@ -140,6 +181,8 @@
     }
 
 private:
+    /// Sends the poll to an unresponsive peer as well, only to learn whether it responds.
+    void probe(const Address &peer);
     void callPeer(const Address &peer);
     void callPlatform(Milliseconds hold);
     void handlePlatformResult(MonotonicTime sentAt, absl::StatusOr<TableReadResult> result);
@@ -147,7 +190,7 @@
     void handleOverdueCall();
     void callNextSource();
     void handlePeerResult(const Address &peer, RelayCallId id, MonotonicTime sentAt, const AsyncCallResult &callResult);
-    void handlePeerFailure(RelayCallId id, const absl::Status &status);
+    void handlePeerFailure(const PeerExclusion &exclusion, const absl::Status &status);
     void finish(absl::StatusOr<TableReadResult> result);
 
     /// Longest time for which a peer holds the call.
@@ -170,24 +213,32 @@
     bool m_hasCalledPlatform = false;
 };
 
+void RelayedTableRead::probe(const Address &peer)
+{
+    const MonotonicTime now = EventLoop::now();
+    const RelayCallId id = m_state->peerHealth.callSent(peer, now, now + hold() + relayHedgeDelay);
+    m_state->sendPoll(peer, m_poll, hold(), [state = m_state, id](const AsyncCallResult &callResult) {
+        if (state->isStopped)
+            return;
+        const MonotonicTime endedAt = EventLoop::now();
+        if (callResult.status.ok())
+            state->recordUnresponsivePeers(state->peerHealth.callSucceeded(id, endedAt));
+        else
+            state->peerHealth.callTimedOut(id, endedAt);
+    });
+}
+
 void RelayedTableRead::callPeer(const Address &peer)
 {
-    HttpRequest request;
-    request.method = "POST";
-    request.target = std::string(relayTablePath);
-    request.body = encodeTablePoll(m_poll);
     const MonotonicTime now = EventLoop::now();
     const Milliseconds dueAfter = hold() + relayHedgeDelay;
     const RelayCallId id = m_state->peerHealth.callSent(peer, now, now + dueAfter);
-    AsyncCallOptions options;
-    options.deadline = now + hold() + relayResponseTimeout;
-    options.transferExtension = relayTransferTimeout;
     ++m_callsSent;
     ++m_callsInProgress;
-    m_latestCall = m_state->dependencies.client->send(
-            peer, request, options, [self = shared_from_this(), peer, id, now](const AsyncCallResult &callResult) {
-                self->handlePeerResult(peer, id, now, callResult);
-            });
+    m_latestCall = m_state->sendPoll(peer, m_poll, hold(),
+                                     [self = shared_from_this(), peer, id, now](const AsyncCallResult &callResult) {
+                                         self->handlePeerResult(peer, id, now, callResult);
+                                     });
     startOverdueTimer(dueAfter);
 }
 
@@ -254,13 +305,13 @@
     if (m_state->isStopped)
         return;
     if (errorKind(callResult.status) == ErrorKind::DeadlineExceeded) {
-        m_state->peerHealth.callTimedOut(id);
+        m_state->peerHealth.callTimedOut(id, EventLoop::now());
         if (m_callsInProgress == 0)
             finish(makeError(ErrorKind::StoreUnavailable, "no peer responded in time"));
         return;
     }
     if (!callResult.status.ok()) {
-        handlePeerFailure(id, callResult.status);
+        handlePeerFailure(m_state->peerHealth.callFailed(id, EventLoop::now()), callResult.status);
         return;
     }
     if (callResult.response.status == statusGone) {
@@ -269,19 +320,22 @@
                          "the parent proxy no longer has the changes since the requested version"));
         return;
     }
+    const auto rejectResponse = [this, id](const absl::Status &status) {
+        handlePeerFailure(m_state->peerHealth.callRejected(id, EventLoop::now()), status);
+    };
     if (callResult.response.status != statusOk) {
-        handlePeerFailure(id, makeError(ErrorKind::StoreUnavailable, "the parent proxy cannot serve the table"));
+        rejectResponse(makeError(ErrorKind::StoreUnavailable, "the parent proxy cannot serve the table"));
         return;
     }
     auto result = decodeTableReadResult(callResult.response.body);
     if (!result.ok()) {
-        handlePeerFailure(id, result.status());
+        rejectResponse(result.status());
         return;
     }
     const Milliseconds roundTrip = elapsedSince(sentAt) - result->holdTime;
     m_state->recordRoundTrip(peer, m_poll, roundTrip, *result);
     if (result->age > maxRelayedAge) {
-        handlePeerFailure(id, makeError(ErrorKind::StoreUnavailable, "the data of the parent proxy is too old"));
+        rejectResponse(makeError(ErrorKind::StoreUnavailable, "the data of the parent proxy is too old"));
         return;
     }
     result->age += roundTrip;
@@ -291,9 +345,9 @@
     finish(*std::move(result));
 }
 
-void RelayedTableRead::handlePeerFailure(RelayCallId id, const absl::Status &status)
+void RelayedTableRead::handlePeerFailure(const PeerExclusion &exclusion, const absl::Status &status)
 {
-    m_state->recordExclusion(m_state->peerHealth.callFailed(id, EventLoop::now()), status);
+    m_state->recordExclusion(exclusion, status);
     if (!m_handler)
         return;
     if (m_poll.isFull)
--- a/tests/proxy/relay_peer_health_test.cpp
+++ b/tests/proxy/relay_peer_health_test.cpp
@@ -76,6 +76,60 @@
           == initialPeerExclusion * 2);
 }
 
+// Guards against a lost peer that is called again and again after its exclusion and delays a read each time.
+TEST_CASE("a peer that did not respond is excluded until it responds to a probe", "[proxy]")
+{
+    RelayPeerHealth health;
+    const RelayCallId call = health.callSent(firstPeer, start, start + responseTimeout);
+    MonotonicTime now = start + responseTimeout;
+    REQUIRE(health.platformResponded(now, now).size() == 1);
+    health.callTimedOut(call, now);
+    CHECK(health.isUnresponsive(firstPeer));
+    CHECK_FALSE(health.isProbeDue(firstPeer, now + initialPeerExclusion - Milliseconds(1)));
+    now += initialPeerExclusion;
+    CHECK(health.isProbeDue(firstPeer, now));
+    CHECK_FALSE(health.isAvailable(firstPeer, now));
+    const RelayCallId unansweredProbe = health.callSent(firstPeer, now, now + responseTimeout);
+    CHECK_FALSE(health.isProbeDue(firstPeer, now));
+    now += responseTimeout * 2;
+    health.callTimedOut(unansweredProbe, now);
+    CHECK_FALSE(health.isProbeDue(firstPeer, now + initialPeerExclusion * 2 - Milliseconds(1)));
+    now += initialPeerExclusion * 2;
+    CHECK(health.isProbeDue(firstPeer, now));
+    const RelayCallId answeredProbe = health.callSent(firstPeer, now, now + responseTimeout);
+    CHECK(health.callSucceeded(answeredProbe, now).empty());
+    CHECK(health.isAvailable(firstPeer, now));
+    CHECK_FALSE(health.hasUnresponsivePeers());
+}
+
+// Guards against a fleet in which more proxies read from the platform although their peers respond.
+TEST_CASE("calls count as unanswered until any peer responds, with or without data", "[proxy]")
+{
+    RelayPeerHealth health;
+    const RelayCallId lateCall = health.callSent(firstPeer, start, start + responseTimeout);
+    CHECK(health.unansweredCalls(start) == 0);
+    MonotonicTime now = start + responseTimeout;
+    CHECK(health.unansweredCalls(now) == 1);
+    static_cast<void>(health.callSent(secondPeer, now, now + responseTimeout));
+    now += responseTimeout;
+    CHECK(health.unansweredCalls(now) == 2);
+    health.callTimedOut(lateCall, now);
+    CHECK(health.unansweredCalls(now) == 2);
+    static_cast<void>(health.callRejected(health.callSent(secondPeer, now, now + responseTimeout), now));
+    CHECK(health.unansweredCalls(now + responseTimeout) == 0);
+}
+
+TEST_CASE("the exclusion of a peer that is no longer known is forgotten", "[proxy]")
+{
+    RelayPeerHealth health;
+    for (const Address &peer : {firstPeer, secondPeer})
+        static_cast<void>(health.callSent(peer, start, start + responseTimeout));
+    REQUIRE(health.platformResponded(start + responseTimeout, start + responseTimeout).size() == 2);
+    health.retain({{RegionName("east"), secondPeer}});
+    CHECK_FALSE(health.isUnresponsive(firstPeer));
+    CHECK(health.isUnresponsive(secondPeer));
+}
+
 TEST_CASE("a response ends the exclusion of a peer", "[proxy]")
 {
     RelayPeerHealth health;
@@ -86,13 +140,28 @@
     CHECK(health.isAvailable(firstPeer, start + responseTimeout));
 }
 
+// Guards against a lost peer that is never excluded because its connection attempt ends before another source has
+// responded to the next call.
+TEST_CASE("a call without a response excludes its peer when another source responds to a later call", "[proxy]")
+{
+    RelayPeerHealth health;
+    const RelayCallId call = health.callSent(firstPeer, start, start + responseTimeout);
+    const MonotonicTime later = start + responseTimeout + Milliseconds(300);
+    health.callTimedOut(call, later);
+    CHECK(health.platformResponded(start + responseTimeout - Milliseconds(1), later).empty());
+    const auto exclusions = health.platformResponded(start + responseTimeout, later + Milliseconds(100));
+    REQUIRE(exclusions.size() == 1);
+    CHECK(exclusions.front().address == firstPeer);
+    CHECK(health.isUnresponsive(firstPeer));
+}
+
 // Guards against calls that stay recorded after they ended and make their peer unavailable for good.
 TEST_CASE("a call that ended without a response does not make its peer unavailable", "[proxy]")
 {
     RelayPeerHealth health;
     const RelayCallId call = health.callSent(firstPeer, start, start + responseTimeout);
     CHECK_FALSE(health.isAvailable(firstPeer, start + responseTimeout));
-    health.callTimedOut(call);
+    health.callTimedOut(call, start + responseTimeout);
     CHECK(health.isAvailable(firstPeer, start + responseTimeout));
 }
 
