Keep what was acknowledged to a target across restarts of its proxy

Callers saw: requests executed by a target 6 s after its leave had been acknowledged.

Cause: the acknowledged state was kept in memory only. The row in the table held it too, but the next process overwrote the row without reading it. On the same path: a leave of a target that the process did not know was acknowledged and forgotten; a leave of a later start than the known one did not cover that start; the acknowledgement came before the row was written; an unconditional write whose response was lost could replace a newer row later. Ruled out: that the other proxy had not heard of the leave, and the heartbeat's sequence.

Change: TargetRow reads the row from the platform before the first write, and writes on condition of the version last seen. LocalTarget applies the record in any order with announcements, and accepts requests only when it is known and the target has announced itself to this process. A departure takes effect at once and is acknowledged when the row holds it; after 0.8 s it is answered 503.

Existing tests of LocalTarget start from a target whose record is known to be absent; their assertions are the same.

--- a/include/dandeliondock/proxy/control_duty.h
+++ b/include/dandeliondock/proxy/control_duty.h
@@ -11,6 +11,7 @@
 #include <dandeliondock/proxy/table_relay_client.h>
 #include <dandeliondock/proxy/table_relay_server.h>
 #include <dandeliondock/proxy/table_watch.h>
+#include <dandeliondock/proxy/target_row.h>
 #include <dandeliondock/store/async_table.h>
 
 #include <absl/container/flat_hash_map.h>
@@ -29,18 +30,29 @@
     Address address; ///< inbound address of the target's proxy
 };
 
+/// \brief Record of the local target as found in its row; empty if there is none.
+struct TargetRecordRead
+{
+    std::optional<Endpoint> record;
+};
+
+/// \brief The row of the local target holds an announced record.
+struct TargetRecorded
+{
+    Endpoint record;
+};
+
 /// \brief The configuration and all targets were read for the first time.
 struct InitialSyncDone
 {
 };
 
 /// \brief Message from the control duty to the traffic duty.
-using ControlUpdate = std::variant<ProxyConfigPtr, ServiceVersions, Endpoint, EndpointRemoved, InitialSyncDone>;
+using ControlUpdate = std::variant<ProxyConfigPtr, ServiceVersions, Endpoint, EndpointRemoved, TargetRecordRead,
+                                   TargetRecorded, InitialSyncDone>;
 
 /// \brief Name of the table that the proxies share.
 inline constexpr absl::string_view sharedTableName = "dandeliondock";
-/// \brief Base delay before a failed write of a target's or service's row is retried.
-inline constexpr Milliseconds rowWriteRetryDelay{400};
 /// \brief Time over which proxies that start when no other one is known spread their first read of the operator's
 /// table. The first ones relay it to the others, so that it crosses the links between regions a few times instead of
 /// once for each proxy.
@@ -85,6 +97,7 @@
     }
 
     /// \brief Announces the state of the local target to the other proxies.
+    /// \pre The record that an earlier process left was read, see TargetRecordRead.
     void announce(const Endpoint &endpoint);
 
     /// \brief Records the outcome of an attempt on the local target for the rollout that it belongs to.
@@ -99,7 +112,6 @@
     void applySharedRow(const TableRow &row);
     void removeSharedRow(const RowKey &key);
     void removeMissingTargets(const TableReadResult &result);
-    void writeTargetRow();
     void declareServiceVersion();
     void recordTableTime(const TableReadResult &result);
     void publishWhenSynced();
@@ -109,6 +121,7 @@
     [[nodiscard]] RolloutControlDependencies rolloutDependencies();
     [[nodiscard]] TableRelayClientDependencies relayClientDependencies();
     [[nodiscard]] TableRelayServerDependencies relayServerDependencies();
+    [[nodiscard]] TargetRowDependencies targetRowDependencies();
     [[nodiscard]] std::vector<RelayPeer> servingPeers() const;
     void startOperatorWatch();
 
@@ -120,16 +133,14 @@
     TableWatch m_operatorWatch;
     TableWatch m_sharedWatch;
     RolloutControl m_rolloutControl;
+    TargetRow m_targetRow;
     std::map<Address, Endpoint> m_endpoints; ///< by inbound address
     absl::flat_hash_map<ServiceName, ServiceVersions> m_serviceVersions;
     std::optional<Endpoint> m_localTarget;
-    std::optional<Endpoint> m_writtenTarget; ///< local target as last written to its row
-    LoopTimer m_targetRowTimer;
     LoopTimer m_serviceRowTimer;
     LoopTimer m_operatorWatchTimer;
     WallTime m_tableTime;
     MonotonicTime m_tableTimeReadAt;
-    bool m_isWritingTargetRow = false;
     bool m_hasConfig = false;
     bool m_isInitialSyncDone = false;
     bool m_isOperatorWatchStarted = false;
--- a/include/dandeliondock/proxy/inbound_handler.h
+++ b/include/dandeliondock/proxy/inbound_handler.h
@@ -76,7 +76,11 @@
     AnnouncementEffect announce(const TargetAnnouncement &announcement);
     /// \brief Applies a departure of the target; see LocalTarget::handleDeparture(). When the target no longer accepts
     /// requests, waiting ones are refused.
-    AnnouncementEffect handleDeparture(const TargetId &target, std::optional<Incarnation> startedAt);
+    AnnouncementEffect handleDeparture(const TargetId &target, std::optional<Incarnation> startedAt,
+                                       Incarnation latestStart);
+    /// \brief Applies the record of the target's row; see LocalTarget::applyRecord(). Until then, all requests are
+    /// refused. When the target no longer accepts requests, waiting ones are refused.
+    AnnouncementEffect applyRecord(const std::optional<TargetAnnouncement> &record);
 
     /// \brief Refuses waiting and all further requests, because this process is shutting down.
     void stop();
@@ -105,6 +109,7 @@
     void finish(const InboundJobPtr &job, InboundResult result);
     void runNext();
     void refuseWaiting();
+    AnnouncementEffect followTarget(AnnouncementEffect effect);
 
     InboundHandlerDependencies m_dependencies;
     LocalTarget m_target;
--- a/include/dandeliondock/store/async_table.h
+++ b/include/dandeliondock/store/async_table.h
@@ -87,6 +87,8 @@
 /// OutcomeUnknown for a commit that may have taken effect.
 struct AsyncTableHooks
 {
+    /// Reads one row of a table; the result is empty if there is no such row.
+    std::function<void(const TableName &, const RowKey &, TableReadHandler)> read;
     /// Reads all rows of a table.
     std::function<void(const TableName &, TableReadHandler)> list;
     /// Reads the changes after a version; the call is held until there is a change or \c hold has passed.
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -14,12 +14,6 @@
 namespace {
 
 constexpr int statusOk = 200;
-constexpr absl::string_view targetPrefix = "target/";
-
-RowKey targetKey(const Address &address)
-{
-    return RowKey(absl::StrCat(targetPrefix, address.value()));
-}
 
 TableName sharedTable()
 {
@@ -48,7 +42,7 @@
                   applySharedRows(result, isFull);
               },
               [this](bool isCurrent) { m_relayServer.setCurrent(sharedTable(), isCurrent); }),
-      m_rolloutControl(rolloutDependencies())
+      m_rolloutControl(rolloutDependencies()), m_targetRow(targetRowDependencies())
 {
 }
 
@@ -75,6 +69,22 @@
     return dependencies;
 }
 
+TargetRowDependencies ControlDuty::targetRowDependencies()
+{
+    TargetRowDependencies dependencies;
+    dependencies.loop = m_dependencies.loop;
+    dependencies.table = &m_dependencies.table;
+    dependencies.tableName = sharedTable();
+    dependencies.inboundAddress = m_dependencies.inboundAddress;
+    dependencies.random = m_dependencies.random;
+    dependencies.log = m_dependencies.log;
+    dependencies.onRead = [this](const std::optional<Endpoint> &record) {
+        m_dependencies.publish(TargetRecordRead{record});
+    };
+    dependencies.onRecorded = [this](const Endpoint &record) { m_dependencies.publish(TargetRecorded{record}); };
+    return dependencies;
+}
+
 std::vector<RelayPeer> ControlDuty::servingPeers() const
 {
     std::vector<RelayPeer> peers;
@@ -119,6 +129,7 @@
 void ControlDuty::start()
 {
     m_loopMonitor.start();
+    m_targetRow.start();
     m_sharedWatch.start();
 }
 
@@ -139,34 +150,7 @@
 void ControlDuty::announce(const Endpoint &endpoint)
 {
     m_localTarget = endpoint;
-    writeTargetRow();
-}
-
-void ControlDuty::writeTargetRow()
-{
-    if (m_isWritingTargetRow || !m_localTarget || m_localTarget == m_writtenTarget)
-        return;
-    m_isWritingTargetRow = true;
-    TableTransaction transaction;
-    transaction.writes.push_back(
-            {sharedTable(), {targetKey(m_dependencies.inboundAddress), encodeTargetRow(*m_localTarget)}});
-    m_dependencies.table.commit(transaction, [this, writtenTarget =
-                                                            *m_localTarget](absl::StatusOr<TableCommitResult> result) {
-        m_isWritingTargetRow = false;
-        if (result.ok() && result->committed) {
-            m_writtenTarget = writtenTarget;
-            writeTargetRow();
-            return;
-        }
-        LogEvent event(LogLevel::Warn, "target.row_not_written");
-        event.field("target", writtenTarget.target);
-        if (!result.ok())
-            event.error(result.status());
-        event.write(m_dependencies.log);
-        const auto delay =
-                rowWriteRetryDelay / 2 + Milliseconds(uniformBelow(m_dependencies.random, rowWriteRetryDelay.count()));
-        m_targetRowTimer = m_dependencies.loop->after(delay, [this] { writeTargetRow(); });
-    });
+    m_targetRow.announce(endpoint);
     declareServiceVersion();
 }
 
@@ -243,7 +227,9 @@
 {
     absl::string_view name = row.key.value();
     absl::Status status;
-    if (absl::ConsumePrefix(&name, targetPrefix)) {
+    if (absl::ConsumePrefix(&name, targetRowPrefix)) {
+        if (name == m_dependencies.inboundAddress.value())
+            m_targetRow.handleTableVersion(row.version);
         const auto endpoint = decodeTargetRow(Address(std::string(name)), row.value);
         status = endpoint.status();
         if (endpoint.ok()) {
@@ -274,16 +260,13 @@
 void ControlDuty::removeSharedRow(const RowKey &key)
 {
     absl::string_view name = key.value();
-    if (!absl::ConsumePrefix(&name, targetPrefix))
+    if (!absl::ConsumePrefix(&name, targetRowPrefix))
         return;
     const Address address{std::string(name)};
     m_endpoints.erase(address);
     m_dependencies.publish(EndpointRemoved{address});
-    if (address == m_dependencies.inboundAddress && m_localTarget
-        && m_localTarget->stamp.state != EndpointState::Gone) {
-        m_writtenTarget.reset();
-        writeTargetRow();
-    }
+    if (address == m_dependencies.inboundAddress)
+        m_targetRow.handleTableVersion(RowVersion());
 }
 
 void ControlDuty::removeMissingTargets(const TableReadResult &result)
@@ -293,8 +276,9 @@
         presentKeys.insert(row.key);
     std::vector<RowKey> missingKeys;
     for (const auto &[address, endpoint] : m_endpoints) {
-        if (!presentKeys.contains(targetKey(address)))
-            missingKeys.push_back(targetKey(address));
+        const RowKey key = TargetRow::keyOf(address);
+        if (!presentKeys.contains(key))
+            missingKeys.push_back(key);
     }
     for (const RowKey &key : missingKeys)
         removeSharedRow(key);
--- a/src/proxy/inbound_handler.cpp
+++ b/src/proxy/inbound_handler.cpp
@@ -331,16 +331,24 @@
 
 AnnouncementEffect InboundHandler::announce(const TargetAnnouncement &announcement)
 {
-    const AnnouncementEffect effect = m_target.announce(announcement, EventLoop::now());
-    m_queue.setSlots(m_target.current()->slots);
-    if (!m_target.acceptsRequests())
-        refuseWaiting();
-    return effect;
+    return followTarget(m_target.announce(announcement, EventLoop::now()));
+}
+
+AnnouncementEffect InboundHandler::handleDeparture(const TargetId &target, std::optional<Incarnation> startedAt,
+                                                   Incarnation latestStart)
+{
+    return followTarget(m_target.handleDeparture(target, startedAt, latestStart));
+}
+
+AnnouncementEffect InboundHandler::applyRecord(const std::optional<TargetAnnouncement> &record)
+{
+    return followTarget(m_target.applyRecord(record));
 }
 
-AnnouncementEffect InboundHandler::handleDeparture(const TargetId &target, std::optional<Incarnation> startedAt)
+AnnouncementEffect InboundHandler::followTarget(AnnouncementEffect effect)
 {
-    const AnnouncementEffect effect = m_target.handleDeparture(target, startedAt);
+    if (m_target.current())
+        m_queue.setSlots(m_target.current()->slots);
     if (!m_target.acceptsRequests())
         refuseWaiting();
     return effect;
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -114,6 +114,10 @@
         m_forwarder.setEndpoint(*endpoint);
     } else if (auto *removed = std::get_if<EndpointRemoved>(&update)) {
         m_forwarder.removeEndpoint(removed->address);
+    } else if (const auto *read = std::get_if<TargetRecordRead>(&update)) {
+        applyTargetRecord(read->record);
+    } else if (const auto *recorded = std::get_if<TargetRecorded>(&update)) {
+        handleTargetRecorded(recorded->record);
     } else if (!std::exchange(m_isSynced, true)) {
         LogEvent(LogLevel::Info, "proxy.ready").field("node", m_settings.node).write(m_log);
     }
@@ -133,27 +137,61 @@
         context->respond(statusOnly(errorKind(message.status()) == ErrorKind::NotFound ? notFound : badRequest));
         return;
     }
-    if (const auto *announcement = std::get_if<TargetAnnouncement>(&*message)) {
-        if (announcement->address != m_settings.target || announcement->service != m_settings.service) {
-            LogEvent(LogLevel::Warn, "target.announcement_of_another")
-                    .field("target", announcement->target)
-                    .field("address", announcement->address)
-                    .field("service", announcement->service)
-                    .write(m_log);
-            context->respond(statusOnly(badRequest));
-            return;
-        }
-        publishIfChanged(m_inbound.announce(*announcement));
-    } else {
-        const auto &departure = std::get<TargetDeparture>(*message);
-        publishIfChanged(m_inbound.handleDeparture(departure.target, departure.startedAt));
+    const auto *announcement = std::get_if<TargetAnnouncement>(&*message);
+    if (announcement && (announcement->address != m_settings.target || announcement->service != m_settings.service)) {
+        LogEvent(LogLevel::Warn, "target.announcement_of_another")
+                .field("target", announcement->target)
+                .field("address", announcement->address)
+                .field("service", announcement->service)
+                .write(m_log);
+        context->respond(statusOnly(badRequest));
+        return;
     }
-    context->respond(statusOnly(ok));
+    const bool isDeparture = announcement == nullptr || announcement->state != EndpointState::Serving;
+    const AnnouncementEffect effect = applyTargetMessage(*message);
+    if (effect == AnnouncementEffect::Changed)
+        publishTarget();
+    // A stale departure is of an earlier start, which is not in use.
+    if (isDeparture && effect != AnnouncementEffect::Stale)
+        acknowledgeWhenRecorded(context);
+    else
+        context->respond(statusOnly(ok));
+}
+
+AnnouncementEffect TrafficDuty::applyTargetMessage(const TargetMessage &message)
+{
+    if (const auto *announcement = std::get_if<TargetAnnouncement>(&message))
+        return m_inbound.announce(*announcement);
+    const auto &departure = std::get<TargetDeparture>(message);
+    const auto now = std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch());
+    return m_inbound.handleDeparture(departure.target, departure.startedAt,
+                                     Incarnation(static_cast<std::uint64_t>(now.count())));
 }
 
-void TrafficDuty::publishIfChanged(AnnouncementEffect effect)
+void TrafficDuty::applyTargetRecord(const std::optional<Endpoint> &record)
 {
-    if (effect != AnnouncementEffect::Changed)
+    std::optional<TargetAnnouncement> state;
+    if (record) {
+        state.emplace();
+        state->target = record->target;
+        state->startedAt = record->stamp.incarnation;
+        state->sequence = record->stamp.sequence;
+        state->state = record->stamp.state;
+        state->address = record->address;
+        state->service = record->service;
+        state->version = record->version;
+        state->slots = record->slots;
+    }
+    const bool wasKnown = m_inbound.target().isRecordKnown();
+    const AnnouncementEffect effect = m_inbound.applyRecord(state);
+    if (m_inbound.target().isAnnounced() && (!wasKnown || effect == AnnouncementEffect::Changed))
+        publishTarget();
+}
+
+// The other proxies learn of the target only when it is known what an earlier process acknowledged to it.
+void TrafficDuty::publishTarget()
+{
+    if (!m_inbound.target().isRecordKnown())
         return;
     const Endpoint endpoint = localEndpoint();
     LogEvent(LogLevel::Info, "target.announced")
@@ -167,6 +205,43 @@
     m_publish(endpoint);
 }
 
+bool TrafficDuty::covers(const EndpointStamp &record, const EndpointStamp &stamp)
+{
+    return record.incarnation > stamp.incarnation
+           || (record.incarnation == stamp.incarnation && record.state >= stamp.state);
+}
+
+void TrafficDuty::acknowledgeWhenRecorded(const HttpRequestContextPtr &context)
+{
+    const EndpointStamp stamp = localEndpoint().stamp;
+    if (m_recordedStamp && covers(*m_recordedStamp, stamp)) {
+        context->respond(statusOnly(ok));
+        return;
+    }
+    const auto position = m_unrecordedDepartures.insert(m_unrecordedDepartures.end(), {context, stamp, {}});
+    position->timeout = m_loop.after(departureRecordTimeout, [this, position] {
+        const HttpRequestContextPtr late = position->context;
+        LogEvent(LogLevel::Warn, "target.departure_not_recorded")
+                .field("target", m_inbound.target().current()->target)
+                .write(m_log);
+        m_unrecordedDepartures.erase(position);
+        late->respond(statusOnly(unavailable));
+    });
+}
+
+void TrafficDuty::handleTargetRecorded(const Endpoint &record)
+{
+    m_recordedStamp = record.stamp;
+    for (auto departure = m_unrecordedDepartures.begin(); departure != m_unrecordedDepartures.end();) {
+        if (!covers(record.stamp, departure->stamp)) {
+            ++departure;
+            continue;
+        }
+        departure->context->respond(statusOnly(ok));
+        departure = m_unrecordedDepartures.erase(departure);
+    }
+}
+
 Endpoint TrafficDuty::localEndpoint() const
 {
     const TargetAnnouncement &target = *m_inbound.target().current();
@@ -175,7 +250,7 @@
     endpoint.stamp = {target.startedAt, target.sequence, target.state};
     endpoint.address = m_settings.target;
     endpoint.controlAddress = m_settings.inbound;
-    endpoint.service = target.service;
+    endpoint.service = m_settings.service;
     endpoint.version = target.version;
     endpoint.region = m_settings.region;
     endpoint.dataCentre = m_settings.dataCentre;
@@ -254,7 +329,7 @@
 bool TrafficDuty::isIdle() const
 {
     return m_callerServer.activeRequests() == 0 && m_callerServer.unwrittenResponses() == 0 && m_inbound.openJobs() == 0
-           && m_inboundServer.unwrittenResponses() == 0;
+           && m_inboundServer.unwrittenResponses() == 0 && m_unrecordedDepartures.empty();
 }
 
 void TrafficDuty::checkDrained()
--- a/src/proxy/traffic_duty.h
+++ b/src/proxy/traffic_duty.h
@@ -10,6 +10,7 @@
 #include <dandeliondock/proxy/proxy.h>
 
 #include <functional>
+#include <list>
 #include <optional>
 #include <variant>
 #include <vector>
@@ -42,6 +43,9 @@
 /// \brief Message from the traffic duty to the control duty.
 using TrafficUpdate = std::variant<Endpoint, RolloutAttempts, PeerCall>;
 
+/// \brief Time in which the departure of the target must be recorded for it to be acknowledged; the target gives up on
+/// a message after a second.
+inline constexpr Milliseconds departureRecordTimeout{800};
 /// \brief Shortest time for which a draining proxy still accepts callers' requests. Readiness is checked every second,
 /// and callers stay away after two failed checks.
 inline constexpr Milliseconds minDrainTime{3'000};
@@ -52,6 +56,14 @@
 /// \brief Interval at which a draining proxy checks for open requests.
 inline constexpr Milliseconds drainCheckInterval{100};
 
+/// \brief A message by which the target leaves and which is acknowledged when its row says so.
+struct UnrecordedDeparture
+{
+    HttpRequestContextPtr context;
+    EndpointStamp stamp;
+    LoopTimer timeout;
+};
+
 /// \brief The duty that serves requests: runs all listeners, the inbound handler and the forwarder on one event loop.
 ///
 /// \remark Every method must be called on the duty's loop, or before the loop runs.
@@ -76,7 +88,16 @@
     void handleTargetMessage(const HttpRequestContextPtr &context);
     void handleInbound(const HttpRequestContextPtr &context);
     void handleMetrics(const HttpRequestContextPtr &context);
-    void publishIfChanged(AnnouncementEffect effect);
+    /// Applies a message of the target. Returns Stale for one that is older than the known state.
+    AnnouncementEffect applyTargetMessage(const TargetMessage &message);
+    void applyTargetRecord(const std::optional<Endpoint> &record);
+    void publishTarget();
+    /// Responds once the row of the target holds the state known now, so that it survives this process; responds with
+    /// an error when that takes too long.
+    void acknowledgeWhenRecorded(const HttpRequestContextPtr &context);
+    void handleTargetRecorded(const Endpoint &record);
+    /// Whether a record says of a target at least what \c stamp says.
+    [[nodiscard]] static bool covers(const EndpointStamp &record, const EndpointStamp &stamp);
     [[nodiscard]] bool isIdle() const;
     void checkDrained();
     void batchAttempt(RolloutAttempt attempt);
@@ -104,6 +125,8 @@
     RolloutAttempts m_batchedAttempts;
     LoopTimer m_batchTimer;
     LoopTimer m_drainTimer;
+    std::list<UnrecordedDeparture> m_unrecordedDepartures;
+    std::optional<EndpointStamp> m_recordedStamp; ///< of the target, as last recorded in its row
     MonotonicTime m_drainStartedAt;
     std::optional<MonotonicTime> m_listenerClosedAt;
     std::function<void()> m_onDrained;
--- a/tests/platform/proxy_test.cpp
+++ b/tests/platform/proxy_test.cpp
@@ -135,11 +135,22 @@
         settings.store = store;
         settings.grace = grace;
         settings.responseRate = responseRate;
+        start();
+    }
+
+    void start()
+    {
         auto started = Proxy::start(settings, platform::adapter(), nullptr);
         REQUIRE(started.ok());
         proxy = *std::move(started);
     }
 
+    void restart()
+    {
+        proxy.reset();
+        start();
+    }
+
     Target target;
     ProxySettings settings;
     std::unique_ptr<Proxy> proxy;
@@ -193,6 +204,13 @@
         return call(instance.settings.announcements, request).status;
     }
 
+    int leave(const Instance &instance)
+    {
+        const HttpRequest request{
+                "POST", "/api/rpc?call=instances.leave&of=" + instance.settings.node.value(), {}, R"({"born":1000})"};
+        return call(instance.settings.announcements, request).status;
+    }
+
     /// Waits until \c condition holds; returns false if it does not within testTimeout.
     static bool eventually(const std::function<bool()> &condition)
     {
@@ -248,6 +266,54 @@
     CHECK(deployment.second.target.runs == runs);
 }
 
+// Guards against a proxy that was restarted and puts a target back into use whose departure it has acknowledged, when a
+// delayed heartbeat arrives.
+TEST_CASE("a target that left before its proxy was restarted is not used after a delayed heartbeat", "[platform]")
+{
+    Deployment deployment;
+    REQUIRE(deployment.announce(deployment.second, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.first); }));
+    REQUIRE(deployment.leave(deployment.second) == 200);
+    deployment.second.restart();
+    REQUIRE(deployment.eventually([&] { return deployment.isReady(deployment.second); }));
+    const int runs = deployment.second.target.runs;
+    CHECK(deployment.announce(deployment.second, "ready", 9) == 200);
+    std::this_thread::sleep_for(Seconds(1));
+    CHECK(deployment.callProxy(deployment.first, "/a/1").status == 503);
+    CHECK(deployment.callProxy(deployment.second, "/a/1").status == 503);
+    CHECK(deployment.second.target.runs == runs);
+}
+
+// Guards against a departure that is acknowledged by a proxy which keeps no note of it, because it was restarted and
+// has not heard of the target yet.
+TEST_CASE("a departure of a target that its proxy does not know is kept", "[platform]")
+{
+    Deployment deployment;
+    REQUIRE(deployment.eventually([&] { return deployment.isReady(deployment.second); }));
+    REQUIRE(deployment.leave(deployment.second) == 200);
+    CHECK(deployment.announce(deployment.second, "ready", 9) == 200);
+    std::this_thread::sleep_for(Seconds(1));
+    CHECK(deployment.callProxy(deployment.first, "/a/1").status == 503);
+    CHECK(deployment.second.target.runs == 0);
+}
+
+// Guards against an acknowledgement that a restart of the proxy would make void: nothing would tell the next process.
+TEST_CASE("a departure is acknowledged when it is recorded, and takes effect at once", "[platform]")
+{
+    Deployment deployment;
+    REQUIRE(deployment.announce(deployment.second, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.first); }));
+    FakeStoreFaults faults;
+    faults.refusesAll = true;
+    deployment.store.setFaults(faults);
+    CHECK(deployment.announce(deployment.second, "draining", 2) == 503);
+    const int runs = deployment.second.target.runs;
+    CHECK(deployment.callProxy(deployment.first, "/a/1").status == 503);
+    CHECK(deployment.second.target.runs == runs);
+    deployment.store.setFaults({});
+    CHECK(deployment.eventually([&] { return deployment.announce(deployment.second, "draining", 3) == 200; }));
+}
+
 // Guards against retries that multiply along a call chain: each retried execution repeats its own calls, which fail in
 // the same way, so that the called targets receive more requests than the shared retry budget allows.
 TEST_CASE("a request whose target failed is retried, unless it failed because its own call to another service failed",
--- a/tests/proxy/control_duty_test.cpp
+++ b/tests/proxy/control_duty_test.cpp
@@ -35,6 +35,9 @@
     bool isDown = true;
     std::vector<std::string> writtenKeys;
     ControlDutyDependencies dependencies;
+    dependencies.table.read = [&](const TableName &, const RowKey &, const TableReadHandler &handler) {
+        thread.loop().post([handler] { handler(TableReadResult()); });
+    };
     dependencies.table.list = [&](const TableName &, const TableReadHandler &handler) {
         thread.loop().post([handler] { handler(TableReadResult()); });
     };
--- a/tests/proxy/inbound_handler_test.cpp
+++ b/tests/proxy/inbound_handler_test.cpp
@@ -128,6 +128,7 @@
         dependencies.versions = [](const ServiceName &) -> const ServiceVersions * { return nullptr; };
         dependencies.lastDependencyFailure = [] { return MonotonicTime(); };
         handler = std::make_unique<InboundHandler>(dependencies);
+        handler->applyRecord(std::nullopt);
         handler->announce({targetId,
                            Incarnation(1),
                            SequenceNumber(1),
