Refuse a response whose head is joined from parts of two responses

Cause: a faulty target begins to send an earlier response again and breaks off within its head; the response to the request follows. Read as one head it has the status of the first, and the id, seal and body of the second: a reason phrase or header value may hold any text, a status line too. The node's client (libcurl) keeps the first status as well when another status line follows.

Change: both clients refuse a response in whose head another status line stands. The request may have run; the connection is closed.

Both tests break off after each byte of a head and failed before.

--- a/include/dandeliondock/http/message.h
+++ b/include/dandeliondock/http/message.h
@@ -45,6 +45,10 @@
 /// \brief Removes the hop-by-hop headers and those that the Connection header lists. Thread-safe for distinct objects.
 void removeHopByHopHeaders(HttpHeaders &headers);
 
+/// \brief Whether a part of the head of a response contains the status line of another response. A peer that breaks off
+/// within the head of a response and sends another one produces such a head. Thread-safe.
+[[nodiscard]] bool containsStatusLine(absl::string_view text);
+
 /// \brief A request with its complete body; \c target is the raw path and query as received.
 struct HttpRequest
 {
--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -46,6 +46,16 @@
     return std::nullopt;
 }
 
+// The status line of a complete head is its first line and in no other place.
+bool isJoinedHead(const http::response_header<> &head)
+{
+    const auto hasStatusLine = [](boost::beast::string_view text) {
+        return containsStatusLine({text.data(), text.size()});
+    };
+    return hasStatusLine(head.reason())
+           || std::any_of(head.begin(), head.end(), [&](const auto &line) { return hasStatusLine(line.value()); });
+}
+
 bool mayHaveBody(absl::string_view method)
 {
     return method != "GET" && method != "HEAD" && method != "DELETE";
@@ -440,6 +450,10 @@
         fail(isTruncated ? ErrorKind::Truncated : ErrorKind::MayHaveRun, error.message());
         return;
     }
+    if (isJoinedHead(m_parser->get())) {
+        fail(ErrorKind::MayHaveRun, "the head of the response begins with a part of another one");
+        return;
+    }
     if (m_parser->get().result_int() < 200) {
         skipResponse();
         return;
--- a/src/http/call_state.cpp
+++ b/src/http/call_state.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr int firstFinalStatus = 200;
+constexpr absl::string_view protocolName = "HTTP/";
+constexpr std::size_t abortTransfer = 0; // returned by a hook in place of the number of bytes
 
 // libcurl repeats a request by itself when a reused connection closes without a response. It calls this hook each time
 // before it sends the request, so that the second attempt is aborted here. Before the first call no byte was sent.
@@ -63,12 +65,20 @@
     const absl::string_view line(data, size);
     if (state->headersComplete) // trailers are dropped
         return size;
-    if (absl::StartsWith(line, "HTTP/"))
+    const bool isStatusLine = absl::StartsWith(line, protocolName);
+    const bool isJoined = isStatusLine ? state->hasStatusLine || containsStatusLine(line.substr(protocolName.size()))
+                                       : containsStatusLine(line);
+    if (isJoined)
+        return abortTransfer;
+    if (isStatusLine) {
         state->response.headers = HttpHeaders();
-    else if (absl::StripAsciiWhitespace(line).empty())
+        state->hasStatusLine = true;
+    } else if (absl::StripAsciiWhitespace(line).empty()) {
         finishHead(*state);
-    else
+        state->hasStatusLine = false;
+    } else {
         addHeader(*state, line);
+    }
     return size;
 }
 
--- a/src/http/call_state.h
+++ b/src/http/call_state.h
@@ -46,6 +46,7 @@
     CURLcode code = CURLE_OK;
     int sendAttempts = 0; ///< number of times that libcurl was about to send the request
     int socket = -1;
+    bool hasStatusLine = false; ///< of the head that is being received
     bool headersComplete = false;
     bool finished = false;
     bool paused = false;
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -43,6 +43,25 @@
     headers.removeIf(&isHopByHop);
 }
 
+bool containsStatusLine(absl::string_view text)
+{
+    constexpr absl::string_view protocol = "HTTP/";
+    constexpr absl::string_view rest = "1.1 200"; // each digit stands for any digit
+    for (std::size_t found = text.find(protocol); found != absl::string_view::npos;
+         found = text.find(protocol, found + 1)) {
+        const absl::string_view candidate = text.substr(found + protocol.size(), rest.size());
+        const bool isStatusLine =
+                std::equal(candidate.begin(), candidate.end(), rest.begin(), rest.end(), [](char actual, char pattern) {
+                    return absl::ascii_isdigit(static_cast<unsigned char>(pattern))
+                                   ? absl::ascii_isdigit(static_cast<unsigned char>(actual))
+                                   : actual == pattern;
+                });
+        if (isStatusLine)
+            return true;
+    }
+    return false;
+}
+
 void HttpHeaders::add(absl::string_view name, absl::string_view value)
 {
     m_lines.push_back({std::string(name), std::string(value)});
--- a/tests/http/async_client_test.cpp
+++ b/tests/http/async_client_test.cpp
@@ -115,6 +115,46 @@
     CHECK(result.response.body == "right");
 }
 
+// Guards against a failure that is passed on as a success with an empty or short body.
+TEST_CASE("a response that ends within its head is an error", "[http]")
+{
+    const std::string response = responseTo("1", "first");
+    const std::size_t headSize = response.find(endOfHead) + endOfHead.size();
+    for (std::size_t length = 0; length < headSize; ++length) {
+        RawListener listener([&](const RawConnection &connection, int) {
+            static_cast<void>(connection.readUntil("body"));
+            connection.write(response.substr(0, length));
+        });
+        TestClient client;
+        const AsyncCallResult result = client.call(listener.address(), "1");
+        INFO("a head of " << length << " bytes");
+        CHECK(errorKind(result.status) == ErrorKind::MayHaveRun);
+    }
+}
+
+// Guards against a response put together from two: a faulty target begins to send an earlier response again, breaks off
+// within its head and sends the response to the request. A failure became a success by the status of the earlier one.
+TEST_CASE("a response whose head begins with a part of another response is not passed on", "[http]")
+{
+    const std::string earlier =
+            "HTTP/1.1 200 OK\r\nServer: a b c\r\nLoad: 1,0,8\r\nId: 1\r\nContent-Length: 5\r\n\r\nfirst";
+    const std::string failure = "HTTP/1.1 500 Internal Server Error\r\nId: 2\r\nContent-Length: 6\r\n\r\nfailed";
+    for (std::size_t length = 1; length < earlier.size(); ++length) {
+        RawListener listener([&](const RawConnection &connection, int) {
+            static_cast<void>(connection.readUntil("body"));
+            connection.write(earlier);
+            static_cast<void>(connection.readUntil("body"));
+            connection.write(earlier.substr(0, length) + failure);
+        });
+        TestClient client;
+        REQUIRE(client.call(listener.address(), "1").status.ok());
+        const AsyncCallResult result = client.call(listener.address(), "2");
+        INFO("a part of " << length << " bytes");
+        CHECK_FALSE(result.status.ok());
+        CHECK(result.maybeSent);
+    }
+}
+
 // Guards against a refusal that is taken for the response to a request that runs: a faulty target sends an earlier one
 // again on a kept connection, without an id.
 TEST_CASE("a response without an id on a reused connection is not taken for the response to the request", "[http]")
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -50,6 +50,26 @@
     CHECK(server.connections() <= 2);
 }
 
+// Guards against a response put together from two: a failure became a success by the status of an earlier response that
+// a faulty target began to send again.
+TEST_CASE("a response of a target whose head begins with a part of another response is not passed on", "[http]")
+{
+    const std::string earlier = "HTTP/1.1 200 OK\r\nServer: a b c\r\nLoad: 1,0,8\r\nContent-Length: 5\r\n\r\nfirst";
+    const std::string failure = "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 6\r\n\r\nfailed";
+    const std::size_t headSize = earlier.find(endOfHead) + 4;
+    for (std::size_t length = 1; length < headSize; ++length) {
+        RawListener server([&](const RawConnection &connection, int) {
+            static_cast<void>(connection.readUntil("ORDER"));
+            connection.write(earlier.substr(0, length) + failure);
+        });
+        HttpClient client;
+        const SendResult result = client.send(server.address(), order(), {});
+        INFO("a part of " << length << " bytes");
+        CHECK_FALSE(result.response.ok());
+        CHECK(result.maybeSent);
+    }
+}
+
 // Guards against a refused connection being reported as a request that may have run.
 TEST_CASE("a refused connection means that nothing was sent", "[http]")
 {
