Fail a call whose connection closes within the head of its response

What callers see (report of operators): a target stops in the middle of the head of its response and closes; the node's caller gets 200 with an empty body, framed as whole.

Cause: libcurl reports such a transfer as successful, and the response object starts with status 200. The proxy's client is not affected: its test passes on the code before.

Change: a transfer that ends before the final head is complete is an error, and its connection is not reused. Truncated is what ends after its head.

--- a/src/http/call.cpp
+++ b/src/http/call.cpp
@@ -74,8 +74,7 @@
         return m_state->poolStatus;
     if (m_state->sendAttempts == 0)
         return makeError(ErrorKind::NotSent, m_state->errorText);
-    const bool truncated = m_state->code == CURLE_PARTIAL_FILE || m_state->headersComplete;
-    return makeError(truncated ? ErrorKind::Truncated : ErrorKind::MayHaveRun, m_state->errorText);
+    return makeError(m_state->headersComplete ? ErrorKind::Truncated : ErrorKind::MayHaveRun, m_state->errorText);
 }
 
 HttpResponse &HttpCall::response() noexcept
--- a/src/http/call_state.cpp
+++ b/src/http/call_state.cpp
@@ -213,8 +213,10 @@
     finished = true;
     code = result;
     curl_multi_remove_handle(connection.multi.get(), connection.easy.get());
+    // libcurl takes a connection that closes within the head of a response for the end of a response without a body.
+    if (code == CURLE_OK && !headersComplete)
+        code = CURLE_RECV_ERROR;
     if (code == CURLE_OK) {
-        headersComplete = true;
         pool->release(address, std::move(connection));
         return;
     }
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -50,6 +50,24 @@
     CHECK(server.connections() <= 2);
 }
 
+// Guards against a failure that is passed on as a success with an empty or short body.
+TEST_CASE("a response of a target that ends within its head is an error", "[http]")
+{
+    const std::string response = okResponse;
+    const std::size_t headSize = response.find(endOfHead) + 4;
+    for (std::size_t length = 0; length < headSize; ++length) {
+        RawListener server([&](const RawConnection &connection, int) {
+            static_cast<void>(connection.readUntil("ORDER"));
+            connection.write(response.substr(0, length));
+        });
+        HttpClient client;
+        const SendResult result = client.send(server.address(), order(), {});
+        INFO("a head of " << length << " bytes");
+        CHECK(result.maybeSent);
+        CHECK(errorKind(result.response.status()) == ErrorKind::MayHaveRun);
+    }
+}
+
 // Guards against a response put together from two: a failure became a success by the status of an earlier response that
 // a faulty target began to send again.
 TEST_CASE("a response of a target whose head begins with a part of another response is not passed on", "[http]")
