Limit the bytes of a connection that wait to be parsed

What callers see (report of operators): a faulty target sends bytes that are no response, without an end; the process keeps them all and runs out of memory, and the requests of other callers end with it.

Cause: the limits count heads and bodies. Between the chunks of a body the parser waits for a whole line, and for the whole of the trailers; the buffer in front of it had no limit, in the client and in the server.

Change: the buffer holds at most 128 kB, or twice the limit of a head. Beyond that a call fails, and a request gets 413.

Evidence: "endless bytes outside the body of a response fail early" failed in four of ten places (size and extension of a chunk, trailers, a trailer's value), "endless lines of a chunked body are rejected early" in both; they pass. The node's client was not affected; its test passes on the code before.

--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -27,6 +27,7 @@
 // Largest number of interim responses and responses to other requests that are skipped while one is awaited.
 constexpr int maxSkippedResponses = 16;
 constexpr std::uint32_t maxHeaderBytes = 65'536;
+static_assert(maxHeaderBytes < minUnparsedLimit);
 // Subtracted from the peer's keep-alive timeout, because the peer's close may already be on its way.
 constexpr Milliseconds keepAliveMargin{1'000};
 // Requests that one connection carries; it remembers their ids.
@@ -142,7 +143,8 @@
 {
 public:
     ClientConnection(std::shared_ptr<ClientState> client, Address address)
-        : m_client(std::move(client)), m_address(std::move(address)), m_socket(m_client->loop.state().context)
+        : m_client(std::move(client)), m_address(std::move(address)), m_socket(m_client->loop.state().context),
+          m_buffer(minUnparsedLimit)
     {
         m_buffer.reserve(headReadSize);
     }
--- a/src/http/beast_message.h
+++ b/src/http/beast_message.h
@@ -14,6 +14,10 @@
 /// \brief Buffer space for reading the head of a message; most requests are shorter.
 inline constexpr std::size_t headReadSize = 2'048;
 
+/// \brief Smallest limit on the bytes that wait to be parsed. The parser consumes a body as it arrives, but waits for
+/// the end of the line of a chunk and of the trailers, whose length nothing else limits.
+inline constexpr std::size_t minUnparsedLimit = 131'072;
+
 namespace asio = boost::asio;
 namespace beast = boost::beast;
 namespace http = beast::http;
@@ -34,7 +38,7 @@
 {
     if (buffer.size() > 0 || buffer.capacity() <= headReadSize)
         return;
-    buffer = {};
+    buffer = beast::flat_buffer(buffer.max_size());
     buffer.reserve(headReadSize);
 }
 
--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -21,7 +21,7 @@
 {
     if (error == http::error::header_limit)
         return http::status::request_header_fields_too_large;
-    if (error == http::error::body_limit)
+    if (error == http::error::body_limit || error == http::error::buffer_overflow)
         return http::status::payload_too_large;
     return http::status::bad_request;
 }
@@ -95,6 +95,7 @@
     m_parser = std::make_unique<Parser>();
     m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits.maxHeaderBytes.value()));
     m_parser->body_limit(m_server->limits.maxBodyBytes.value());
+    m_buffer.max_size(std::max<std::size_t>(minUnparsedLimit, 2 * m_server->limits.maxHeaderBytes.value()));
     m_readState = ReadState::Head;
     m_partialHeadSince.reset();
     http::async_read_header(
--- a/tests/http/async_client_test.cpp
+++ b/tests/http/async_client_test.cpp
@@ -325,6 +325,35 @@
     CHECK(client.call(valid.address(), "1").status.ok());
 }
 
+// Guards against endless bytes that are no response, and that the client keeps until its process runs out of memory.
+TEST_CASE("endless bytes outside the body of a response fail early", "[http]")
+{
+    const std::string chunkedHead = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::string line = "X: " + block.substr(0, 1'000) + "\r\n";
+    const std::pair<std::string, std::string> parts[] = {
+            {"", block},                             // no status line
+            {"HTTP/1.1 200 ", block},                // reason phrase
+            {"HTTP/1.1 200 OK\r\n", block},          // name of a header
+            {"HTTP/1.1 200 OK\r\nX: ", block},       // value of a header
+            {chunkedHead, std::string(65'536, '0')}, // size of a chunk
+            {chunkedHead + "5;", block},             // extension of a chunk
+            {chunkedHead + "5\r\nhello", block},     // end of a chunk
+            {chunkedHead + "0\r\n", line},           // trailers
+            {chunkedHead + "0\r\nX: ", block},       // value of a trailer
+            {"HTTP/1.1 200 OK\r\nId: 1\r\n", line},  // headers
+    };
+    TestClient client;
+    for (const auto &[beginning, repeated] : parts) {
+        RawListener listener(endlessResponse(beginning, repeated));
+        INFO(beginning);
+        const auto begin = std::chrono::steady_clock::now();
+        const AsyncCallResult result = client.call(listener.address(), "1", "POST", Milliseconds(30'000));
+        CHECK(std::chrono::steady_clock::now() - begin < Milliseconds(2'000));
+        CHECK_FALSE(result.status.ok());
+        CHECK(result.maybeSent);
+    }
+}
+
 // Guards against many responses that each stay below their own limit but use too much memory together, and against a
 // valid response that fails because of an endless one.
 TEST_CASE("when buffered responses exceed the memory limit, the largest one fails", "[http]")
--- a/tests/http/async_server_test.cpp
+++ b/tests/http/async_server_test.cpp
@@ -105,6 +105,20 @@
     CHECK(handled == 0);
 }
 
+// Guards against callers whose bytes are kept without a limit because their request never becomes complete.
+TEST_CASE("endless lines of a chunked body are rejected early", "[http]")
+{
+    TestServer server(respondWithEcho);
+    const std::string head = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string &beginning : {std::string("5;"), std::string("0\r\nX: ")}) {
+        RawConnection connection(server.port());
+        connection.write(head + beginning);
+        for (int block = 0; block < 8; ++block)
+            connection.write(std::string(65'536, 'x'));
+        CHECK_THAT(connection.readUntil("\r\n\r\n"), Catch::Contains("413"));
+    }
+}
+
 // Guards against responses that are sent out of order on a connection.
 TEST_CASE("pipelined requests get responses in order, and chunked bodies are complete", "[http]")
 {
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -88,6 +88,36 @@
     }
 }
 
+// Guards against endless bytes that are no response, and that the client keeps until its process runs out of memory.
+TEST_CASE("endless bytes of a target outside the body of a response fail early", "[http]")
+{
+    constexpr int blockCount = 400; // bounded so that the test ends
+    const std::string block(65'536, 'x');
+    const std::string line = "X: " + block.substr(0, 1'000) + "\r\n";
+    const std::string chunkedHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const std::pair<std::string, std::string> parts[] = {{"", block},
+                                                         {"HTTP/1.1 200 ", block},
+                                                         {"HTTP/1.1 200 OK\r\nX: ", block},
+                                                         {"HTTP/1.1 200 OK\r\n", line},
+                                                         {chunkedHead + "0\r\n", line},
+                                                         {chunkedHead, std::string(65'536, '0')}};
+    for (const auto &[beginning, repeated] : parts) {
+        RawListener server([&](const RawConnection &connection, int) {
+            static_cast<void>(connection.readUntil("ORDER"));
+            connection.write(beginning);
+            for (int index = 0; index < blockCount; ++index)
+                connection.write(repeated);
+            static_cast<void>(connection.readAll());
+        });
+        HttpClient client;
+        INFO(beginning);
+        const auto begin = std::chrono::steady_clock::now();
+        const SendResult result = client.send(server.address(), order(), {});
+        CHECK(std::chrono::steady_clock::now() - begin < Milliseconds(2'000));
+        CHECK_FALSE(result.response.ok());
+    }
+}
+
 // Guards against a refused connection being reported as a request that may have run.
 TEST_CASE("a refused connection means that nothing was sent", "[http]")
 {
