Write no status 100 while another response is being written

What callers see: bytes of "HTTP/1.1 100 Continue" within the body of a long response, when the next request on the connection, with Expect: 100-continue, arrives before that response is written.

Cause: the check looked for a request without a response only; the response of the earlier request was still being written.

Change: no interim response is sent then; the body is read all the same.

Evidence: "a status 100 is not written within the response to an earlier request" failed in two assertions and passes.

--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -118,7 +118,8 @@
     }
     m_readState = ReadState::Body;
     reserveForBody(*m_parser, m_buffer);
-    if (!m_activeRequest && boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
+    if (!m_activeRequest && !m_isWriting
+        && boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
         sendContinue();
         return;
     }
--- a/tests/http/async_server_test.cpp
+++ b/tests/http/async_server_test.cpp
@@ -190,6 +190,29 @@
     CHECK_THAT(connection.readUntil("/a ok"), Catch::Contains("200 OK"));
 }
 
+// Guards against an interim response that is written into the body of the response to an earlier, pipelined request.
+TEST_CASE("a status 100 is not written within the response to an earlier request", "[http]")
+{
+    constexpr std::size_t bodySize = 8'000'000; // more than the sockets' buffers take at once
+    TestServer server([](const HttpRequestContextPtr &request) {
+        HttpResponse response;
+        response.body = std::string(request->request().method == "GET" ? bodySize : 1, 'x');
+        request->respond(std::move(response));
+    });
+    RawConnection connection(server.port());
+    connection.write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+    std::this_thread::sleep_for(Milliseconds(100));
+    connection.write("POST /a HTTP/1.1\r\nHost: h\r\nExpect: 100-continue\r\nContent-Length: 1\r\n"
+                     "Connection: close\r\n\r\n");
+    std::this_thread::sleep_for(Milliseconds(100));
+    connection.write("y");
+    const std::string received = connection.readAll();
+    const std::size_t body = received.find(endOfHead) + endOfHead.size();
+    REQUIRE(received.size() > body + bodySize);
+    CHECK(received.substr(body, bodySize) == std::string(bodySize, 'x'));
+    CHECK_THAT(received.substr(body + bodySize), Catch::StartsWith("HTTP/1.1 200"));
+}
+
 // Guards against a long body being read 512 bytes at a time, each with a system call and a wake-up.
 TEST_CASE("a long request is read in large blocks", "[http]")
 {
