Refuse late requests of a planned stop that may outlast the process

What callers see (report of operators): requests that come late in the grace time of a planned stop are passed on and cut off without a response when it ends, orders that may not be repeated among them.

Cause: draining stops new connections and waits for what is open; nothing compared the deadline of a request with the end of the process. The node had the same gap within its drain time.

Change: when callers have had 3 s to learn of the stop, or two thirds of a short grace time, a request whose deadline is later than the end of the process gets 503 at once. The node refuses requests with a deadline later than the end of its drain time. Requests that end in time are served as before.

Evidence: "a stopping proxy refuses late requests that may outlast its grace time" and "a drain refuses requests whose deadline is later than its end" failed before (the order ran, its caller got no byte) and pass.

--- a/include/dandeliondock/node/ingress.h
+++ b/include/dandeliondock/node/ingress.h
@@ -13,6 +13,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <atomic>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -32,6 +33,9 @@
     std::shared_ptr<const IngressMetrics> requestMetrics; ///< registered in \c metrics
     TimeSource time;
     LogSink log;
+    /// Time at which a drain ends; requests with a later deadline are refused.
+    std::shared_ptr<std::atomic<MonotonicTime>> drainEnd =
+            std::make_shared<std::atomic<MonotonicTime>>(MonotonicTime::max());
 };
 
 /// \brief Listener for callers. The thread of each caller connection handles its requests from arrival to response.
@@ -53,7 +57,7 @@
     /// \brief Stops accepting connections and waits until every request in progress has its response.
     ///
     /// \remark Open connections are served until they close or have carried no request for 1.2 s, so that a caller that
-    /// still uses one gets its response.
+    /// still uses one gets its response. Requests whose deadline is later than the end of \c limit are refused.
     /// \return False when a request was still in progress after \c limit.
     [[nodiscard]] bool drain(Milliseconds limit);
 
--- a/include/dandeliondock/proxy/forwarder.h
+++ b/include/dandeliondock/proxy/forwarder.h
@@ -74,6 +74,9 @@
     void setEndpoint(const Endpoint &endpoint);
     /// \brief Removes the target whose proxy has this inbound address.
     void removeEndpoint(const Address &inboundAddress);
+    /// \brief Refuses requests, from now on, whose deadline is later than \c end: this process ends then, and would cut
+    /// them off at a target.
+    void setEnd(MonotonicTime end) { m_endsAt = end; }
     void setCallerService(const ServiceName &service) { m_dependencies.callerService = service; }
 
     /// \brief Returns the versions of a service, or null if none are known. Valid until the next setVersions().
@@ -112,6 +115,7 @@
     LogRateLimiter m_attemptLogLimiter;
     LogRateLimiter m_endLogLimiter;
     MonotonicTime m_lastDependencyFailure;
+    std::optional<MonotonicTime> m_endsAt;
     absl::flat_hash_map<ServiceName, ServiceVersions> m_versions;
     /// Traffic split of each service, computed on demand; cleared when versions or targets change.
     absl::flat_hash_map<ServiceName, std::optional<VersionSplit>> m_splits;
--- a/src/node/ingress.cpp
+++ b/src/node/ingress.cpp
@@ -53,6 +53,7 @@
 
 bool Ingress::drain(Milliseconds limit)
 {
+    m_dependencies->drainEnd->store(m_dependencies->time.monotonic() + limit);
     m_server->startDraining();
     return m_server->waitDrained(drainIdleTime, limit);
 }
--- a/src/node/proxied_request.cpp
+++ b/src/node/proxied_request.cpp
@@ -85,6 +85,9 @@
     const std::optional<absl::string_view> header = m_request.headers.first(deadlineHeader);
     m_callerSetDeadline = header.has_value();
     m_deadline = Deadline::fromHeader(header, m_match.route->timeout, m_startedAt);
+    if (m_deadline->at() > m_dependencies->drainEnd->load())
+        return refuse(ExecutionState::NotSent,
+                      makeError(ErrorKind::Closed, "this node stops before the deadline of the request"));
     removeHopByHopHeaders(m_request.headers);
     return runAttempts();
 }
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -125,6 +125,10 @@
     m_request.softDeadline = route.targetLatency.count() > 0
                                      ? std::min(deadline.at(), arrived + std::max(route.targetLatency, minQueueTimeout))
                                      : m_request.deadline;
+    if (m_owner.m_endsAt && m_request.deadline > *m_owner.m_endsAt) {
+        refuse("stopping", Microseconds{0});
+        return false;
+    }
     RetryBudget &retries = m_owner.retriesFor(m_request.service).budget;
     retries.recordRequest(arrived);
     if (m_request.service != m_owner.m_dependencies.callerService)
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -4,6 +4,7 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <utility>
 
 namespace dandeliondock {
@@ -336,12 +337,15 @@
 {
     const MonotonicTime now = EventLoop::now();
     const MonotonicTime::duration elapsed = now - m_drainStartedAt;
+    const MonotonicTime::duration drainTime = m_settings.grace - graceReserve;
+    if (elapsed >= std::min<MonotonicTime::duration>(minDrainTime, drainTime * 2 / 3))
+        m_forwarder.setEnd(m_drainStartedAt + drainTime);
     if (elapsed >= minDrainTime && !m_listenerClosedAt) {
         m_callerServer.stopAccepting();
         m_listenerClosedAt = now;
     }
     const bool hasClosedListener = m_listenerClosedAt && now - *m_listenerClosedAt >= lastRequestsTime;
-    if ((hasClosedListener && isIdle()) || elapsed >= m_settings.grace - graceReserve) {
+    if ((hasClosedListener && isIdle()) || elapsed >= drainTime) {
         LogEvent(LogLevel::Info, "proxy.drained")
                 .field("open", m_callerServer.activeRequests())
                 .field("unwritten", m_callerServer.unwrittenResponses())
--- a/tests/node/ingress_test.cpp
+++ b/tests/node/ingress_test.cpp
@@ -200,6 +200,33 @@
     CHECK(stopped.get());
 }
 
+// Guards against a request that comes late in a planned stop, is passed on and is cut off without a response when the
+// time for the stop ends.
+TEST_CASE("a drain refuses requests whose deadline is later than its end", "[node]")
+{
+    const auto target = startTarget();
+    IngressFixture fixture({target->address()});
+    wire::TargetBehaviour behaviour;
+    behaviour.set_work_ms(600);
+    target->setBehaviour(behaviour);
+    const RawConnection late(fixture.ingress->port());
+    auto busy = std::async(std::launch::async, [&] { return fixture.call(orderWithId("busy")); });
+    REQUIRE(eventually([&] { return fixture.ingress->activeRequests() == 1; }, testTimeout));
+    auto stopped = std::async(std::launch::async, [&] {
+        const bool drained = fixture.ingress->drain(Milliseconds(900));
+        fixture.ingress->stop();
+        return drained;
+    });
+    std::this_thread::sleep_for(Milliseconds(400));
+    late.write("POST /orders HTTP/1.1\r\nHost: a\r\nX-Request-Id: late\r\nContent-Length: 0\r\n\r\n");
+    const std::string response = late.readAll();
+    CHECK_THAT(response, Catch::Contains("503 "));
+    CHECK_THAT(response, Catch::Contains("not-run"));
+    CHECK(target->runs("late") == 0);
+    CHECK(busy.get().response.ok());
+    CHECK(stopped.get());
+}
+
 // Guards against a shed request that is reported as a failure, and against a retry on the same target.
 TEST_CASE("a shed request is retried on another target", "[node]")
 {
--- a/tests/platform/proxy_test.cpp
+++ b/tests/platform/proxy_test.cpp
@@ -51,6 +51,7 @@
     ~Target()
     {
         m_thread.run([this] {
+            m_delayed.clear();
             m_server.reset();
             m_client.reset();
         });
@@ -62,7 +63,8 @@
     std::atomic<bool> losesResponses{false};    ///< closes the connection after executing a request
     std::atomic<bool> claimsNotExecuted{false}; ///< by a header of the proxies' own protocol
     std::atomic<std::size_t> bodySize{0};       ///< shortest body of a response
-    std::atomic<bool> fails{false};             ///< responds with status 500, unless callServiceThrough() was called
+    std::atomic<Milliseconds> workTime{Milliseconds(0)};
+    std::atomic<bool> fails{false}; ///< responds with status 500, unless callServiceThrough() was called
 
     /// From now on, calls another service through \c proxy before each response and fails when that call fails.
     void callServiceThrough(const Address &proxy)
@@ -82,7 +84,11 @@
             return;
         }
         if (!m_client) {
-            respond(activeRequest, fails ? 500 : 200);
+            if (workTime.load() == Milliseconds(0))
+                respond(activeRequest, fails ? 500 : 200);
+            else
+                m_delayed.push_back(m_thread.loop().after(
+                        workTime.load(), [this, activeRequest] { respond(activeRequest, fails ? 500 : 200); }));
             return;
         }
         HttpRequest call{"GET", "/call/1", {}, {}};
@@ -113,6 +119,7 @@
     LoopThread m_thread;
     std::unique_ptr<AsyncHttpServer> m_server;
     std::unique_ptr<AsyncHttpClient> m_client;
+    std::vector<LoopTimer> m_delayed;
     Address m_proxy;
 };
 
@@ -485,6 +492,48 @@
     CHECK(deployment.eventually([&] { return deployment.serves(deployment.second, "/d/1"); }));
 }
 
+// Guards against a request that comes late in a planned stop, is passed on and is cut off without a response when the
+// grace time ends, although it may not be repeated.
+TEST_CASE("a stopping proxy refuses late requests that may outlast its grace time", "[platform]")
+{
+    constexpr Milliseconds grace{4'500};
+    constexpr Milliseconds busyTime{1'400};
+    Deployment deployment(grace);
+    REQUIRE(deployment.announce(deployment.second, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.first); }));
+    const std::string callers = deployment.first.settings.callers.value();
+    const auto port = static_cast<std::uint16_t>(std::stoi(callers.substr(callers.rfind(':') + 1)));
+    const RawConnection busyRequest(port); // keeps the proxy from stopping early
+    const RawConnection longRequest(port);
+    const RawConnection shortRequest(port);
+    const auto begin = [](const RawConnection &connection, const std::string &id, int budget) {
+        connection.write(absl::StrCat("POST /order/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n",
+                                      "X-Dandeliondock-Attempt-Id: ", id, "\r\nX-Dandeliondock-Time-Budget: ", budget,
+                                      "\r\n"));
+    };
+    Target &target = deployment.second.target;
+    auto stopped = std::async(std::launch::async, [&] { deployment.first.proxy->stop(); });
+    std::this_thread::sleep_for(Milliseconds(2'500));
+    target.workTime = busyTime;
+    begin(busyRequest, "busy", 2'000);
+    begin(longRequest, "long", 2'000);
+    begin(shortRequest, "short", 300);
+    busyRequest.write("\r\n");
+    std::this_thread::sleep_for(Milliseconds(900)); // the time in which callers learn of the stop is over
+    target.workTime = Milliseconds(0);
+    shortRequest.write("\r\n");
+    CHECK_THAT(shortRequest.readUntil("\r\n\r\n"), Catch::Contains("200 OK"));
+    target.workTime = busyTime;
+    const int runs = target.runs;
+    longRequest.write("\r\n");
+    const std::string refused = longRequest.readUntil("\r\n\r\n");
+    CHECK_THAT(refused, Catch::Contains("503 "));
+    CHECK_THAT(refused, Catch::Contains("Retry-After"));
+    CHECK(target.runs == runs);
+    CHECK_THAT(busyRequest.readUntil("\r\n\r\n"), Catch::Contains("200 OK"));
+    CHECK(stopped.wait_for(testTimeout) == std::future_status::ready);
+}
+
 // Guards against a planned stop that cuts off a download which its caller's link needs seconds for.
 TEST_CASE("a download that is being delivered when its proxy is stopped arrives completely", "[platform]")
 {
