Follow the departure of a target whatever its sequence number

Callers saw: requests that reached a target later than 2 s after its draining was acknowledged.

Cause: the adapter did not require zone and cold_remaining_ms; and a draining with a lower number than the known one was stale, yet answered 200.

Change: a heartbeat must have every field that the platform names. A departure of the known start is followed in any order. What counts as recorded is compared with the target's id as well.

Evidence: the three tests failed before (200 instead of 400 for the odd heartbeat; 200 instead of 503, and 3 executions instead of 1, after draining) and pass.

--- a/include/dandeliondock/proxy/local_target.h
+++ b/include/dandeliondock/proxy/local_target.h
@@ -35,8 +35,9 @@
 /// earlier process of this proxy left.
 ///
 /// An announcement of a later start replaces one of an earlier start; within one start, a higher sequence number
-/// replaces a lower one. Once a target is leaving, announcements of the same start, late ones included, do not make it
-/// accept requests again, also after a restart of the proxy.
+/// replaces a lower one. A target leaves whatever the sequence number of the announcement that says so, and then
+/// announcements of the same start, late ones included, do not make it accept requests again, also after a restart of
+/// the proxy.
 ///
 /// \remark Not thread-safe.
 class LocalTarget
--- a/src/proxy/local_target.cpp
+++ b/src/proxy/local_target.cpp
@@ -22,9 +22,18 @@
 
 AnnouncementEffect LocalTarget::announce(const TargetAnnouncement &announcement, MonotonicTime now)
 {
-    if (m_current && isOlder(announcement))
+    const bool isStale = m_current && isOlder(announcement);
+    // A target does not take back that it leaves, so that this holds in any order of the announcements of one start.
+    const bool isDeparture = isTerminal(announcement.state) && m_current && isSameStart(announcement);
+    if (isStale && !isDeparture)
         return AnnouncementEffect::Stale;
     const bool isFirst = !std::exchange(m_isAnnounced, true);
+    if (isStale) {
+        const bool hasLeft = isTerminal(m_current->state);
+        if (!hasLeft)
+            m_current->state = announcement.state;
+        return isFirst || !hasLeft ? AnnouncementEffect::Changed : AnnouncementEffect::Renewed;
+    }
     if (!m_current || !isSameStart(announcement)) {
         m_current = announcement;
         m_servingSince = now;
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -171,6 +171,7 @@
 
 void TrafficDuty::applyTargetRecord(const std::optional<Endpoint> &record)
 {
+    m_recorded = record;
     std::optional<TargetAnnouncement> state;
     if (record) {
         state.emplace();
@@ -206,24 +207,25 @@
     m_publish(endpoint);
 }
 
-bool TrafficDuty::covers(const EndpointStamp &record, const EndpointStamp &stamp)
+bool TrafficDuty::covers(const Endpoint &record, const Endpoint &departure)
 {
-    return record.incarnation > stamp.incarnation
-           || (record.incarnation == stamp.incarnation && record.state >= stamp.state);
+    if (record.stamp.incarnation != departure.stamp.incarnation)
+        return record.stamp.incarnation > departure.stamp.incarnation;
+    return record.target == departure.target && record.stamp.state >= departure.stamp.state;
 }
 
 void TrafficDuty::acknowledgeWhenRecorded(const HttpRequestContextPtr &context)
 {
-    const EndpointStamp stamp = localEndpoint().stamp;
-    if (m_recordedStamp && covers(*m_recordedStamp, stamp)) {
+    const Endpoint endpoint = localEndpoint();
+    if (m_recorded && covers(*m_recorded, endpoint)) {
         context->respond(statusOnly(ok));
         return;
     }
-    const auto position = m_unrecordedDepartures.insert(m_unrecordedDepartures.end(), {context, stamp, {}});
+    const auto position = m_unrecordedDepartures.insert(m_unrecordedDepartures.end(), {context, endpoint, {}});
     position->timeout = m_loop.after(departureRecordTimeout, [this, position] {
         const HttpRequestContextPtr late = position->context;
         LogEvent(LogLevel::Warn, "target.departure_not_recorded")
-                .field("target", m_inbound.target().current()->target)
+                .field("target", position->endpoint.target)
                 .write(m_log);
         m_unrecordedDepartures.erase(position);
         late->respond(statusOnly(unavailable));
@@ -232,9 +234,9 @@
 
 void TrafficDuty::handleTargetRecorded(const Endpoint &record)
 {
-    m_recordedStamp = record.stamp;
+    m_recorded = record;
     for (auto departure = m_unrecordedDepartures.begin(); departure != m_unrecordedDepartures.end();) {
-        if (!covers(record.stamp, departure->stamp)) {
+        if (!covers(record, departure->endpoint)) {
             ++departure;
             continue;
         }
--- a/src/proxy/traffic_duty.h
+++ b/src/proxy/traffic_duty.h
@@ -60,7 +60,7 @@
 struct UnrecordedDeparture
 {
     HttpRequestContextPtr context;
-    EndpointStamp stamp;
+    Endpoint endpoint;
     LoopTimer timeout;
 };
 
@@ -96,8 +96,8 @@
     /// an error when that takes too long.
     void acknowledgeWhenRecorded(const HttpRequestContextPtr &context);
     void handleTargetRecorded(const Endpoint &record);
-    /// Whether a record says of a target at least what \c stamp says.
-    [[nodiscard]] static bool covers(const EndpointStamp &record, const EndpointStamp &stamp);
+    /// Whether a record says of a target at least what \c departure says.
+    [[nodiscard]] static bool covers(const Endpoint &record, const Endpoint &departure);
     [[nodiscard]] bool isIdle() const;
     void checkDrained();
     void batchAttempt(RolloutAttempt attempt);
@@ -126,7 +126,7 @@
     LoopTimer m_batchTimer;
     LoopTimer m_drainTimer;
     std::list<UnrecordedDeparture> m_unrecordedDepartures;
-    std::optional<EndpointStamp> m_recordedStamp; ///< of the target, as last recorded in its row
+    std::optional<Endpoint> m_recorded; ///< record in the row of the target, as last read or written
     MonotonicTime m_drainStartedAt;
     std::optional<MonotonicTime> m_listenerClosedAt;
     std::function<void()> m_onDrained;
--- a/tests/platform/proxy_test.cpp
+++ b/tests/platform/proxy_test.cpp
@@ -321,6 +321,25 @@
     CHECK(deployment.eventually([&] { return deployment.announce(deployment.second, "draining", 3) == 200; }));
 }
 
+// Guards against a target that is used although its draining was acknowledged, because another process has sent a
+// heartbeat with a high sequence number in its name.
+TEST_CASE("a target drains although another writer has sent heartbeats in its name", "[platform]")
+{
+    Deployment deployment;
+    REQUIRE(deployment.announce(deployment.second, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.first); }));
+    HttpRequest odd{"POST", "/api/rpc?call=instances.heartbeat&of=" + deployment.second.settings.node.value(), {}, {}};
+    odd.body = absl::StrCat(R"({"service":"s","address":")", deployment.second.settings.target.value(),
+                            R"(","version":"v1","slots":4,"state":"ready","sequence":1000,"born":1000})");
+    CHECK(deployment.call(deployment.second.settings.announcements, odd).status == 400);
+    REQUIRE(deployment.announce(deployment.second, "ready", 1'000) == 200);
+    CHECK(deployment.announce(deployment.second, "draining", 2) == 200);
+    const int runs = deployment.second.target.runs;
+    CHECK(deployment.callProxy(deployment.first, "/a/1").status == 503);
+    CHECK(deployment.callProxy(deployment.second, "/a/1").status == 503);
+    CHECK(deployment.second.target.runs == runs);
+}
+
 // Guards against retries that multiply along a call chain: each retried execution repeats its own calls, which fail in
 // the same way, so that the called targets receive more requests than the shared retry budget allows.
 TEST_CASE("a request whose target failed is retried, unless it failed because its own call to another service failed",
--- a/tests/platform/target_calls_test.cpp
+++ b/tests/platform/target_calls_test.cpp
@@ -51,7 +51,10 @@
           heartbeatWith("\"slots\":12", "\"slots\":\"12\""), heartbeatWith("\"slots\":12", "\"slots\":1.5"),
           heartbeatWith("\"slots\":12", "\"slots\":-1"), heartbeatWith("\"slots\":12", "\"slots\":0"),
           heartbeatWith("\"sequence\":4", "\"sequence\":null"), heartbeatWith("\"sequence\":4,", ""),
-          heartbeatWith("\"service\":\"s\",", ""), heartbeatWith("\"ready\"", "\"asleep\""),
+          heartbeatWith("\"service\":\"s\",", ""), heartbeatWith("\"address\":\"10.0.0.1:80\",", ""),
+          heartbeatWith("\"zone\":\"z\",", ""), heartbeatWith("\"version\":\"v1\",", ""),
+          heartbeatWith("\"slots\":12,", ""), heartbeatWith("\"state\":\"ready\",", ""),
+          heartbeatWith("\"cold_remaining_ms\":300,", ""), heartbeatWith("\"ready\"", "\"asleep\""),
           heartbeatWith("1782976810571", "\"1782976810571\""), heartbeatWith("1782976810571", "1782976810571.5")}) {
         INFO(body);
         const auto message = parseTargetRequest(heartbeatRequest(body));
--- a/tests/proxy/local_target_test.cpp
+++ b/tests/proxy/local_target_test.cpp
@@ -47,6 +47,27 @@
     CHECK_FALSE(target.acceptsRequests());
 }
 
+// Guards against a target that stays in use although it has said that it leaves: an announcement with a high sequence
+// number, which another process sent in its name, made its own announcements stale.
+TEST_CASE("a target leaves whatever the sequence number of its announcement", "[proxy]")
+{
+    LocalTarget target = targetWithoutRecord();
+    target.announce(announcement("a", 10, 1), MonotonicTime{});
+    target.announce(announcement("a", 10, 1'000), MonotonicTime{});
+    CHECK(target.announce(announcement("a", 10, 2), MonotonicTime{}) == AnnouncementEffect::Stale);
+    CHECK(target.announce(announcement("a", 10, 3, EndpointState::Leaving), MonotonicTime{})
+          == AnnouncementEffect::Changed);
+    CHECK_FALSE(target.acceptsRequests());
+    CHECK(target.announce(announcement("a", 10, 4, EndpointState::Leaving), MonotonicTime{})
+          == AnnouncementEffect::Renewed);
+    target.announce(announcement("a", 10, 2'000), MonotonicTime{});
+    CHECK_FALSE(target.acceptsRequests());
+    CHECK(target.announce(announcement("a", 9, 5'000, EndpointState::Leaving), MonotonicTime{})
+          == AnnouncementEffect::Stale);
+    CHECK(target.announce(announcement("a", 11, 1), MonotonicTime{}) == AnnouncementEffect::Changed);
+    CHECK(target.acceptsRequests());
+}
+
 // Guards against an announcement of a former target, delayed by a network outage, that replaces the current target at
 // the same address.
 TEST_CASE("an announcement of an earlier start is stale regardless of its id and sequence", "[proxy]")
