Add the types and settings of client accounts, placement and quotas

The configuration now yields client accounts, allowed regions, key exemptions, cold starts and evacuations, and the settings the memory, descriptor and tolerance limits.

--- a/include/dandeliondock/config/resources.h
+++ b/include/dandeliondock/config/resources.h
@@ -37,6 +37,8 @@
     std::vector<WeightedService> split; ///< divides the requests by weight; if empty, all go to service
     std::uint32_t attemptLimit = 0;     ///< maximum number of targets that one request is sent to; 0 uses the default
     Milliseconds targetLatency{0}; ///< response time above which a response is worth less to the caller; 0 for none
+    std::vector<RegionName> allowedRegions; ///< regions whose targets may serve the route; if empty, every region
+    bool isKeyExempt = false;               ///< requests need no key of a client account
 
     bool operator==(const Route &) const = default;
 };
@@ -64,6 +66,8 @@
     std::string healthPath;
     std::string drainHeader;         ///< header that a draining target sets on its responses
     bool versionFromTargets = false; ///< targets announce their versions; version must then be empty
+    Milliseconds coldStart{0};       ///< time for which a target is cold after its start
+    RequestRate coldRate{0.0};       ///< requests per second that a cold target can process; 0 for no bound
 
     bool operator==(const Service &) const = default;
 };
--- a/include/dandeliondock/core/ids.h
+++ b/include/dandeliondock/core/ids.h
@@ -28,6 +28,8 @@
 using RegionName = StrongType<struct RegionNameTag, std::string>;
 using DataCentreName = StrongType<struct DataCentreNameTag, std::string>;
 using DeploymentName = StrongType<struct DeploymentNameTag, std::string>;
+/// \brief Name of a client account.
+using AccountName = StrongType<struct AccountNameTag, std::string>;
 using AuthorName = StrongType<struct AuthorNameTag, std::string>;
 /// \brief An IPv4 address with a port, such as 127.0.0.1:8080.
 using Address = StrongType<struct AddressTag, std::string>;
--- a/include/dandeliondock/core/units.h
+++ b/include/dandeliondock/core/units.h
@@ -22,6 +22,12 @@
 using ByteCount = StrongType<struct ByteCountTag, std::uint64_t>;
 /// \brief Transfer rate in bytes per second.
 using DataRate = StrongType<struct DataRateTag, std::uint64_t>;
+/// \brief Number of open file descriptors.
+using DescriptorCount = StrongType<struct DescriptorCountTag, std::uint32_t>;
+/// \brief Requests per second.
+using RequestRate = StrongType<struct RequestRateTag, double>;
+/// \brief A number of requests, fractions included.
+using RequestAmount = StrongType<struct RequestAmountTag, double>;
 /// \brief A share of the traffic, in units of 1/10,000.
 using Share = StrongType<struct ShareTag, std::uint32_t>;
 
--- a/include/dandeliondock/proxy/inbound_request.h
+++ b/include/dandeliondock/proxy/inbound_request.h
@@ -23,6 +23,7 @@
     TargetId target; ///< the only target that may run the request
     ServiceName service;
     RouteName route;
+    AccountName account; ///< client account of the caller; empty without one
     WorkClass workClass = WorkClass::Interactive;
     bool isIdempotent = false;
     bool isRepeat = false;      ///< an earlier attempt of the request reached a target
--- a/include/dandeliondock/proxy/proxy_settings.h
+++ b/include/dandeliondock/proxy/proxy_settings.h
@@ -3,9 +3,12 @@
 #include <dandeliondock/attempts/retry_budget.h>
 #include <dandeliondock/core/ids.h>
 #include <dandeliondock/core/units.h>
+#include <dandeliondock/places/cold_bounds.h>
+#include <dandeliondock/quotas/quota_bounds.h>
 
 #include <absl/status/statusor.h>
 
+#include <optional>
 #include <string>
 
 namespace dandeliondock {
@@ -28,6 +31,13 @@
     RetryBudgetLimits retries; ///< limits of this proxy, for each service
     DataRate responseRate;     ///< part of the link's rate that responses may use; 0: unlimited
     std::string logLevel = "info";
+    ByteCount memoryLimit{160'000'000};             ///< the process is killed above it
+    DescriptorCount descriptorLimit{4'100};         ///< open file descriptors of the process
+    Milliseconds configApplyBound{3'000};           ///< time in which a configuration must be followed
+    std::optional<Milliseconds> keyWithdrawalBound; ///< time after which no proxy may accept a withdrawn key
+    QuotaBounds quota;                              ///< tolerance of the request quotas
+    ColdBounds cold;                                ///< tolerance of the rate of a cold target
+    Milliseconds evacuationBound{5'000};            ///< time in which an evacuation must take effect
 
     bool operator==(const ProxySettings &) const = default;
 };
--- a/src/codec/config_codec.cpp
+++ b/src/codec/config_codec.cpp
@@ -104,6 +104,9 @@
     }
     message.set_attempts(route.attemptLimit);
     message.set_target_latency_ms(static_cast<std::uint32_t>(route.targetLatency.count()));
+    for (const RegionName &region : route.allowedRegions)
+        message.add_allowed_regions(region.value());
+    message.set_key_exempt(route.isKeyExempt);
     return message;
 }
 
@@ -124,6 +127,9 @@
         route.split.push_back({ServiceName(weighted.service()), weighted.weight()});
     route.attemptLimit = message.attempts();
     route.targetLatency = Milliseconds(message.target_latency_ms());
+    for (const std::string &region : message.allowed_regions())
+        route.allowedRegions.emplace_back(region);
+    route.isKeyExempt = message.key_exempt();
     return route;
 }
 
@@ -162,6 +168,8 @@
     message.set_health_path(service.healthPath);
     message.set_drain_header(service.drainHeader);
     message.set_version_from_targets(service.versionFromTargets);
+    message.set_cold_start_ms(static_cast<std::uint32_t>(service.coldStart.count()));
+    message.set_cold_requests_per_s(service.coldRate.value());
     return message;
 }
 
@@ -180,6 +188,8 @@
     service.healthPath = message.health_path();
     service.drainHeader = message.drain_header();
     service.versionFromTargets = message.version_from_targets();
+    service.coldStart = Milliseconds(message.cold_start_ms());
+    service.coldRate = RequestRate(message.cold_requests_per_s());
     return service;
 }
 
--- a/src/config/validation.cpp
+++ b/src/config/validation.cpp
@@ -1,10 +1,12 @@
 #include <dandeliondock/config/config_state.h>
 
+#include <dandeliondock/core/checked_number.h>
 #include <dandeliondock/core/error.h>
 
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <cmath>
 
 namespace dandeliondock {
 
@@ -72,6 +74,10 @@
             return invalidResource(route, "path_prefix must begin with '/'");
         if (route.timeout.count() <= 0)
             return invalidResource(route, "timeout_ms must be greater than 0");
+        for (const RegionName &region : route.allowedRegions) {
+            if (!isValidName(region.value()))
+                return invalidResource(route, "each of allowed_regions must be a name of a region");
+        }
         return validateSplit(route);
     }
 
@@ -83,6 +89,10 @@
             return invalidResource(service, "slots_per_target must be greater than 0");
         if (service.connectionsPerTarget.value() == 0)
             return invalidResource(service, "connections_per_target must be greater than 0");
+        if (!std::isfinite(service.coldRate.value()) || service.coldRate.value() < 0
+            || service.coldRate.value() > maxMessageCount || service.coldStart.count() < 0
+            || service.coldStart > maxMessageDuration)
+            return invalidResource(service, "cold start and cold rate must not be negative or enormous");
         if (service.shedStatus != 0 && (service.shedStatus < 400 || service.shedStatus > 599))
             return invalidResource(service, "shed_status must be 0 or between 400 and 599");
         if (service.versionFromTargets && !(service.version.value().empty() && !service.rollout))
--- a/src/proxy/inbound_request.cpp
+++ b/src/proxy/inbound_request.cpp
@@ -21,6 +21,7 @@
 constexpr absl::string_view targetHeader = "Dock-Target";
 constexpr absl::string_view serviceHeader = "Dock-Service";
 constexpr absl::string_view routeHeader = "Dock-Route";
+constexpr absl::string_view accountHeader = "Dock-Account"; // absent without a client account
 constexpr absl::string_view idHeader = "Dock-Id";
 constexpr absl::string_view termsHeader = "Dock-Terms";   // work class, idempotent, ms to deadline, ms to soft deadline
 constexpr absl::string_view repeatHeader = "Dock-Repeat"; // present only on repeats
@@ -126,6 +127,8 @@
     message.headers.add(targetHeader, request.target.value());
     message.headers.add(serviceHeader, request.service.value());
     message.headers.add(routeHeader, request.route.value());
+    if (!request.account.value().empty())
+        message.headers.add(accountHeader, request.account.value());
     message.headers.add(idHeader, request.id.value());
     message.headers.add(termsHeader,
                         absl::StrCat(static_cast<int>(request.workClass), ",", request.isIdempotent ? 1 : 0, ",",
@@ -142,6 +145,7 @@
     decoded.target = TargetId(takeHeader(request.headers, targetHeader));
     decoded.service = ServiceName(takeHeader(request.headers, serviceHeader));
     decoded.route = RouteName(takeHeader(request.headers, routeHeader));
+    decoded.account = AccountName(takeHeader(request.headers, accountHeader));
     decoded.id = RequestId(takeHeader(request.headers, idHeader));
     const std::vector<std::int64_t> terms = takeNumbers(request.headers, termsHeader, 4);
     if (decoded.target.value().empty())
--- a/src/proxy/proxy_settings.cpp
+++ b/src/proxy/proxy_settings.cpp
@@ -1,3 +1,4 @@
+#include <dandeliondock/core/checked_number.h>
 #include <dandeliondock/proxy/proxy_settings.h>
 #include <dandeliondock/settings/ip_address.h>
 #include <dandeliondock/settings/json_reader.h>
@@ -22,6 +23,12 @@
 constexpr double responseLinkShare = 0.92;
 constexpr double maxLinkMbps = 1'000'000;
 constexpr double bytesPerMegabit = 125'000;
+constexpr double minMemoryMb = 64;
+constexpr double maxMemoryMb = 1'000'000;
+constexpr double bytesPerMegabyte = 1'000'000;
+constexpr std::uint32_t minDescriptors = 256;
+constexpr double minQuotaWindowSeconds = 0.5;
+constexpr double maxTolerance = 10'000;
 const std::set<std::string> logLevels{"debug", "info", "warn", "error"};
 
 class ProxySettingsReader
@@ -89,12 +96,77 @@
                 settings.responseRate =
                         DataRate(static_cast<std::uint64_t>(mbps * bytesPerMegabit * responseLinkShare));
         }
+        readMachineLimits(settings);
+        readBounds(settings);
         if (!m_message.log_level().empty())
             settings.logLevel = m_message.log_level();
         m_errors.require(logLevels.contains(settings.logLevel), "log_level", settings.logLevel,
                          "must be debug, info, warn or error");
     }
 
+    void readMachineLimits(ProxySettings &settings)
+    {
+        if (m_given.contains("memory_mb")) {
+            const double megabytes = m_message.memory_mb();
+            const bool isValid = megabytes >= minMemoryMb && megabytes <= maxMemoryMb;
+            m_errors.require(isValid, "memory_mb", absl::StrCat(megabytes),
+                             "must be a number of MB from 64 to 1000000");
+            if (isValid)
+                settings.memoryLimit = ByteCount(static_cast<std::uint64_t>(megabytes * bytesPerMegabyte));
+        }
+        if (m_given.contains("max_fds")) {
+            m_errors.require(m_message.max_fds() >= minDescriptors, "max_fds", absl::StrCat(m_message.max_fds()),
+                             "must be a number of descriptors from 256 on");
+            settings.descriptorLimit = DescriptorCount(m_message.max_fds());
+        }
+    }
+
+    void readBounds(ProxySettings &settings)
+    {
+        readMilliseconds("config_apply_ms", m_message.config_apply_ms(), settings.configApplyBound);
+        readMilliseconds("evacuation_ms", m_message.evacuation_ms(), settings.evacuationBound);
+        Milliseconds withdrawal{0};
+        if (readMilliseconds("revoke_ms", m_message.revoke_ms(), withdrawal))
+            settings.keyWithdrawalBound = withdrawal;
+        double windowSeconds = std::chrono::duration<double>(settings.quota.window).count();
+        readNumber("quota_window_s", m_message.quota_window_s(), minQuotaWindowSeconds, windowSeconds);
+        settings.quota.window = Milliseconds(static_cast<std::int64_t>(windowSeconds * 1'000));
+        readNumber("quota_excess", m_message.quota_excess(), 0, settings.quota.excess);
+        settings.quota.slack = readAmount("quota_slack", m_message.quota_slack(), settings.quota.slack);
+        readNumber("cold_excess", m_message.cold_excess(), 0, settings.cold.factor);
+        settings.cold.slack = readAmount("cold_slack", m_message.cold_slack(), settings.cold.slack);
+    }
+
+    bool readMilliseconds(const std::string &key, std::uint32_t value, Milliseconds &result)
+    {
+        if (!m_given.contains(key))
+            return false;
+        const auto duration = checkedDuration(value);
+        const bool isValid = value > 0 && duration.has_value();
+        m_errors.require(isValid, key, absl::StrCat(value), "must be a number of ms above 0 and at most a day");
+        if (isValid)
+            result = *duration;
+        return isValid;
+    }
+
+    void readNumber(const std::string &key, double value, double minimum, double &result)
+    {
+        if (!m_given.contains(key))
+            return;
+        const bool isValid = value >= minimum && value <= maxTolerance;
+        m_errors.require(isValid, key, absl::StrCat(value),
+                         absl::StrCat("must be a number from ", minimum, " to ", maxTolerance));
+        if (isValid)
+            result = value;
+    }
+
+    RequestAmount readAmount(const std::string &key, double value, RequestAmount preset)
+    {
+        double amount = preset.value();
+        readNumber(key, value, 0, amount);
+        return RequestAmount(amount);
+    }
+
     const wire::ProxySettings &m_message;
     const GivenKeys &m_given;
     SettingsErrors &m_errors;
--- a/tests/support/ticket_generators.cpp
+++ b/tests/support/ticket_generators.cpp
@@ -19,6 +19,9 @@
     route.idempotent = *rc::gen::arbitrary<bool>();
     route.timeout = Milliseconds(drawNumber(1, 100'000));
     route.workClass = *rc::gen::element(WorkClass::Critical, WorkClass::Interactive, WorkClass::Deferrable);
+    if (*rc::gen::arbitrary<bool>())
+        route.allowedRegions = {RegionName("north"), RegionName("south")};
+    route.isKeyExempt = *rc::gen::arbitrary<bool>();
     return route;
 }
 
@@ -31,6 +34,8 @@
     service.connectionsPerTarget = ConnectionCount(drawNumber(1, 1'000));
     service.shedStatus = *rc::gen::element(0U, 429U, 503U);
     service.healthPath = *rc::gen::element<std::string>("", "/health");
+    service.coldStart = Milliseconds(drawNumber(0, 10'000));
+    service.coldRate = RequestRate(drawNumber(0, 100));
     if (*rc::gen::arbitrary<bool>()) {
         service.previousVersion = VersionName("v1");
         service.rollout = RolloutPlan{WallTime(Milliseconds(drawNumber(1, 1'000'000))),
