Claim a rollout whatever number of targets were replaced

The rank by which proxies claim one after another counted targets that are gone, 300 ms for each, and every proxy far down the list waited its turn although those before it were lost.

--- a/include/dandeliondock/proxy/control_duty.h
+++ b/include/dandeliondock/proxy/control_duty.h
@@ -116,7 +116,7 @@
     void recordTableTime(const TableReadResult &result);
     void publishWhenSynced();
     [[nodiscard]] std::uint32_t servingCount(const VersionName &version) const;
-    /// Rank of this proxy among the proxies of its service, by inbound address.
+    /// Rank of this proxy among the proxies of its service whose targets serve, by inbound address.
     [[nodiscard]] std::size_t rank() const;
     [[nodiscard]] RolloutControlDependencies rolloutDependencies();
     [[nodiscard]] TableRelayClientDependencies relayClientDependencies();
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -307,7 +307,8 @@
 {
     std::size_t lowerRanked = 0;
     for (const auto &[address, endpoint] : m_endpoints) {
-        if (endpoint.service == m_dependencies.service && address < m_dependencies.inboundAddress)
+        if (endpoint.service == m_dependencies.service && endpoint.stamp.state == EndpointState::Serving
+            && address < m_dependencies.inboundAddress)
             ++lowerRanked;
     }
     return lowerRanked;
--- a/src/proxy/rollout_control.cpp
+++ b/src/proxy/rollout_control.cpp
@@ -155,7 +155,10 @@
 
 Milliseconds RolloutControl::claimDelay() const
 {
-    return driverStagger * static_cast<Milliseconds::rep>(m_dependencies.rank());
+    const std::size_t rank = m_dependencies.rank();
+    const auto staggered = static_cast<Milliseconds::rep>(std::min(rank, staggeredClaims));
+    const auto others = static_cast<Milliseconds::rep>(rank) - staggered;
+    return driverStagger * staggered + std::min(lateClaimStagger * others, maxLateClaimStagger);
 }
 
 Milliseconds RolloutControl::takeoverDelay() const
