Put the final load on a tenth of the new targets in a rollout's second stage

A version that fails under load got a third of the traffic in the second stage, whatever the number of its targets. The final load on a few of them shows the fault as well, at a tenth of the exposure of callers. The test fails with the share that was in force.

--- a/include/dandeliondock/proxy/service_versions.h
+++ b/include/dandeliondock/proxy/service_versions.h
@@ -58,8 +58,10 @@
 [[nodiscard]] RowKey serviceRowKey(const ServiceName &service);
 
 /// \brief Returns the definition of the rollout for its driver. Thread-safe.
+///
+/// \param newTargets number of serving targets of the new version; the share of the second stage depends on it.
 /// \pre \c versions holds a rollout.
-[[nodiscard]] RolloutDefinition rolloutDefinition(const ServiceVersions &versions);
+[[nodiscard]] RolloutDefinition rolloutDefinition(const ServiceVersions &versions, std::uint32_t newTargets);
 
 /// \brief Returns the traffic split in force; empty when the current version carries all traffic. Thread-safe.
 [[nodiscard]] std::optional<VersionSplit> versionSplit(const ServiceVersions &versions, std::uint32_t newTargets);
--- a/src/proxy/rollout_control.cpp
+++ b/src/proxy/rollout_control.cpp
@@ -201,8 +201,9 @@
 
 void RolloutControl::runDriver()
 {
+    const std::uint32_t newTargets = m_dependencies.servingCount(m_knownVersions->rollout->target);
     if (!m_driver)
-        m_driver.emplace(rolloutDefinition(*m_knownVersions));
+        m_driver.emplace(rolloutDefinition(*m_knownVersions, newTargets));
     for (const RouteOutcomes &outcomes : m_outcomes.takeTotals()) {
         if (outcomes.rollout == m_knownVersions->rollout->record.ticket)
             m_driver->recordOutcomes(outcomes);
@@ -214,7 +215,7 @@
     input.storedRow.storeAvailable = m_dependencies.isTableCurrent() && !m_isWriting;
     input.storedRow.row = RolloutRow{m_storedVersions->rollout->record, m_storedVersions->rollout->fence};
     input.mergedRecord = m_knownVersions->rollout->record;
-    input.newTargetCount = m_dependencies.servingCount(m_knownVersions->rollout->target);
+    input.newTargetCount = newTargets;
     input.stageStartedAt = m_storedVersions->rollout->stageStartedAt;
     applyDecision(m_driver->decide(input));
 }
--- a/src/proxy/service_versions.cpp
+++ b/src/proxy/service_versions.cpp
@@ -2,14 +2,27 @@
 
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
+#include <vector>
+
 namespace dandeliondock {
 
 namespace {
 
+constexpr Share firstShare{400};
+constexpr Share maxLoadShare{3'300};
+constexpr std::uint32_t targetsPerLoadedTarget = 10;
+
 // The first stage sends few requests to the new version, in case it fails at once. The second stage puts the final load
-// on some of its targets, which reveals faults under load. More stages do not fit into a rollout whose new targets
+// on a few of its targets, which reveals faults under load. More stages do not fit into a rollout whose new targets
 // start late.
-const std::vector<Share> rolloutShares{Share(400), Share(3'300), fullShare};
+std::vector<Share> rolloutShares(std::uint32_t newTargets)
+{
+    const std::uint32_t targets = std::max(newTargets, 1U);
+    const std::uint32_t loadedTargets = (targets + targetsPerLoadedTarget - 1) / targetsPerLoadedTarget;
+    const std::uint32_t loadShare = fullShare.value() * loadedTargets / targets;
+    return {firstShare, Share(std::min(loadShare, maxLoadShare.value())), fullShare};
+}
 
 } // namespace
 
@@ -18,7 +31,7 @@
     return RowKey(absl::StrCat(serviceRowPrefix, service.value()));
 }
 
-RolloutDefinition rolloutDefinition(const ServiceVersions &versions)
+RolloutDefinition rolloutDefinition(const ServiceVersions &versions, std::uint32_t newTargets)
 {
     const RolloutProgress &rollout = *versions.rollout;
     RolloutDefinition definition;
@@ -27,7 +40,7 @@
     definition.oldVersion = versions.current;
     definition.newVersion = rollout.target;
     definition.plan.deadline = rollout.deadline;
-    definition.plan.stageShares = rolloutShares;
+    definition.plan.stageShares = rolloutShares(newTargets);
     definition.plan.observation = (rollout.deadline - rollout.startedAt) * observationPercent / 100;
     return definition;
 }
@@ -36,7 +49,7 @@
 {
     if (!versions.rollout || versions.rollout->record.state != RolloutState::Running || newTargets == 0)
         return std::nullopt;
-    const RolloutDefinition definition = rolloutDefinition(versions);
+    const RolloutDefinition definition = rolloutDefinition(versions, newTargets);
     const StagePlan plan(definition.plan, newTargets);
     const Stage &stage = plan.stage(versions.rollout->record.stage);
     return VersionSplit{definition.ticket, definition.oldVersion, definition.newVersion, stage.share,
--- a/tests/proxy/service_versions_test.cpp
+++ b/tests/proxy/service_versions_test.cpp
@@ -1,5 +1,6 @@
 #include <dandeliondock/codec/proxy_codec.h>
 #include <dandeliondock/proxy/service_versions.h>
+#include <dandeliondock/routing/version_chooser.h>
 
 #include <catch2/catch.hpp>
 
@@ -50,6 +51,25 @@
     CHECK_FALSE(versionSplit(makeVersions(RolloutState::Completed, 2), newTargets));
 }
 
+// Guards against a version that fails under load and gets a third of the traffic, although a few of its targets with
+// their final load show the fault as well.
+TEST_CASE("the second stage puts the final load on about a tenth of the new targets, at least on one", "[proxy]")
+{
+    for (std::uint32_t newTargets = 1; newTargets <= 300; ++newTargets) {
+        const auto split = versionSplit(makeVersions(RolloutState::Running, 1), newTargets);
+        REQUIRE(split);
+        INFO(newTargets << " new targets");
+        const std::size_t loaded = targetCountForShare(split->newTargetShare, newTargets);
+        CHECK(loaded == (newTargets + 9) / 10);
+        const std::uint32_t finalLoad = fullShare.value() / newTargets;
+        const std::uint32_t load = split->newShare.value() / static_cast<std::uint32_t>(loaded);
+        CHECK(load <= finalLoad);
+        CHECK(split->newShare <= Share(3'300));
+        if (newTargets >= 4)
+            CHECK(load + 1 >= finalLoad);
+    }
+}
+
 // Guards against fields that are lost when a service's row is encoded and decoded.
 TEST_CASE("a service's row decodes to what was encoded", "[proxy]")
 {
