Refuse responses whose status is no HTTP status

Clients got responses with the status 000. Here the asynchronous client passed on 600 and 999, and skipped 000, 099 and 101 like interim responses until the deadline; the libcurl client passed on 101, 600 and 999 (it refuses 000, 099 and what is not three digits itself). decodeInboundResult() took any status, and the server session wrote any status.

Change: isFinalStatus() (200 to 599) and isInterimStatus() (100 to 199 except 101, since no request asks for another protocol). Another status is a failed attempt that may have run, and its connection is closed. Results between proxies with such a status are refused. The server session writes an empty 502 in place of a response with such a status, which promises nothing.

The table relay client and the operator client compare with 200 and need no change. The node's server (ulfius) only gets statuses of the node itself and of the libcurl client.

Tests: the four new tests on invalid statuses failed before (async client 10 of 22 cases, libcurl client 9 of 33, server 9 of 9, results 21 of 21) and pass; "interim responses are skipped, and each status from 200 to 599 is passed on" guards the other side and passed before. All other tests of http_tests pass.

--- a/include/dandeliondock/http/async_server.h
+++ b/include/dandeliondock/http/async_server.h
@@ -42,7 +42,8 @@
     /// \brief Time at which the request, read completely, was handed to the handler.
     [[nodiscard]] virtual MonotonicTime arrivedAt() const noexcept = 0;
 
-    /// \brief Sends the response; later calls of respond() and abort() do nothing.
+    /// \brief Sends the response; later calls of respond() and abort() do nothing. A response whose status is not a
+    /// final one is replaced by an empty one with the status 502.
     virtual void respond(HttpResponse response) = 0;
 
     /// \brief Closes the connection without a response.
--- a/include/dandeliondock/http/message.h
+++ b/include/dandeliondock/http/message.h
@@ -49,6 +49,19 @@
 /// within the head of a response and sends another one produces such a head. Thread-safe.
 [[nodiscard]] bool containsStatusLine(absl::string_view text);
 
+/// \brief Whether a response with this status is a final one. Thread-safe.
+[[nodiscard]] constexpr bool isFinalStatus(int status) noexcept
+{
+    return status >= 200 && status <= 599;
+}
+
+/// \brief Whether a response with this status precedes the final one. The status 101 does not: it ends the use of HTTP
+/// on a connection, which no request of this project asks for. Thread-safe.
+[[nodiscard]] constexpr bool isInterimStatus(int status) noexcept
+{
+    return status >= 100 && status <= 199 && status != 101;
+}
+
 /// \brief A request with its complete body; \c target is the raw path and query as received.
 struct HttpRequest
 {
--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -456,10 +456,15 @@
         fail(ErrorKind::MayHaveRun, "the head of the response begins with a part of another one");
         return;
     }
-    if (m_parser->get().result_int() < 200) {
+    const int status = static_cast<int>(m_parser->get().result_int());
+    if (isInterimStatus(status)) {
         skipResponse();
         return;
     }
+    if (!isFinalStatus(status)) {
+        fail(ErrorKind::MayHaveRun, absl::StrCat("the response has the invalid status ", status));
+        return;
+    }
     onResponseRead();
 }
 
--- a/src/http/call_state.cpp
+++ b/src/http/call_state.cpp
@@ -13,7 +13,6 @@
 
 namespace {
 
-constexpr int firstFinalStatus = 200;
 constexpr absl::string_view protocolName = "HTTP/";
 constexpr std::size_t abortTransfer = 0; // returned by a hook in place of the number of bytes
 
@@ -38,12 +37,15 @@
     return size;
 }
 
-void finishHead(CallState &state)
+// Returns false when the status is neither that of an interim nor that of a final response.
+bool finishHead(CallState &state)
 {
-    long status = 0;
-    curl_easy_getinfo(state.connection.easy.get(), CURLINFO_RESPONSE_CODE, &status);
-    state.response.status = static_cast<int>(status);
-    state.headersComplete = status >= firstFinalStatus;
+    long code = 0;
+    curl_easy_getinfo(state.connection.easy.get(), CURLINFO_RESPONSE_CODE, &code);
+    const int status = static_cast<int>(code);
+    state.response.status = status;
+    state.headersComplete = isFinalStatus(status);
+    return state.headersComplete || isInterimStatus(status);
 }
 
 void addHeader(CallState &state, absl::string_view line)
@@ -74,7 +76,8 @@
         state->response.headers = HttpHeaders();
         state->hasStatusLine = true;
     } else if (absl::StripAsciiWhitespace(line).empty()) {
-        finishHead(*state);
+        if (!finishHead(*state))
+            return abortTransfer;
         state->hasStatusLine = false;
     } else {
         addHeader(*state, line);
--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -26,6 +26,14 @@
     return http::status::bad_request;
 }
 
+// Written instead of a response whose status is invalid. The status 502 promises nothing about the request.
+HttpResponse invalidStatusReplacement()
+{
+    HttpResponse response;
+    response.status = static_cast<int>(http::status::bad_gateway);
+    return response;
+}
+
 bool isDisconnect(const error_code &error)
 {
     return error == http::error::end_of_stream || error == http::error::partial_message
@@ -200,6 +208,8 @@
 {
     if (m_activeRequest.get() != request || m_isClosed)
         return;
+    if (!isFinalStatus(response.status))
+        response = invalidStatusReplacement();
     const bool keepAlive = m_activeRequest->keepAlive() && !m_server->isDraining && !m_closesAfterResponse;
     http::response<http::string_body> message(static_cast<http::status>(response.status), m_activeRequest->version());
     copyHeaders(response.headers, message);
--- a/src/proxy/inbound_request.cpp
+++ b/src/proxy/inbound_request.cpp
@@ -203,6 +203,8 @@
     const auto outcome = indexOf(outcomeNames, takeHeader(response.headers, outcomeHeader));
     if (!outcome)
         return invalidHeader(outcomeHeader);
+    if (!isFinalStatus(response.status))
+        return makeError(ErrorKind::InvalidMessage, absl::StrCat("the status ", response.status, " is invalid"));
     result.outcome = static_cast<ForwardOutcome>(*outcome);
     const std::string cause = takeHeader(response.headers, causeHeader);
     if (result.outcome == ForwardOutcome::Failed && cause == callCause)
--- a/tests/http/async_client_test.cpp
+++ b/tests/http/async_client_test.cpp
@@ -132,6 +132,45 @@
     }
 }
 
+// Guards against a response with an invalid status that is passed on to the caller, or that is skipped as an interim
+// one until the deadline.
+TEST_CASE("a response whose status is no status of a final response is an error", "[http]")
+{
+    for (const std::string status : {"000", "099", "101", "600", "999", "20", "2", "2000", "20x", "-20", ""}) {
+        for (const std::string id : {"1", "another"}) {
+            RawListener listener([&](const RawConnection &connection, int) {
+                static_cast<void>(connection.readUntil("body"));
+                connection.write("HTTP/1.1 " + status + " Wrong\r\nId: " + id + "\r\nContent-Length: 0\r\n\r\n");
+                static_cast<void>(connection.readAll());
+            });
+            TestClient client;
+            const AsyncCallResult result = client.call(listener.address(), "1");
+            INFO("status " << status << " with id " << id);
+            CHECK(errorKind(result.status) == ErrorKind::MayHaveRun);
+            CHECK(result.maybeSent);
+        }
+    }
+}
+
+// Guards against a call that fails because of a valid interim response, and one that fails because of an unusual
+// status.
+TEST_CASE("interim responses are skipped, and each status from 200 to 599 is passed on", "[http]")
+{
+    for (const int status : {200, 299, 304, 499, 507, 599}) {
+        RawListener listener([&](const RawConnection &connection, int) {
+            static_cast<void>(connection.readUntil("body"));
+            connection.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 "
+                             + std::to_string(status) + " Any\r\nId: 1\r\nContent-Length: 0\r\n\r\n");
+            static_cast<void>(connection.readAll());
+        });
+        TestClient client;
+        const AsyncCallResult result = client.call(listener.address(), "1");
+        INFO("status " << status);
+        CHECK(result.status.ok());
+        CHECK(result.response.status == status);
+    }
+}
+
 // Guards against a response put together from two: a faulty target begins to send an earlier response again, breaks off
 // within its head and sends the response to the request. A failure became a success by the status of the earlier one.
 TEST_CASE("a response whose head begins with a part of another response is not passed on", "[http]")
--- a/tests/http/async_server_test.cpp
+++ b/tests/http/async_server_test.cpp
@@ -345,4 +345,25 @@
     server.thread().run([&] { CHECK(server.httpServer().activeRequests() == 0); });
 }
 
+// Guards against a status that no client accepts, written because a handler passed on what it was given.
+TEST_CASE("a response with an invalid status is written as 502 without its headers and body", "[http]")
+{
+    for (const int status : {-1, 0, 99, 100, 101, 199, 600, 999, 2'000}) {
+        TestServer server([status](const HttpRequestContextPtr &request) {
+            HttpResponse response;
+            response.status = status;
+            response.headers.add("X-Secret", "value");
+            response.body = "body";
+            request->respond(std::move(response));
+        });
+        RawConnection connection(server.port());
+        connection.write("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+        const std::string received = connection.readAll();
+        INFO("status " << status);
+        CHECK_THAT(received, Catch::StartsWith("HTTP/1.1 502 Bad Gateway\r\n"));
+        CHECK_THAT(received, Catch::Contains("Content-Length: 0\r\n"));
+        CHECK_THAT(received, !Catch::Contains("X-Secret"));
+    }
+}
+
 } // namespace dandeliondock::testing
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -68,6 +68,48 @@
     }
 }
 
+// Guards against a response with an invalid status that is passed on to the caller.
+TEST_CASE("a response of a target whose status is no status of a final response is an error", "[http]")
+{
+    for (const std::string status : {"000", "099", "101", "600", "999", "20", "2", "2000", "20x", "-20", ""}) {
+        for (const std::string body : {"", "x", "xy"}) {
+            RawListener server([&](const RawConnection &connection, int) {
+                static_cast<void>(connection.readUntil("ORDER"));
+                connection.write("HTTP/1.1 " + status + " Wrong\r\nContent-Length: " + std::to_string(body.size())
+                                 + endOfHead + body);
+                static_cast<void>(connection.readAll());
+            });
+            HttpClient client;
+            SendOptions options;
+            options.timeout = Seconds(3);
+            const SendResult result = client.send(server.address(), order(), options);
+            INFO("status " << status << " with a body of " << body.size());
+            CHECK(result.maybeSent);
+            CHECK(errorKind(result.response.status()) == ErrorKind::MayHaveRun);
+            CHECK(client.connections(server.address()) == 0);
+        }
+    }
+}
+
+// Guards against a call that fails because of a valid interim response, and one that fails because of an unusual
+// status.
+TEST_CASE("interim responses of a target are skipped, and each status from 200 to 599 is passed on", "[http]")
+{
+    for (const int status : {200, 299, 304, 499, 507, 599}) {
+        RawListener server([&](const RawConnection &connection, int) {
+            static_cast<void>(connection.readUntil("ORDER"));
+            connection.write("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 "
+                             + std::to_string(status) + " Any\r\nContent-Length: 0\r\n\r\n");
+            static_cast<void>(connection.readAll());
+        });
+        HttpClient client;
+        const SendResult result = client.send(server.address(), order(), {});
+        INFO("status " << status);
+        REQUIRE(result.response.ok());
+        CHECK(result.response->status == status);
+    }
+}
+
 // Guards against a response put together from two: a failure became a success by the status of an earlier response that
 // a faulty target began to send again.
 TEST_CASE("a response of a target whose head begins with a part of another response is not passed on", "[http]")
--- a/tests/proxy/inbound_request_test.cpp
+++ b/tests/proxy/inbound_request_test.cpp
@@ -124,6 +124,20 @@
     CHECK_FALSE(encodeInboundResult(sent).headers.first("Dock-Link-Ms").has_value());
 }
 
+// Guards against an invalid status that the proxy of a caller passes on, whatever outcome the message claims.
+TEST_CASE("a result with an invalid status is refused", "[proxy]")
+{
+    for (const int status : {0, 99, 100, 101, 600, 999, -1}) {
+        for (const char *outcome : {"answered", "failed", "not_run"}) {
+            HttpResponse message;
+            message.status = status;
+            message.headers.add("Dock-Outcome", outcome);
+            INFO("status " << status << " with outcome " << outcome);
+            CHECK_FALSE(decodeInboundResult(message).ok());
+        }
+    }
+}
+
 // Guards against numbers of another process that overflow a clock or a counter.
 TEST_CASE("numbers out of range in the headers between proxies are refused or ignored", "[proxy]")
 {
