Process concurrent safe requests of one connection

Callers with pipelined connections send reports behind each other; the server session handled one request at a time, so that each waited for the one before it, and a slow one held up all behind it.

Change: AsyncHttpServer::setConcurrency() takes a hook that tells whether a request may run beside others. The session passes such requests on at once, at most 16 and as long as at most 1 MiB is held for the connection, and writes the responses in the order of the requests. Ready responses above 4 MiB are dropped with those behind them. An unsafe request, one that closes the connection and one of HTTP/1.0 run alone or last; a drain passes on none beside others. A disconnect or a stalled write cancels all requests. The traffic duty sets the hook for the callers' listener from the route's idempotence.

Also mended on all listeners: a request that arrived after the response with "Connection: close" was still passed on, so that an order could run that its client sends again; and the server closed a connection with unread bytes, which resets it and can destroy the end of the last response.

--- a/include/dandeliondock/http/async_server.h
+++ b/include/dandeliondock/http/async_server.h
@@ -58,6 +58,16 @@
 /// \brief Hook that handles each request of a server; called on the loop's thread.
 using AsyncRequestHandler = std::function<void(const HttpRequestContextPtr &)>;
 
+/// \brief Hook that tells whether a request may be processed concurrently with others of its connection; called on the
+/// loop's thread, with the request as received, each time that it could be passed to the handler.
+using ConcurrencyHook = std::function<bool(const HttpRequest &)>;
+
+/// \brief What happened to concurrent requests of a connection.
+enum class ConcurrencyEvent {
+    RunsBesideOthers, ///< a request was passed to the handler while others of its connection were in progress
+    ResponsesDropped  ///< ready responses exceeded their bound; the last requests were cancelled, the connection ends
+};
+
 namespace impl {
 class ServerState;
 } // namespace impl
@@ -65,7 +75,8 @@
 /// \brief An HTTP/1.1 server on one address of an event loop.
 ///
 /// A request whose framing is ambiguous or malformed is rejected and never passed to the handler. Each connection
-/// handles one request at a time.
+/// handles one request at a time, unless setConcurrency() permits more. Responses have the order of the requests. A
+/// request that arrives behind the one whose response closes the connection is never passed to the handler.
 ///
 /// \remark Every method must be called on the loop's thread, or before the loop runs.
 class AsyncHttpServer
@@ -88,7 +99,17 @@
     /// \pre No request has been accepted.
     void setTransferHooks(TransferHooks hooks);
 
-    /// \brief Closes each connection after its next response, which carries "Connection: close".
+    /// \brief Permits concurrent requests of one connection (HTTP pipelining): a request runs beside earlier ones if
+    /// the hook returns true for it and for each of these, within bounds on their number and on the bytes that are
+    /// held. Without a hook, and for clients with HTTP/1.0, a connection has one request in progress. \pre No request
+    /// has been accepted.
+    void setConcurrency(ConcurrencyHook hook);
+
+    /// \brief Sets the hook that is told of concurrent requests; called on the loop's thread.
+    void onConcurrencyEvent(std::function<void(ConcurrencyEvent)> hook);
+
+    /// \brief Closes each connection after the response to the last request that was passed on, which carries
+    /// "Connection: close". No request is passed on beside others any more.
     void setDraining();
 
     /// \brief Stops accepting connections, and closes those on which no request is being read or handled and no
--- a/src/http/async_server.cpp
+++ b/src/http/async_server.cpp
@@ -98,6 +98,7 @@
 void ServerState::close()
 {
     error_code ignored;
+    isClosed = true;
     m_acceptor.close(ignored);
     m_timeoutTimer.cancel();
     const auto openSessions = sessions;
@@ -132,6 +133,16 @@
     m_state->transferHooks = std::move(hooks);
 }
 
+void AsyncHttpServer::setConcurrency(ConcurrencyHook hook)
+{
+    m_state->isConcurrent = std::move(hook);
+}
+
+void AsyncHttpServer::onConcurrencyEvent(std::function<void(ConcurrencyEvent)> hook)
+{
+    m_state->onConcurrencyEvent = std::move(hook);
+}
+
 void AsyncHttpServer::setDraining()
 {
     m_state->isDraining = true;
--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -2,6 +2,8 @@
 
 #include <algorithm>
 #include <functional>
+#include <iterator>
+#include <poll.h>
 #include <utility>
 
 namespace dandeliondock::impl {
@@ -42,16 +44,24 @@
 
 } // namespace
 
-/// \brief The request that a session handles, until it is responded to, aborted or cancelled.
+/// \brief A request that a session has read, until its response is written, or until it is aborted or cancelled.
 class SessionRequest : public HttpRequestContext
 {
 public:
-    SessionRequest(std::shared_ptr<ServerSession> session, HttpRequest request, bool keepAlive, unsigned version)
-        : m_session(std::move(session)), m_request(std::move(request)), m_arrivedAt(EventLoop::now()),
-          m_keepAlive(keepAlive), m_version(version)
+    SessionRequest(HttpRequest request, bool keepAlive, unsigned version)
+        : m_request(std::move(request)), m_receivedBytes(m_request.body.size() + headReadSize), m_keepAlive(keepAlive),
+          m_version(version)
     {
     }
 
+    /// \brief Must be called before the request is handed to the handler.
+    void begin(std::shared_ptr<ServerSession> session, bool isConcurrent)
+    {
+        m_session = std::move(session);
+        m_arrivedAt = EventLoop::now();
+        m_isConcurrent = isConcurrent;
+    }
+
     const HttpRequest &request() const noexcept override { return m_request; }
     HttpRequest &request() noexcept override { return m_request; }
     MonotonicTime arrivedAt() const noexcept override { return m_arrivedAt; }
@@ -79,13 +89,32 @@
             hook();
     }
 
+    /// \brief Keeps the response until it can be written, and frees the request.
+    void holdResponse(HttpResponse response)
+    {
+        m_request.headers = {};
+        m_request.body = {};
+        m_response = std::move(response);
+    }
+
+    [[nodiscard]] HttpResponse takeResponse() { return *std::exchange(m_response, std::nullopt); }
+
+    [[nodiscard]] bool hasResponse() const noexcept { return m_response.has_value(); }
+    [[nodiscard]] std::size_t heldBytes() const noexcept
+    {
+        return m_response ? m_response->body.size() + assumedHeadSize : m_receivedBytes;
+    }
+    [[nodiscard]] bool isConcurrent() const noexcept { return m_isConcurrent; }
     [[nodiscard]] bool keepAlive() const noexcept { return m_keepAlive; }
     [[nodiscard]] unsigned version() const noexcept { return m_version; }
 
 private:
     std::shared_ptr<ServerSession> m_session;
     HttpRequest m_request;
+    std::optional<HttpResponse> m_response; ///< ready, and waiting for the responses before it
+    std::size_t m_receivedBytes;
     MonotonicTime m_arrivedAt;
+    bool m_isConcurrent = false;
     bool m_keepAlive;
     unsigned m_version;
     std::function<void()> m_onCancelled;
@@ -119,15 +148,37 @@
         onReadFailed(error);
         return;
     }
-    m_lastActivity = EventLoop::now();
-    if (m_parser->is_done()) {
+    if (!m_isWriting)
+        m_lastActivity = EventLoop::now();
+    if (m_closesAfterResponse) {
+        m_readState = ReadState::HeadDone;
+        if (isIdle())
+            discardInput();
+    } else if (m_parser->is_done()) {
         onRequestRead();
-        return;
+    } else if (mayReadBody()) {
+        readBody();
+    } else {
+        m_readState = ReadState::HeadDone;
     }
+}
+
+// On a server with concurrent requests, the body of a request behind others is read only if it fits into the bound, and
+// if its client does not wait for a status 100, which cannot be written before the other responses.
+bool ServerSession::mayReadBody() const
+{
+    if (isIdle() || !m_server->isConcurrent)
+        return true;
+    const auto length = m_parser->content_length();
+    return length && heldBytes() + *length <= maxConcurrentBytes
+           && !boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue");
+}
+
+void ServerSession::readBody()
+{
     m_readState = ReadState::Body;
     reserveForBody(*m_parser, m_buffer);
-    if (!m_activeRequest && !m_isWriting
-        && boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
+    if (isIdle() && boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
         sendContinue();
         return;
     }
@@ -163,74 +214,178 @@
 void ServerSession::onReadFailed(const error_code &error)
 {
     m_readState = ReadState::Done;
+    m_parser.reset();
     if (isDisconnect(error)) {
         onPeerDisconnected();
         return;
     }
-    if (m_activeRequest || m_isWriting) {
+    if (!isIdle()) {
         m_closesAfterResponse = true;
         return;
     }
-    reject(statusForError(error));
+    if (m_closesAfterResponse)
+        close();
+    else
+        reject(statusForError(error));
 }
 
 void ServerSession::onRequestRead()
 {
     m_readState = ReadState::Done;
-    if (!m_activeRequest && !m_isWriting)
-        handleRequest();
+    m_next = takeRequest();
+    if (m_closesAfterResponse && isIdle())
+        discardInput();
+    else
+        handleNext();
 }
 
-void ServerSession::handleRequest()
+std::shared_ptr<SessionRequest> ServerSession::takeRequest()
 {
     auto message = m_parser->release();
+    m_parser.reset();
     HttpRequest request;
     request.method.assign(message.method_string().data(), message.method_string().size());
     request.target.assign(message.target().data(), message.target().size());
     copyHeaders(message, request.headers);
     request.body = std::move(message.body());
-    m_lastActivity = EventLoop::now();
-    m_activeRequest = std::make_shared<SessionRequest>(shared_from_this(), std::move(request), message.keep_alive(),
-                                                       message.version());
+    return std::make_shared<SessionRequest>(std::move(request), message.keep_alive(), message.version());
+}
+
+// A request that does not permit others beside it is the only one in progress, and one that closes the connection is
+// the last one, so that only the last request needs to be checked.
+bool ServerSession::mayRunBesideOthers() const
+{
+    if (m_server->isDraining || m_requests.size() >= maxConcurrentRequests || heldBytes() > maxConcurrentBytes)
+        return false;
+    return m_requests.empty() || (m_requests.back()->isConcurrent() && m_requests.back()->keepAlive());
+}
+
+// Passes the next request to the handler if it is read completely and need not wait.
+void ServerSession::handleNext()
+{
+    if (!m_next || m_closesAfterResponse)
+        return;
+    // Clients with HTTP/1.0 do not expect several requests on a connection to be processed at once.
+    const bool isConcurrent =
+            m_server->isConcurrent && m_next->version() >= 11 && m_server->isConcurrent(m_next->request());
+    const bool isBesideOthers = !m_requests.empty();
+    if (!isIdle() && !(isConcurrent && mayRunBesideOthers()))
+        return;
+    if (!m_isWriting)
+        m_lastActivity = EventLoop::now();
+    const auto request = std::exchange(m_next, nullptr);
+    request->begin(shared_from_this(), isConcurrent);
+    m_requests.push_back(request);
     ++m_server->activeRequests;
+    if (isBesideOthers)
+        m_server->notify(ConcurrencyEvent::RunsBesideOthers);
     shrinkBuffer(m_buffer);
     readHead();
-    const auto active = m_activeRequest;
     try {
-        m_server->handle(active);
+        m_server->handle(request);
     } catch (...) {
-        active->abort(); // the request may have been passed on, so that no status can be promised
+        request->abort(); // the request may have been passed on, so that no status can be promised
         throw;
     }
 }
 
 void ServerSession::respond(const SessionRequest *request, HttpResponse response)
 {
-    if (m_activeRequest.get() != request || m_isClosed)
+    const auto found = std::find_if(m_requests.begin(), m_requests.end(),
+                                    [request](const auto &candidate) { return candidate.get() == request; });
+    if (m_isClosed || found == m_requests.end())
         return;
     if (!isFinalStatus(response.status))
         response = invalidStatusReplacement();
-    const bool keepAlive = m_activeRequest->keepAlive() && !m_server->isDraining && !m_closesAfterResponse;
-    http::response<http::string_body> message(static_cast<http::status>(response.status), m_activeRequest->version());
-    copyHeaders(response.headers, message);
-    const bool isHead = m_activeRequest->request().method == "HEAD";
-    m_activeRequest.reset();
     --m_server->activeRequests;
+    if (m_isWriting || found != m_requests.begin()) {
+        ++m_server->unwrittenResponses;
+        (*found)->holdResponse(std::move(response));
+        limitReadyResponses();
+        return;
+    }
+    const auto answered = std::move(*found);
+    m_requests.erase(found);
+    writeResponse(*answered, std::move(response));
+}
+
+void ServerSession::writeReadyResponse()
+{
+    if (m_requests.empty() || !m_requests.front()->hasResponse())
+        return;
+    const auto answered = std::move(m_requests.front());
+    m_requests.erase(m_requests.begin());
+    --m_server->unwrittenResponses;
+    writeResponse(*answered, answered->takeResponse());
+}
+
+void ServerSession::writeResponse(const SessionRequest &request, HttpResponse response)
+{
+    const bool isLast = m_requests.empty() && (m_server->isDraining || m_closesAfterResponse);
+    const bool keepAlive = request.keepAlive() && !isLast;
+    http::response<http::string_body> message(static_cast<http::status>(response.status), request.version());
+    copyHeaders(response.headers, message);
+    const bool isHead = request.request().method == "HEAD";
     message.keep_alive(keepAlive);
-    m_closesAfterResponse = !keepAlive;
+    if (!keepAlive)
+        m_closesAfterResponse = true;
     message.body() = std::move(response.body);
     if (!isHead)
         message.prepare_payload();
     write(std::move(message), response.isUrgent);
 }
 
+// The oldest ready response is kept whatever its size, so that a client that sends its requests again makes progress.
+// The requests behind the connection's last response may be sent again, and only concurrent ones are among them.
+void ServerSession::limitReadyResponses()
+{
+    std::size_t readyBytes = 0;
+    for (std::size_t index = 0; index < m_requests.size(); ++index) {
+        if (!m_requests[index]->hasResponse())
+            continue;
+        const bool isOldest = readyBytes == 0;
+        readyBytes += m_requests[index]->heldBytes();
+        if (!isOldest && readyBytes > maxReadyBytes) {
+            cancelRequestsFrom(index);
+            m_server->notify(ConcurrencyEvent::ResponsesDropped);
+            return;
+        }
+    }
+}
+
+// Removes the requests from this index on; the caller cancels them.
+ServerSession::Requests ServerSession::takeRequestsFrom(std::size_t index)
+{
+    const auto begin = m_requests.begin() + static_cast<std::ptrdiff_t>(index);
+    Requests taken(std::make_move_iterator(begin), std::make_move_iterator(m_requests.end()));
+    m_requests.erase(begin, m_requests.end());
+    for (const auto &request : taken)
+        --(request->hasResponse() ? m_server->unwrittenResponses : m_server->activeRequests);
+    return taken;
+}
+
+// Ends the connection after the response to the request before this index. The handlers learn of it later, because this
+// may be called by one of them.
+void ServerSession::cancelRequestsFrom(std::size_t index)
+{
+    m_closesAfterResponse = true;
+    asio::post(m_socket.get_executor(), [server = m_server, cancelled = takeRequestsFrom(index)] {
+        if (server->isClosed)
+            return; // the handlers may not exist any more
+        for (const auto &request : cancelled)
+            request->notifyCancelled();
+    });
+}
+
 void ServerSession::abort(const SessionRequest *request)
 {
-    if (m_activeRequest.get() != request)
+    const auto found = std::find_if(m_requests.begin(), m_requests.end(),
+                                    [request](const auto &candidate) { return candidate.get() == request; });
+    if (m_isClosed || found == m_requests.end())
         return;
-    m_activeRequest.reset();
-    --m_server->activeRequests;
-    close();
+    cancelRequestsFrom(static_cast<std::size_t>(found - m_requests.begin()));
+    if (isIdle())
+        close();
 }
 
 void ServerSession::reject(http::status status)
@@ -312,40 +467,99 @@
         return;
     m_lastActivity = EventLoop::now();
     if (error) {
-        close();
+        onPeerDisconnected();
         return;
     }
-    if (m_closesAfterResponse) {
+    writeReadyResponse();
+    if (m_closesAfterResponse && isIdle()) {
         // Only the sending side is shut down, so that the peer closes first: a close on this side could reset the
         // connection, and the peer would lose the end of the response.
         error_code ignored;
         m_socket.shutdown(StreamSocket::shutdown_send, ignored);
-        if (m_readState == ReadState::Done)
+        if (m_next || m_readState == ReadState::HeadDone)
+            discardInput();
+        else if (m_readState == ReadState::Done)
             close();
         return;
     }
-    if (m_readState == ReadState::Done)
-        handleRequest();
+    resumeReading();
+}
+
+void ServerSession::resumeReading()
+{
+    if (m_closesAfterResponse)
+        return;
+    if (m_readState != ReadState::HeadDone) {
+        handleNext();
+    } else if (mayReadBody()) {
+        if (!m_isWriting)
+            m_lastActivity = EventLoop::now();
+        readBody();
+    }
+}
+
+// Reads what the peer has sent behind the last request until it closes the connection, see onWritten(). Ends with
+// lingerTimeout, or with maxConcurrentBytes so that a client that sends without end costs little.
+void ServerSession::discardInput()
+{
+    m_readState = ReadState::Discard;
+    m_parser.reset();
+    m_next.reset();
+    m_buffer.consume(m_buffer.size());
+    m_socket.async_read_some(m_buffer.prepare(bodyReadSize),
+                             [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+                                 if (self->m_isClosed)
+                                     return;
+                                 self->m_discardedBytes += bytes;
+                                 if (error || self->m_discardedBytes > maxConcurrentBytes)
+                                     self->close();
+                                 else
+                                     self->discardInput();
+                             });
+}
+
+std::size_t ServerSession::heldBytes() const
+{
+    std::size_t bytes = m_buffer.size();
+    if (m_parser)
+        bytes += m_parser->get().body().size();
+    if (m_next)
+        bytes += m_next->heldBytes();
+    if (m_message)
+        bytes += m_message->body().size();
+    for (const auto &request : m_requests)
+        bytes += request->heldBytes();
+    return bytes;
 }
 
 void ServerSession::onPeerDisconnected()
 {
-    const auto activeRequest = std::exchange(m_activeRequest, nullptr);
-    if (activeRequest)
-        --m_server->activeRequests;
+    const Requests cancelled = takeRequestsFrom(0);
     close();
-    if (activeRequest)
-        activeRequest->notifyCancelled();
+    for (const auto &request : cancelled)
+        request->notifyCancelled();
+}
+
+// Whether the peer has closed the connection although not all its bytes are read.
+bool ServerSession::hasPeerHungUp()
+{
+    struct pollfd polled = {m_socket.native_handle(), POLLRDHUP, 0};
+    return ::poll(&polled, 1, 0) > 0;
 }
 
 void ServerSession::closeIfTimedOut(MonotonicTime now)
 {
-    if (m_activeRequest)
-        return;
     const MonotonicTime::duration inactiveTime = now - m_lastActivity;
     if (m_isWriting) {
         if (!m_isAwaitingGrant && inactiveTime > writeStallTimeout)
-            close();
+            onPeerDisconnected();
+        return;
+    }
+    if (!m_requests.empty()) {
+        // While reading has stopped, no read reports the end of the connection.
+        const bool hasStoppedReading = m_readState == ReadState::Done || m_readState == ReadState::HeadDone;
+        if (m_server->isConcurrent && hasStoppedReading && hasPeerHungUp())
+            onPeerDisconnected();
         return;
     }
     if (m_closesAfterResponse) {
@@ -370,7 +584,7 @@
 
 void ServerSession::closeIfIdle()
 {
-    if (!m_activeRequest && !m_isWriting && m_readState == ReadState::Head && m_buffer.size() == 0)
+    if (isIdle() && m_readState == ReadState::Head && m_buffer.size() == 0)
         close();
 }
 
@@ -380,6 +594,7 @@
         return;
     error_code ignored;
     m_socket.close(ignored);
+    m_next.reset();
     if (m_isWriting && m_isAwaitingGrant)
         endWriting(); // otherwise a write in progress still refers to the message
     m_server->sessions.erase(shared_from_this());
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -3,6 +3,8 @@
 #include "beast_message.h"
 #include "server_state.h"
 
+#include <absl/container/inlined_vector.h>
+
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <cstddef>
@@ -13,8 +15,23 @@
 
 class SessionRequest;
 
+/// \brief Largest number of requests of one connection that are passed on and whose responses are not being written. A
+/// client with one connection to a proxy has about 10 open if it sends 3.2 reports per second that take up to 3 s each.
+inline constexpr std::size_t maxConcurrentRequests = 16;
+/// \brief Bytes held for one connection up to which a further request is passed on beside others; less than a hundredth
+/// of the memory of the smallest instances (160 MB).
+inline constexpr std::size_t maxConcurrentBytes = 1'048'576;
+/// \brief Bytes of ready responses that wait for an earlier one. The sizes of responses are not known when requests are
+/// passed on; 16 responses of 256 KiB fit.
+inline constexpr std::size_t maxReadyBytes = 4'194'304;
+
 /// \brief One connection. The head of the next request is read while a request is handled, so that a disconnect of the
 /// peer is noticed.
+///
+/// Requests are passed on in the order in which they arrive, and their responses are written in this order. A request
+/// is passed on when no other one is in progress and no response is being written, or, if the server's concurrency hook
+/// permits it for this request and for those in progress, as long as the bounds above are not reached. A request that
+/// is read but not passed on is dropped when the connection closes.
 class ServerSession : public std::enable_shared_from_this<ServerSession>
 {
 public:
@@ -34,18 +51,44 @@
 
     void close();
 
+    /// \brief Bytes held for this connection: input that is not parsed, the request that is being read or waits, the
+    /// requests in progress as received, the responses that are ready or being written.
+    [[nodiscard]] std::size_t heldBytes() const;
+
 private:
-    enum class ReadState { Idle, Head, Body, Done };
+    using Requests = absl::InlinedVector<std::shared_ptr<SessionRequest>, 1>;
+
+    enum class ReadState {
+        Idle,
+        Head,
+        HeadDone, ///< the head is read, the body waits until the earlier requests have ended
+        Body,
+        Done, ///< the request is read completely, or reading has failed
+        Discard
+    };
 
     void readHead();
     void onHeadRead(const error_code &error);
+    [[nodiscard]] bool mayReadBody() const;
+    void readBody();
     void onBodyRead(const error_code &error);
     void sendContinue();
     void onReadFailed(const error_code &error);
     void onRequestRead();
-    void handleRequest();
+    [[nodiscard]] std::shared_ptr<SessionRequest> takeRequest();
+    [[nodiscard]] bool isIdle() const noexcept { return m_requests.empty() && !m_isWriting; }
+    [[nodiscard]] bool mayRunBesideOthers() const;
+    void handleNext();
+    void resumeReading();
+    void discardInput();
     void reject(http::status status);
+    void limitReadyResponses();
+    [[nodiscard]] Requests takeRequestsFrom(std::size_t index);
+    void cancelRequestsFrom(std::size_t index);
+    [[nodiscard]] bool hasPeerHungUp();
     void onPeerDisconnected();
+    void writeResponse(const SessionRequest &request, HttpResponse response);
+    void writeReadyResponse();
     void write(http::response<http::string_body> message, bool isUrgent);
     void awaitGrant();
     void writePiece();
@@ -65,12 +108,14 @@
     std::optional<TransferId> m_transfer;     ///< of a response that is written as grants allow
     std::size_t m_grantedBytes = 0;
     bool m_isAwaitingGrant = false;
-    std::shared_ptr<SessionRequest> m_activeRequest;
+    Requests m_requests;                    ///< passed on, and their responses not being written; oldest first
+    std::shared_ptr<SessionRequest> m_next; ///< read completely, and not passed on
+    std::size_t m_discardedBytes = 0;
     ReadState m_readState = ReadState::Idle;
     MonotonicTime m_lastActivity;
     std::optional<MonotonicTime> m_partialHeadSince; ///< set when a part of a head was noticed
     bool m_isWriting = false;
-    bool m_closesAfterResponse = false; ///< no further request is handled after the response in progress
+    bool m_closesAfterResponse = false; ///< no further request is passed on; the last response ends the connection
     bool m_isClosed = false;
 };
 
--- a/src/http/server_state.h
+++ b/src/http/server_state.h
@@ -28,12 +28,20 @@
 
     ConnectionLimits limits;
     TransferHooks transferHooks;
+    ConcurrencyHook isConcurrent; ///< null if a connection has one request in progress
+    std::function<void(ConcurrencyEvent)> onConcurrencyEvent;
     bool isDraining = false;
+    bool isClosed = false;
     std::size_t activeRequests = 0;
     std::size_t unwrittenResponses = 0;
     std::set<std::shared_ptr<ServerSession>> sessions;
 
     void handle(const HttpRequestContextPtr &context) { m_handler(context); }
+    void notify(ConcurrencyEvent event)
+    {
+        if (onConcurrencyEvent)
+            onConcurrencyEvent(event);
+    }
 
 private:
     void accept();
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -43,6 +43,8 @@
       m_healthServer(loop, [this](const HttpRequestContextPtr &context) { handleHealth(context); }),
       m_announcementServer(loop, [this](const HttpRequestContextPtr &context) { handleTargetMessage(context); }),
       m_metricsServer(loop, [this](const HttpRequestContextPtr &context) { handleMetrics(context); }),
+      m_pipelinedRequests(metrics.counter("pipelined_requests_total")),
+      m_droppedPipelines(metrics.counter("pipelines_dropped_total")),
       m_loopMonitor(loop, "traffic", metrics, m_log, [this](LogEvent &event) { addLoadFields(event); })
 {
 }
@@ -99,6 +101,8 @@
     limits.idleTimeout = std::chrono::minutes(1);
     limits.maxBodyBytes = ByteCount(67'108'864);
     m_inboundServer.setLimits(limits);
+    m_callerServer.setConcurrency([this](const HttpRequest &request) { return isConcurrent(request); });
+    m_callerServer.onConcurrencyEvent([this](ConcurrencyEvent event) { recordConcurrencyEvent(event); });
     m_callerServer.setTransferHooks(m_pacer.hooks());
     m_inboundServer.setTransferHooks(m_pacer.hooks());
     return absl::OkStatus();
@@ -313,6 +317,30 @@
     context->respond(std::move(response));
 }
 
+bool TrafficDuty::isConcurrent(const HttpRequest &request) const
+{
+    const ProxyConfigPtr &config = m_forwarder.config();
+    if (!config)
+        return false;
+    const RouteMatch match = config->routes.match(request.headers.first("Host").value_or(""), request.target);
+    return match.route != nullptr && match.route->idempotent;
+}
+
+void TrafficDuty::recordConcurrencyEvent(ConcurrencyEvent event)
+{
+    if (event == ConcurrencyEvent::RunsBesideOthers) {
+        m_pipelinedRequests.add();
+        return;
+    }
+    m_droppedPipelines.add();
+    if (m_concurrencyLogLimiter.allow(EventLoop::now(), m_log)) {
+        LogEvent(LogLevel::Warn, "caller.responses_dropped")
+                .field("callers", m_callerServer.connections())
+                .field("open", m_callerServer.activeRequests())
+                .write(m_log);
+    }
+}
+
 void TrafficDuty::drain(std::function<void()> onDrained)
 {
     LogEvent(LogLevel::Info, "proxy.draining")
--- a/src/proxy/traffic_duty.h
+++ b/src/proxy/traffic_duty.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliondock/core/log_rate_limiter.h>
 #include <dandeliondock/core/metrics.h>
 #include <dandeliondock/http/async_server.h>
 #include <dandeliondock/proxy/control_duty.h>
@@ -88,6 +89,9 @@
     void handleTargetMessage(const HttpRequestContextPtr &context);
     void handleInbound(const HttpRequestContextPtr &context);
     void handleMetrics(const HttpRequestContextPtr &context);
+    /// Whether the configuration in force permits the request to run beside others of its caller's connection.
+    [[nodiscard]] bool isConcurrent(const HttpRequest &request) const;
+    void recordConcurrencyEvent(ConcurrencyEvent event);
     /// Applies a message of the target. Returns Stale for one that is older than the known state.
     AnnouncementEffect applyTargetMessage(const TargetMessage &message);
     void applyTargetRecord(const std::optional<Endpoint> &record);
@@ -121,6 +125,9 @@
     AsyncHttpServer m_healthServer;
     AsyncHttpServer m_announcementServer;
     AsyncHttpServer m_metricsServer;
+    Counter &m_pipelinedRequests; ///< passed on while others of their connection were in progress
+    Counter &m_droppedPipelines;  ///< connections whose ready responses exceeded their bound
+    LogRateLimiter m_concurrencyLogLimiter;
     LoopMonitor m_loopMonitor;
     RolloutAttempts m_batchedAttempts;
     LoopTimer m_batchTimer;
--- a/tests/platform/proxy_test.cpp
+++ b/tests/platform/proxy_test.cpp
@@ -398,6 +398,38 @@
     CHECK(deployment.first.target.runs + deployment.second.target.runs == before + 3);
 }
 
+// Guards against lookups that wait for each other on their caller's connection, and against orders that do not.
+TEST_CASE("pipelined requests of an idempotent route run at once, those of another route one after the other",
+          "[platform]")
+{
+    Deployment deployment;
+    REQUIRE(deployment.announce(deployment.second, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.first); }));
+    deployment.second.target.workTime = Milliseconds(300);
+    const std::string &address = deployment.first.settings.callers.value();
+    const auto port = static_cast<std::uint16_t>(std::stoi(address.substr(address.find(':') + 1)));
+    const auto runsAtFirstResponse = [&](const std::string &prefix) {
+        const int before = deployment.second.target.runs;
+        RawConnection caller(port);
+        std::string requests;
+        for (int index = 1; index <= 3; ++index)
+            requests +=
+                    absl::StrCat("GET ", prefix, index, " HTTP/1.1\r\nHost: h\r\nX-Dandeliondock-Attempt-Id: ", prefix,
+                                 index, "\r\nX-Dandeliondock-Time-Budget: 2000\r\n\r\n");
+        caller.write(requests);
+        std::string received = caller.readUntil(absl::StrCat("s ", prefix, 1));
+        const int runs = deployment.second.target.runs - before;
+        if (received.find(absl::StrCat("s ", prefix, 3)) == std::string::npos)
+            received += caller.readUntil(absl::StrCat("s ", prefix, 3));
+        CHECK(received.find(absl::StrCat("s ", prefix, 1)) < received.find(absl::StrCat("s ", prefix, 2)));
+        CHECK(received.find(absl::StrCat("s ", prefix, 2)) < received.find(absl::StrCat("s ", prefix, 3)));
+        CHECK_THAT(received, Catch::EndsWith(absl::StrCat("s ", prefix, 3)));
+        return runs;
+    };
+    CHECK(runsAtFirstResponse("/a/") == 3);
+    CHECK(runsAtFirstResponse("/order/") <= 2);
+}
+
 // Guards against an order that is reported as not executed, or that is sent to another target, because a caller or a
 // target sends headers of the proxies' own protocol.
 TEST_CASE("headers of the proxies' own protocol are ignored when a caller or a target sends them", "[platform]")
