Bound the memory and the connections of all listeners and clients of a proxy

Cause: bodies in progress, complete requests, responses and idle connections were held without a common bound; 16 stalled uploads of 8 MiB took a proxy of 64 MB to 169 MB.

Change: one ReceiveAccount for the traffic loop, with the ReceiveBudget, is told what each connection of the five listeners and of the client does and holds. A request that was not passed on is refused with 503 and Retry-After (on the inbound listener with the headers that other proxies take for a refusal), otherwise the connection is closed. Bodies are read with the session's own loop: Beast's operations return only when a read ends with a chunk, so that bodies in many small chunks were read without a bound. Chunks whose framing is longer than 128 KiB and the body get 413. After a rejection the rest of the request is not read, and the connection stays open for 2 s, so that the response is not lost by a reset. The time for a body now grows with its bytes (64 KiB/s); it was 3 s for the whole body, less than a legal one takes on most links. Accepting is tried again after 50 ms without free descriptors; before, it was repeated in a loop.

--- a/include/dandeliondock/http/async_client.h
+++ b/include/dandeliondock/http/async_client.h
@@ -3,6 +3,7 @@
 #include <dandeliondock/core/ids.h>
 #include <dandeliondock/http/event_loop.h>
 #include <dandeliondock/http/message.h>
+#include <dandeliondock/http/receive_account.h>
 
 #include <absl/status/status.h>
 
@@ -100,6 +101,11 @@
     AsyncHttpCall send(const Address &address, const HttpRequest &request, const AsyncCallOptions &options,
                        AsyncCallHandler handler);
 
+    /// \brief Sets the account of the memory and descriptors that connections use; without one they are not limited in
+    /// common with others.
+    /// \pre No request has been sent.
+    void setReceiveAccount(std::shared_ptr<ReceiveAccount> account);
+
     /// \brief Number of connections opened since the client was created.
     [[nodiscard]] std::uint64_t connectionsOpened() const noexcept;
 
--- a/include/dandeliondock/http/async_server.h
+++ b/include/dandeliondock/http/async_server.h
@@ -3,6 +3,7 @@
 #include <dandeliondock/core/ids.h>
 #include <dandeliondock/http/event_loop.h>
 #include <dandeliondock/http/message.h>
+#include <dandeliondock/http/receive_account.h>
 #include <dandeliondock/http/transfer_hooks.h>
 
 #include <absl/status/status.h>
@@ -19,7 +20,8 @@
     ByteCount maxHeaderBytes{16'384};
     ByteCount maxBodyBytes{8'388'608};
     /// Time after which a connection with a partly read request is closed, unless a request is being handled. It begins
-    /// with the first byte of the head, and again with the body.
+    /// with the first byte of the head, and again with each byte of the body. The whole body may take this time and
+    /// that of its bytes at slowRate.
     Milliseconds requestReadTimeout{3'000};
     /// Time since the last activity after which a connection is closed if no byte of its next request has arrived.
     Milliseconds idleTimeout{15'000};
@@ -87,6 +89,12 @@
     /// \pre No request has been accepted.
     void setTransferHooks(TransferHooks hooks);
 
+    /// \brief Sets the account of the memory and descriptors that connections use; without one they are not limited in
+    /// common with others. A request that is refused because of the account gets status 503.
+    /// \param refusalHeaders sent with this status besides Retry-After.
+    /// \pre No request has been accepted.
+    void setReceiveAccount(std::shared_ptr<ReceiveAccount> account, HttpHeaders refusalHeaders = {});
+
     /// \brief Closes each connection after its next response, which carries "Connection: close".
     void setDraining();
 
--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -133,6 +133,7 @@
 
     EventLoop &loop;
     const AsyncClientLimits limits;
+    std::shared_ptr<ReceiveAccount> account; ///< may be null
     std::uint64_t opened = 0;
 
 private:
@@ -188,6 +189,8 @@
     void skipResponse();
     void onWriteDone(const error_code &error, std::size_t bytes);
     void onResponseRead();
+    void record(HolderActivity activity, std::size_t bytes);
+    void shed();
     void fail(ErrorKind kind, absl::string_view detail);
     [[nodiscard]] bool isForOtherRequest(const HttpHeaders &headers) const;
 
@@ -206,6 +209,7 @@
     std::vector<std::string> m_carriedIds; ///< of the requests that were sent on this connection
     int m_skippedCount = 0;                ///< number of responses skipped while the expected one is awaited
     bool m_skippedOtherResponse = false;
+    std::shared_ptr<ReceiveEntry> m_entry; ///< null without an account
     bool m_isClosed = false;
 };
 
@@ -340,6 +344,13 @@
 {
     m_call = call;
     call->connection = weak_from_this();
+    if (m_client->account) {
+        m_entry = m_client->account->open([weak = weak_from_this()] {
+            if (const auto self = weak.lock())
+                self->shed();
+        });
+        record(HolderActivity::Handling, 0);
+    }
     const auto endpoint = endpointOf(m_address);
     if (!endpoint.ok()) {
         m_client->loop.post([self = shared_from_this()] { self->fail(ErrorKind::NotSent, "bad address"); });
@@ -381,6 +392,7 @@
     if (call->isHead)
         m_parser->skip(true);
     call->maybeSent = true;
+    record(HolderActivity::Handling, 0);
     http::async_write(m_socket, call->message,
                       [self = shared_from_this(), call](const error_code &failure, std::size_t bytes) {
                           call->releaseBody();
@@ -429,7 +441,9 @@
                                   self->onReadDone(error);
                                   return;
                               }
-                              self->m_client->recordBuffered(self, self->m_parser->get().body().size());
+                              const std::size_t buffered = self->m_parser->get().body().size();
+                              self->record(HolderActivity::ReceivingResponse, buffered);
+                              self->m_client->recordBuffered(self, buffered);
                               if (!self->m_isClosed)
                                   self->readBody();
                           });
@@ -507,6 +521,7 @@
         m_idleSince = EventLoop::now();
         shrinkBuffer(m_buffer);
         read();
+        record(HolderActivity::Idle, 0);
         m_client->keepIdle(m_address, shared_from_this());
     } else {
         close();
@@ -514,6 +529,21 @@
     call->finish(std::move(result));
 }
 
+void ClientConnection::record(HolderActivity activity, std::size_t bytes)
+{
+    if (m_entry)
+        m_entry->record(
+                {activity, ByteCount(bytes + m_buffer.capacity() + connectionOverhead.value()), EventLoop::now()});
+}
+
+void ClientConnection::shed()
+{
+    if (m_call)
+        failOversizedResponse();
+    else
+        close();
+}
+
 void ClientConnection::fail(ErrorKind kind, absl::string_view detail)
 {
     const auto call = std::exchange(m_call, nullptr);
@@ -535,6 +565,7 @@
     m_client->clearBuffered(shared_from_this());
     m_client->removeIdle(m_address, shared_from_this());
     m_call.reset();
+    m_entry.reset();
 }
 
 } // namespace impl
@@ -569,6 +600,11 @@
     return AsyncHttpCall(call);
 }
 
+void AsyncHttpClient::setReceiveAccount(std::shared_ptr<ReceiveAccount> account)
+{
+    m_state->account = std::move(account);
+}
+
 std::uint64_t AsyncHttpClient::connectionsOpened() const noexcept
 {
     return m_state->opened;
--- a/src/http/async_server.cpp
+++ b/src/http/async_server.cpp
@@ -15,6 +15,8 @@
 
 constexpr Milliseconds timeoutCheckInterval{500};
 constexpr int listenBacklog = 1'024;
+// Accepting fails at once while the process has no free descriptor.
+constexpr Milliseconds acceptRetryDelay{50};
 
 } // namespace
 
@@ -45,8 +47,15 @@
     m_acceptor.async_accept([self = shared_from_this()](const error_code &error, StreamSocket socket) {
         if (error == asio::error::operation_aborted || !self->m_acceptor.is_open())
             return;
-        if (!error)
-            self->startSession(std::move(socket));
+        if (error) {
+            self->m_acceptTimer = self->m_loop.after(acceptRetryDelay, [weak = self->weak_from_this()] {
+                const auto state = weak.lock();
+                if (state && state->m_acceptor.is_open())
+                    state->accept();
+            });
+            return;
+        }
+        self->startSession(std::move(socket));
         self->accept();
     });
 }
@@ -100,6 +109,7 @@
     error_code ignored;
     m_acceptor.close(ignored);
     m_timeoutTimer.cancel();
+    m_acceptTimer.cancel();
     const auto openSessions = sessions;
     for (const auto &session : openSessions)
         session->close();
@@ -132,6 +142,12 @@
     m_state->transferHooks = std::move(hooks);
 }
 
+void AsyncHttpServer::setReceiveAccount(std::shared_ptr<ReceiveAccount> account, HttpHeaders refusalHeaders)
+{
+    m_state->account = std::move(account);
+    m_state->refusalHeaders = std::move(refusalHeaders);
+}
+
 void AsyncHttpServer::setDraining()
 {
     m_state->isDraining = true;
--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -14,6 +14,10 @@
 constexpr Milliseconds writeStallTimeout{10'000};
 // Long responses are written in pieces, so that their progress is known.
 constexpr std::size_t writePieceSize = 65'536;
+constexpr std::size_t maxBodyReadSize = 65'536;
+// Time after which a client may repeat a request that was refused because connections hold too much. Stalled ones are
+// closed within this time.
+constexpr absl::string_view refusalRetryAfter = "1";
 // Bytes of the head of a response, for the account of what is written.
 constexpr std::uint64_t assumedHeadSize = 300;
 
@@ -90,6 +94,22 @@
     m_buffer.reserve(headReadSize);
 }
 
+void ServerSession::start()
+{
+    openEntry();
+    readHead();
+}
+
+void ServerSession::openEntry()
+{
+    if (!m_server->account)
+        return;
+    m_entry = m_server->account->open([weak = weak_from_this()] {
+        if (const auto self = weak.lock())
+            self->shed();
+    });
+}
+
 void ServerSession::readHead()
 {
     m_parser = std::make_unique<Parser>();
@@ -98,6 +118,7 @@
     m_buffer.max_size(std::max<std::size_t>(minUnparsedLimit, 2 * m_server->limits.maxHeaderBytes.value()));
     m_readState = ReadState::Head;
     m_partialHeadSince.reset();
+    m_isReading = true;
     http::async_read_header(
             m_socket, m_buffer, *m_parser,
             [self = shared_from_this()](const error_code &error, std::size_t) { self->onHeadRead(error); });
@@ -105,8 +126,13 @@
 
 void ServerSession::onHeadRead(const error_code &error)
 {
+    m_isReading = false;
     if (m_isClosed)
         return;
+    if (isShed()) {
+        refuse();
+        return;
+    }
     if (error) {
         onReadFailed(error);
         return;
@@ -117,39 +143,88 @@
         return;
     }
     m_readState = ReadState::Body;
+    m_bodySince = m_lastActivity;
+    m_bodyBytesRead = 0;
+    m_parser->eager(true);
     reserveForBody(*m_parser, m_buffer);
+    updateAccount();
     if (!m_activeRequest && !m_isWriting
         && boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue")) {
         sendContinue();
         return;
     }
-    http::async_read(m_socket, m_buffer, *m_parser,
-                     [self = shared_from_this()](const error_code &e, std::size_t) { self->onBodyRead(e); });
+    if (m_buffer.size() > 0)
+        parseBody();
+    else
+        readBody();
+}
+
+// Beast's own operations read on until a chunk ends with the bytes of a read, so that they return late or never while
+// many small chunks arrive.
+void ServerSession::readBody()
+{
+    const std::size_t size = boost::beast::read_size(m_buffer, maxBodyReadSize);
+    if (size == 0) {
+        onReadFailed(http::error::buffer_overflow);
+        return;
+    }
+    m_isReading = true;
+    m_socket.async_read_some(m_buffer.prepare(size),
+                             [self = shared_from_this()](const error_code &error, std::size_t bytes) {
+                                 self->onBodyBytesRead(error, bytes);
+                             });
 }
 
 void ServerSession::sendContinue()
 {
+    m_isReading = true;
     static constexpr absl::string_view interim = "HTTP/1.1 100 Continue\r\n\r\n";
-    asio::async_write(m_socket, asio::buffer(interim.data(), interim.size()),
-                      [self = shared_from_this()](const error_code &error, std::size_t) {
-                          if (error) {
-                              self->onBodyRead(error);
-                              return;
-                          }
-                          http::async_read(self->m_socket, self->m_buffer, *self->m_parser,
-                                           [self](const error_code &e, std::size_t) { self->onBodyRead(e); });
-                      });
+    asio::async_write(
+            m_socket, asio::buffer(interim.data(), interim.size()),
+            [self = shared_from_this()](const error_code &error, std::size_t) { self->onBodyBytesRead(error, 0); });
 }
 
-void ServerSession::onBodyRead(const error_code &error)
+void ServerSession::onBodyBytesRead(const error_code &error, std::size_t bytes)
 {
+    m_isReading = false;
     if (m_isClosed)
         return;
+    if (isShed()) {
+        refuse();
+        return;
+    }
     if (error) {
         onReadFailed(error);
         return;
     }
-    onRequestRead();
+    m_buffer.commit(bytes);
+    if (m_buffer.size() > 0)
+        parseBody();
+    else
+        readBody();
+}
+
+void ServerSession::parseBody()
+{
+    error_code error;
+    const std::size_t parsed = m_parser->put(m_buffer.data(), error);
+    m_buffer.consume(parsed);
+    m_bodyBytesRead += parsed;
+    if (error == http::error::need_more)
+        error = {};
+    if (!error && isFramingExcessive(ByteCount(m_bodyBytesRead), ByteCount(m_parser->get().body().size())))
+        error = http::error::body_limit;
+    if (error) {
+        onReadFailed(error);
+        return;
+    }
+    m_lastActivity = EventLoop::now();
+    if (m_parser->is_done()) {
+        onRequestRead();
+        return;
+    }
+    updateAccount();
+    readBody();
 }
 
 void ServerSession::onReadFailed(const error_code &error)
@@ -159,6 +234,7 @@
         onPeerDisconnected();
         return;
     }
+    m_parser.reset();
     if (m_activeRequest || m_isWriting) {
         m_closesAfterResponse = true;
         return;
@@ -180,13 +256,16 @@
     request.method.assign(message.method_string().data(), message.method_string().size());
     request.target.assign(message.target().data(), message.target().size());
     copyHeaders(message, request.headers);
-    request.body = std::move(message.body());
+    const ByteCount bodySize(message.body().size());
+    request.body =
+            HttpBody(std::move(message.body()), m_server->account ? m_server->account->charge(bodySize) : nullptr);
     m_lastActivity = EventLoop::now();
     m_activeRequest = std::make_shared<SessionRequest>(shared_from_this(), std::move(request), message.keep_alive(),
                                                        message.version());
     ++m_server->activeRequests;
     shrinkBuffer(m_buffer);
     readHead();
+    updateAccount();
     const auto active = m_activeRequest;
     try {
         m_server->handle(active);
@@ -223,9 +302,15 @@
     close();
 }
 
-void ServerSession::reject(http::status status)
+void ServerSession::reject(http::status status, absl::string_view retryAfter)
 {
+    m_parser.reset();
+    m_isRejected = true;
     http::response<http::string_body> message(status, 11);
+    if (!retryAfter.empty()) {
+        copyHeaders(m_server->refusalHeaders, message);
+        message.set(http::field::retry_after, boost::beast::string_view(retryAfter.data(), retryAfter.size()));
+    }
     message.keep_alive(false);
     message.prepare_payload();
     m_closesAfterResponse = true;
@@ -240,6 +325,7 @@
     m_isWriting = true;
     ++m_server->unwrittenResponses;
     m_lastActivity = EventLoop::now();
+    updateAccount();
     const TransferHooks &hooks = m_server->transferHooks;
     if (hooks.begin && !isUrgent && size > maxShortResponse) {
         m_transfer = hooks.begin(size);
@@ -254,6 +340,7 @@
 void ServerSession::awaitGrant()
 {
     m_isAwaitingGrant = true;
+    updateAccount();
     m_server->transferHooks.awaitGrant(*m_transfer, [weak = weak_from_this()](ByteCount bytes) {
         const auto self = weak.lock();
         if (!self)
@@ -261,6 +348,7 @@
         self->m_isAwaitingGrant = false;
         self->m_grantedBytes = bytes.value();
         self->m_lastActivity = EventLoop::now();
+        self->updateAccount();
         self->writePiece();
     });
 }
@@ -275,6 +363,7 @@
                                    return;
                                }
                                self->m_lastActivity = EventLoop::now();
+                               self->updateAccount();
                                self->m_grantedBytes -= std::min(bytes, self->m_grantedBytes);
                                if (self->m_transfer && self->m_grantedBytes == 0)
                                    self->awaitGrant();
@@ -310,10 +399,13 @@
         // connection, and the peer would lose the end of the response.
         error_code ignored;
         m_socket.shutdown(StreamSocket::shutdown_send, ignored);
-        if (m_readState == ReadState::Done)
+        if (m_readState == ReadState::Done && !m_isRejected)
             close();
+        else
+            updateAccount();
         return;
     }
+    updateAccount();
     if (m_readState == ReadState::Done)
         handleRequest();
 }
@@ -330,6 +422,7 @@
 
 void ServerSession::closeIfTimedOut(MonotonicTime now)
 {
+    updateAccount();
     if (m_activeRequest)
         return;
     const MonotonicTime::duration inactiveTime = now - m_lastActivity;
@@ -350,7 +443,7 @@
 bool ServerSession::isReadTimedOut(MonotonicTime now)
 {
     if (m_readState == ReadState::Body)
-        return now - m_lastActivity > m_server->limits.requestReadTimeout;
+        return isBodyTimedOut(now);
     if (m_buffer.size() == 0)
         return now - m_lastActivity > m_server->limits.idleTimeout;
     if (!m_partialHeadSince)
@@ -358,6 +451,71 @@
     return now - *m_partialHeadSince > m_server->limits.requestReadTimeout;
 }
 
+bool ServerSession::isBodyTimedOut(MonotonicTime now) const
+{
+    const Milliseconds timeout = m_server->limits.requestReadTimeout;
+    const Microseconds transferTime(static_cast<std::int64_t>(m_bodyBytesRead * std::micro::den / slowRate.value()));
+    return now - m_lastActivity > timeout || now - m_bodySince > timeout + transferTime;
+}
+
+HolderActivity ServerSession::activity() const
+{
+    if (m_isWriting)
+        return m_isAwaitingGrant ? HolderActivity::Delayed : HolderActivity::Writing;
+    if (m_closesAfterResponse && !m_activeRequest)
+        return HolderActivity::Closing;
+    if (m_readState == ReadState::Body || m_readState == ReadState::Done)
+        return HolderActivity::Receiving;
+    if (m_activeRequest)
+        return HolderActivity::Handling;
+    return m_buffer.size() > 0 ? HolderActivity::Receiving : HolderActivity::Idle;
+}
+
+void ServerSession::updateAccount()
+{
+    if (!m_entry || m_isClosed)
+        return;
+    std::size_t bytes = connectionOverhead.value() + m_buffer.capacity();
+    if (m_isWriting)
+        bytes += m_message->body().size();
+    if (m_parser && m_parser->is_header_done()) {
+        const std::uint64_t bound = m_parser->content_length().value_or(m_server->limits.maxBodyBytes.value());
+        bytes += memoryOfBody(m_parser->get().body(), bound);
+    }
+    const bool isInHead = m_readState == ReadState::Head && !m_isWriting;
+    m_entry->record(
+            {activity(), ByteCount(bytes), isInHead ? m_partialHeadSince.value_or(m_lastActivity) : m_lastActivity});
+}
+
+void ServerSession::shed()
+{
+    if (m_isClosed)
+        return;
+    const bool isIdle = m_readState == ReadState::Head && m_buffer.size() == 0 && !m_activeRequest;
+    if (m_isWriting || isIdle || m_isRejected) {
+        onPeerDisconnected();
+        return;
+    }
+    if (m_isReading) {
+        error_code ignored;
+        m_socket.cancel(ignored); // its handler refuses the request
+        return;
+    }
+    refuse();
+}
+
+// The request was not passed to the handler, so that the status can promise that it was not executed.
+void ServerSession::refuse()
+{
+    m_readState = ReadState::Done;
+    m_parser.reset();
+    openEntry(); // the one that was shed does not count the connection any more
+    if (m_activeRequest || m_isWriting)
+        m_closesAfterResponse = true;
+    else
+        reject(http::status::service_unavailable, refusalRetryAfter);
+}
+
 void ServerSession::closeIfIdle()
 {
     if (!m_activeRequest && !m_isWriting && m_readState == ReadState::Head && m_buffer.size() == 0)
@@ -372,6 +530,7 @@
     m_socket.close(ignored);
     if (m_isWriting && m_isAwaitingGrant)
         endWriting(); // otherwise a write in progress still refers to the message
+    m_entry.reset();
     m_server->sessions.erase(shared_from_this());
 }
 
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "beast_message.h"
+#include "received_body.h"
 #include "server_state.h"
 
 #include <boost/beast/core/flat_buffer.hpp>
@@ -20,7 +21,7 @@
 public:
     ServerSession(StreamSocket socket, std::shared_ptr<ServerState> server);
 
-    void start() { readHead(); }
+    void start();
 
     void respond(const SessionRequest *request, HttpResponse response);
     void abort(const SessionRequest *request);
@@ -39,12 +40,22 @@
 
     void readHead();
     void onHeadRead(const error_code &error);
-    void onBodyRead(const error_code &error);
+    void readBody();
+    void onBodyBytesRead(const error_code &error, std::size_t bytes);
+    void parseBody();
     void sendContinue();
     void onReadFailed(const error_code &error);
     void onRequestRead();
     void handleRequest();
-    void reject(http::status status);
+    void reject(http::status status, absl::string_view retryAfter = {});
+    /// Records what the connection does and holds in the account of the process.
+    void updateAccount();
+    [[nodiscard]] HolderActivity activity() const;
+    /// Refuses the request in progress or closes the connection, because all connections hold too much.
+    void shed();
+    void refuse();
+    void openEntry();
+    [[nodiscard]] bool isShed() const { return m_entry && m_entry->isShed(); }
     void onPeerDisconnected();
     void write(http::response<http::string_body> message, bool isUrgent);
     void awaitGrant();
@@ -52,8 +63,9 @@
     void endWriting();
     void onWritten(const error_code &error);
     [[nodiscard]] bool isReadTimedOut(MonotonicTime now);
+    [[nodiscard]] bool isBodyTimedOut(MonotonicTime now) const;
 
-    using Parser = http::request_parser<http::string_body>;
+    using Parser = http::request_parser<ReceivedBody>;
     using Serializer = http::response_serializer<http::string_body>;
 
     StreamSocket m_socket;
@@ -69,6 +81,11 @@
     ReadState m_readState = ReadState::Idle;
     MonotonicTime m_lastActivity;
     std::optional<MonotonicTime> m_partialHeadSince; ///< set when a part of a head was noticed
+    MonotonicTime m_bodySince;                       ///< when the head before the body was complete
+    std::size_t m_bodyBytesRead = 0;                 ///< of the body in progress, with its framing
+    std::shared_ptr<ReceiveEntry> m_entry;           ///< null without an account
+    bool m_isReading = false;                        ///< a read, or the write of a status 100 before it, is in progress
+    bool m_isRejected = false; ///< a request was rejected before it was read; its rest is not read
     bool m_isWriting = false;
     bool m_closesAfterResponse = false; ///< no further request is handled after the response in progress
     bool m_isClosed = false;
--- a/src/http/server_state.h
+++ b/src/http/server_state.h
@@ -28,6 +28,8 @@
 
     ConnectionLimits limits;
     TransferHooks transferHooks;
+    std::shared_ptr<ReceiveAccount> account; ///< may be null
+    HttpHeaders refusalHeaders;
     bool isDraining = false;
     std::size_t activeRequests = 0;
     std::size_t unwrittenResponses = 0;
@@ -45,6 +47,7 @@
     AsyncRequestHandler m_handler;
     StreamAcceptor m_acceptor;
     LoopTimer m_timeoutTimer;
+    LoopTimer m_acceptTimer;
 };
 
 } // namespace dandeliondock::impl
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -24,6 +24,14 @@
     return limits;
 }
 
+// Headers of a response for a request that was not read, so that another proxy takes it for a refusal.
+HttpHeaders inboundRefusalHeaders()
+{
+    InboundResult result;
+    result.refusal = InboundRefusal::Busy;
+    return encodeInboundResult(std::move(result)).headers;
+}
+
 HttpResponse statusOnly(int status)
 {
     HttpResponse response;
@@ -36,8 +44,11 @@
 TrafficDuty::TrafficDuty(EventLoop &loop, const ProxySettings &settings, const PlatformAdapter &adapter,
                          MetricsRegistry &metrics, LogSink log, std::function<void(TrafficUpdate)> publish)
     : m_loop(loop), m_settings(settings), m_adapter(adapter), m_metrics(metrics), m_log(std::move(log)),
-      m_publish(std::move(publish)), m_client(loop, clientLimits()), m_pacer(loop, settings.responseRate),
-      m_inbound(inboundDependencies()), m_forwarder(forwarderDependencies()),
+      m_publish(std::move(publish)),
+      m_account(std::make_shared<ReceiveAccount>(loop, receiveLimitsFor(settings.memoryLimit, settings.descriptorLimit),
+                                                 [this](const ShedHolder &holder) { recordShed(holder); })),
+      m_client(loop, clientLimits()), m_pacer(loop, settings.responseRate), m_inbound(inboundDependencies()),
+      m_forwarder(forwarderDependencies()),
       m_callerServer(loop, [this](const HttpRequestContextPtr &context) { m_forwarder.handle(context); }),
       m_inboundServer(loop, [this](const HttpRequestContextPtr &context) { handleInbound(context); }),
       m_healthServer(loop, [this](const HttpRequestContextPtr &context) { handleHealth(context); }),
@@ -99,6 +110,10 @@
     limits.idleTimeout = std::chrono::minutes(1);
     limits.maxBodyBytes = ByteCount(67'108'864);
     m_inboundServer.setLimits(limits);
+    m_client.setReceiveAccount(m_account);
+    for (AsyncHttpServer *server : {&m_callerServer, &m_healthServer, &m_announcementServer, &m_metricsServer})
+        server->setReceiveAccount(m_account);
+    m_inboundServer.setReceiveAccount(m_account, inboundRefusalHeaders());
     m_callerServer.setTransferHooks(m_pacer.hooks());
     m_inboundServer.setTransferHooks(m_pacer.hooks());
     return absl::OkStatus();
@@ -302,7 +317,22 @@
     event.field("requests", m_metrics.counter("requests_total").value())
             .field("callers", m_callerServer.connections())
             .field("open", m_callerServer.activeRequests())
-            .field("jobs", m_inbound.openJobs());
+            .field("jobs", m_inbound.openJobs())
+            .field("held_bytes", m_account->budget().held().value());
+}
+
+void TrafficDuty::recordShed(const ShedHolder &holder)
+{
+    const char *activity = holderActivityName(holder.status.activity);
+    m_metrics.counter("connections_shed_total", activity).add();
+    if (!m_shedLogLimiter.allow(EventLoop::now(), m_log))
+        return;
+    LogEvent(LogLevel::Warn, "connection.shed")
+            .field("activity", activity)
+            .field("bytes", holder.status.bytes.value())
+            .field("held_bytes", m_account->budget().held().value())
+            .field("connections", m_account->budget().connections().value())
+            .write(m_log);
 }
 
 void TrafficDuty::handleMetrics(const HttpRequestContextPtr &context)
--- a/src/proxy/traffic_duty.h
+++ b/src/proxy/traffic_duty.h
@@ -102,6 +102,7 @@
     void checkDrained();
     void batchAttempt(RolloutAttempt attempt);
     void addLoadFields(LogEvent &event);
+    void recordShed(const ShedHolder &holder);
     [[nodiscard]] InboundHandlerDependencies inboundDependencies();
     [[nodiscard]] ForwarderDependencies forwarderDependencies();
     [[nodiscard]] Endpoint localEndpoint() const;
@@ -112,6 +113,7 @@
     MetricsRegistry &m_metrics;
     LogSink m_log;
     std::function<void(TrafficUpdate)> m_publish;
+    std::shared_ptr<ReceiveAccount> m_account;
     AsyncHttpClient m_client;
     LinkPacer m_pacer;
     InboundHandler m_inbound;
@@ -122,6 +124,7 @@
     AsyncHttpServer m_announcementServer;
     AsyncHttpServer m_metricsServer;
     LoopMonitor m_loopMonitor;
+    LogRateLimiter m_shedLogLimiter;
     RolloutAttempts m_batchedAttempts;
     LoopTimer m_batchTimer;
     LoopTimer m_drainTimer;
--- a/tests/http/async_server_test.cpp
+++ b/tests/http/async_server_test.cpp
@@ -59,7 +59,7 @@
 void respondWithEcho(const HttpRequestContextPtr &request)
 {
     HttpResponse response;
-    response.body = request->request().target + " " + request->request().body;
+    response.body = request->request().target + " " + request->request().body.text();
     request->respond(std::move(response));
 }
 
@@ -345,4 +345,138 @@
     server.thread().run([&] { CHECK(server.httpServer().activeRequests() == 0); });
 }
 
+// Guards against clients that make a process use more memory than it has: what all connections hold is bounded, and a
+// request that was refused was not passed on.
+TEST_CASE("a stalled body is refused when all connections hold too much, and others are served", "[http]")
+{
+    constexpr std::size_t bodySize = 600'000;
+    std::atomic<int> handled{0};
+    TestServer server([&handled](const HttpRequestContextPtr &request) {
+        ++handled;
+        respondWithEcho(request);
+    });
+    std::atomic<int> shed{0};
+    server.thread().run([&] {
+        HttpHeaders headers;
+        headers.add("X-Refused", "1");
+        const auto account = std::make_shared<ReceiveAccount>(server.thread().loop(),
+                                                              ReceiveLimits{ByteCount(1'000'000), ConnectionCount(100)},
+                                                              [&shed](const ShedHolder &) { ++shed; });
+        server.httpServer().setReceiveAccount(account, headers);
+    });
+    const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: "
+                             + std::to_string(bodySize) + endOfHead;
+    RawConnection stalled(server.port());
+    stalled.write(head + std::string(bodySize - 1, 'x'));
+    std::this_thread::sleep_for(Milliseconds(700));
+    RawConnection complete(server.port());
+    complete.write(head + std::string(bodySize, 'x'));
+    CHECK_THAT(complete.readAll(), Catch::StartsWith("HTTP/1.1 200"));
+    const std::string refusal = stalled.readAll();
+    CHECK_THAT(refusal, Catch::StartsWith("HTTP/1.1 503"));
+    CHECK_THAT(refusal, Catch::Contains("Retry-After: ") && Catch::Contains("X-Refused: 1"));
+    CHECK_THAT(refusal, Catch::Contains("Connection: close"));
+    CHECK(shed == 1);
+    CHECK(handled == 1);
+}
+
+// Guards against memory that stays accounted for after its request, so that ever fewer requests are admitted.
+TEST_CASE("the account is empty when all requests and connections have ended", "[http]")
+{
+    std::shared_ptr<ReceiveAccount> account;
+    TestServer server(respondWithEcho);
+    server.thread().run([&] {
+        account = std::make_shared<ReceiveAccount>(server.thread().loop(),
+                                                   ReceiveLimits{ByteCount(1'000'000), ConnectionCount(100)},
+                                                   [](const ShedHolder &) {});
+        server.httpServer().setReceiveAccount(account);
+    });
+    for (int round = 0; round < 3; ++round) {
+        RawConnection connection(server.port());
+        connection.write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 200000" + endOfHead + std::string(200'000, 'x')
+                         + "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 9" + endOfHead);
+        CHECK_THAT(connection.readUntil("xx"), Catch::Contains("200 OK"));
+    }
+    const auto end = std::chrono::steady_clock::now() + Seconds(5);
+    std::uint64_t held = 1;
+    while (held > 0 && std::chrono::steady_clock::now() < end) {
+        std::this_thread::sleep_for(Milliseconds(50));
+        server.thread().run([&] { held = account->budget().held().value(); });
+    }
+    CHECK(held == 0);
+    server.thread().run([&] { account.reset(); });
+}
+
+// Guards against idle connections that leave no descriptor for ordinary callers.
+TEST_CASE("the longest idle connections are closed when there are too many", "[http]")
+{
+    TestServer server(respondWithEcho);
+    server.thread().run([&] {
+        server.httpServer().setReceiveAccount(std::make_shared<ReceiveAccount>(
+                server.thread().loop(), ReceiveLimits{ByteCount(1'000'000), ConnectionCount(5)},
+                [](const ShedHolder &) {}));
+    });
+    std::vector<std::unique_ptr<RawConnection>> idle;
+    for (int index = 0; index < 20; ++index)
+        idle.push_back(std::make_unique<RawConnection>(server.port()));
+    CHECK(idle.front()->readAll().empty());
+    RawConnection caller(server.port());
+    caller.write("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    CHECK_THAT(caller.readAll(), Catch::Contains("200 OK"));
+    std::size_t connections = 0;
+    server.thread().run([&] { connections = server.httpServer().connections(); });
+    CHECK(connections <= 5);
+}
+
+// Guards against chunks of one byte, which cost a hundred times the processor time of large ones.
+TEST_CASE("a body in very small chunks is refused, a short one is not", "[http]")
+{
+    TestServer server([](const HttpRequestContextPtr &request) {
+        HttpResponse response;
+        response.body = std::to_string(request->request().body.size());
+        request->respond(std::move(response));
+    });
+    const std::string head = "POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n";
+    const auto chunks = [](int count) {
+        std::string text;
+        for (int index = 0; index < count; ++index)
+            text += "1\r\nx\r\n";
+        return text;
+    };
+    RawConnection small(server.port());
+    small.write(head + chunks(10'000) + "0\r\n\r\n");
+    const std::string response = small.readAll();
+    CHECK_THAT(response, Catch::Contains("200 OK") && Catch::EndsWith("10000"));
+    RawConnection large(server.port());
+    large.write(head + chunks(40'000));
+    CHECK_THAT(large.readUntil(endOfHead), Catch::Contains("413 "));
+}
+
+// Guards against a legal body on a slow link that is cut off although it makes progress, and against one that stops.
+TEST_CASE("the time for reading a body grows with the bytes that arrive", "[http]")
+{
+    constexpr std::size_t pieceSize = 200'000; // three seconds' worth at slowRate
+    ConnectionLimits limits;
+    limits.requestReadTimeout = Milliseconds(1'000);
+    TestServer server(
+            [](const HttpRequestContextPtr &request) {
+                HttpResponse response;
+                response.body = std::to_string(request->request().body.size());
+                request->respond(std::move(response));
+            },
+            limits);
+    RawConnection connection(server.port());
+    connection.write("POST /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\nContent-Length: 1000000" + endOfHead);
+    for (int piece = 0; piece < 5; ++piece) {
+        connection.write(std::string(pieceSize, 'x'));
+        std::this_thread::sleep_for(Milliseconds(500));
+    }
+    CHECK_THAT(connection.readAll(), Catch::Contains("200 OK"));
+    RawConnection stalled(server.port());
+    stalled.write("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000" + endOfHead + std::string(pieceSize, 'x'));
+    const auto begin = std::chrono::steady_clock::now();
+    CHECK(stalled.readAll().empty());
+    CHECK(std::chrono::steady_clock::now() - begin < Milliseconds(3'500));
+}
+
 } // namespace dandeliondock::testing
