Merge the bounds on what connections hold

Joins the account of held bytes with concurrent requests: bodies behind other requests are read ahead only within the bound of a connection, ready responses count as held, and a connection that is shed while it holds some is closed.

--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "beast_message.h"
+#include "received_body.h"
 #include "server_state.h"
 
 #include <absl/container/inlined_vector.h>
@@ -37,7 +38,7 @@
 public:
     ServerSession(StreamSocket socket, std::shared_ptr<ServerState> server);
 
-    void start() { readHead(); }
+    void start();
 
     void respond(const SessionRequest *request, HttpResponse response);
     void abort(const SessionRequest *request);
@@ -70,22 +71,33 @@
     void readHead();
     void onHeadRead(const error_code &error);
     [[nodiscard]] bool mayReadBody() const;
+    void startBody();
     void readBody();
-    void onBodyRead(const error_code &error);
+    void onBodyBytesRead(const error_code &error, std::size_t bytes);
+    void parseBody();
     void sendContinue();
     void onReadFailed(const error_code &error);
     void onRequestRead();
     [[nodiscard]] std::shared_ptr<SessionRequest> takeRequest();
     [[nodiscard]] bool isIdle() const noexcept { return m_requests.empty() && !m_isWriting; }
     [[nodiscard]] bool mayRunBesideOthers() const;
+    [[nodiscard]] bool hasReadyResponse() const;
     void handleNext();
     void resumeReading();
     void discardInput();
-    void reject(http::status status);
+    void reject(http::status status, absl::string_view retryAfter = {});
     void limitReadyResponses();
     [[nodiscard]] Requests takeRequestsFrom(std::size_t index);
     void cancelRequestsFrom(std::size_t index);
     [[nodiscard]] bool hasPeerHungUp();
+    /// Records what the connection does and holds in the account of the process.
+    void updateAccount();
+    [[nodiscard]] HolderActivity activity() const;
+    /// Refuses the request in progress or closes the connection, because all connections hold too much.
+    void shed();
+    void refuse();
+    void openEntry();
+    [[nodiscard]] bool isShed() const { return m_entry && m_entry->isShed(); }
     void onPeerDisconnected();
     void writeResponse(const SessionRequest &request, HttpResponse response);
     void writeReadyResponse();
@@ -95,8 +107,9 @@
     void endWriting();
     void onWritten(const error_code &error);
     [[nodiscard]] bool isReadTimedOut(MonotonicTime now);
+    [[nodiscard]] bool isBodyTimedOut(MonotonicTime now) const;
 
-    using Parser = http::request_parser<http::string_body>;
+    using Parser = http::request_parser<ReceivedBody>;
     using Serializer = http::response_serializer<http::string_body>;
 
     StreamSocket m_socket;
@@ -114,6 +127,11 @@
     ReadState m_readState = ReadState::Idle;
     MonotonicTime m_lastActivity;
     std::optional<MonotonicTime> m_partialHeadSince; ///< set when a part of a head was noticed
+    MonotonicTime m_bodySince;                       ///< when the head before the body was complete
+    std::size_t m_bodyBytesRead = 0;                 ///< of the body in progress, with its framing
+    std::shared_ptr<ReceiveEntry> m_entry;           ///< null without an account
+    bool m_isReading = false;                        ///< a read, or the write of a status 100 before it, is in progress
+    bool m_isRejected = false; ///< a request was rejected before it was read; its rest is not read
     bool m_isWriting = false;
     bool m_closesAfterResponse = false; ///< no further request is passed on; the last response ends the connection
     bool m_isClosed = false;
--- a/src/http/server_state.h
+++ b/src/http/server_state.h
@@ -30,6 +30,8 @@
     TransferHooks transferHooks;
     ConcurrencyHook isConcurrent; ///< null if a connection has one request in progress
     std::function<void(ConcurrencyEvent)> onConcurrencyEvent;
+    std::shared_ptr<ReceiveAccount> account; ///< may be null
+    HttpHeaders refusalHeaders;
     bool isDraining = false;
     bool isClosed = false;
     std::size_t activeRequests = 0;
@@ -53,6 +55,7 @@
     AsyncRequestHandler m_handler;
     StreamAcceptor m_acceptor;
     LoopTimer m_timeoutTimer;
+    LoopTimer m_acceptTimer;
 };
 
 } // namespace dandeliondock::impl
--- a/src/proxy/traffic_duty.h
+++ b/src/proxy/traffic_duty.h
@@ -106,6 +106,7 @@
     void checkDrained();
     void batchAttempt(RolloutAttempt attempt);
     void addLoadFields(LogEvent &event);
+    void recordShed(const ShedHolder &holder);
     [[nodiscard]] InboundHandlerDependencies inboundDependencies();
     [[nodiscard]] ForwarderDependencies forwarderDependencies();
     [[nodiscard]] Endpoint localEndpoint() const;
@@ -116,6 +117,7 @@
     MetricsRegistry &m_metrics;
     LogSink m_log;
     std::function<void(TrafficUpdate)> m_publish;
+    std::shared_ptr<ReceiveAccount> m_account;
     AsyncHttpClient m_client;
     LinkPacer m_pacer;
     InboundHandler m_inbound;
@@ -129,6 +131,7 @@
     Counter &m_droppedPipelines;  ///< connections whose ready responses exceeded their bound
     LogRateLimiter m_concurrencyLogLimiter;
     LoopMonitor m_loopMonitor;
+    LogRateLimiter m_shedLogLimiter;
     RolloutAttempts m_batchedAttempts;
     LoopTimer m_batchTimer;
     LoopTimer m_drainTimer;
