Check that a held body and a closed connection are what they claim

Two tests passed without their mechanism: the response that is destroyed by a reset needs a part in the server's send buffer, so it is longer now; the body behind others is longer than the sockets' buffers, and the test checks that its client cannot send all of it.

--- a/tests/http/pipelining_test.cpp
+++ b/tests/http/pipelining_test.cpp
@@ -9,6 +9,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <atomic>
 #include <condition_variable>
 #include <map>
 #include <memory>
@@ -427,14 +428,15 @@
 // closes the connection while bytes of the client are unread.
 TEST_CASE("a client that goes on sending gets the complete response that closes the connection", "[http][pipelining]")
 {
+    constexpr std::size_t bodySize = 1'000'000; // a part is in the server's send buffer when it would close
     PipeliningServer server;
     RawConnection connection(server.port());
     connection.write(get("/hold/1", "Connection: close\r\n") + get("/a/2") + std::string(300'000, 'x'));
     static_cast<void>(server.handled(1));
-    server.respond("/hold/1", 100'000);
+    server.respond("/hold/1", bodySize);
     std::this_thread::sleep_for(quietTime);
     const std::string received = connection.readAll();
-    CHECK(received.size() - received.find(endOfHead) - endOfHead.size() == 100'000);
+    CHECK(received.size() - received.find(endOfHead) - endOfHead.size() == bodySize);
 }
 
 // Guards against a failed handler that takes the responses before it along, or that leaves those behind it running.
@@ -513,17 +515,22 @@
 // Guards against bodies without a bound that are held while a request before them is in progress.
 TEST_CASE("a long body behind others is read when they have ended", "[http][pipelining]")
 {
-    constexpr std::size_t bodySize = 2'000'000;
+    constexpr std::size_t bodySize = 8'000'000; // more than the sockets' buffers hold, below the limit of the server
     const std::string body(bodySize, 'x');
     for (const std::string &upload :
          {"PUT /b/2? HTTP/1.1\r\nContent-Length: " + std::to_string(bodySize) + endOfHead + body,
-          "PUT /b/2? HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n1E8480\r\n" + body + "\r\n0\r\n\r\n"}) {
+          "PUT /b/2? HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n7A1200\r\n" + body + "\r\n0\r\n\r\n"}) {
         PipeliningServer server;
         RawConnection connection(server.port());
         connection.write(get("/hold/1"));
         static_cast<void>(server.handled(1));
-        std::thread sender([&] { connection.write(upload + get("/a/3")); });
+        std::atomic<bool> isSent{false};
+        std::thread sender([&] {
+            connection.write(upload + get("/a/3"));
+            isSent = true;
+        });
         CHECK(server.handledAfterQuietTime() == Targets{"/hold/1"});
+        CHECK_FALSE(isSent);
         server.respond("/hold/1");
         CHECK(answered(connection.readUntil("[/a/3]")) == Targets{"/hold/1", "/b/2?" + body, "/a/3"});
         sender.join();
