--- a/tests/standins/target_server.cpp
+++ b/tests/standins/target_server.cpp
@@ -281,7 +281,7 @@
     if (behaviour.body_bytes() > 0)
         return makeStreamedResponse(behaviour.body_bytes(), behaviour.body_bytes(),
                                     Milliseconds(behaviour.body_block_delay_ms()));
-    return makePlainResponse(200, absl::StrCat(request.method, " ", request.target, " ", request.body));
+    return makePlainResponse(200, absl::StrCat(request.method, " ", request.target, " ", request.body.text()));
 }
 
 std::uint32_t TargetServer::reportedLoad() const
