--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -55,6 +55,7 @@
     void respond(HttpResponse response) override
     {
         m_onCancelled = nullptr;
+        m_request.body = {}; // not needed while the response is written
         if (const auto session = std::exchange(m_session, nullptr))
             session->respond(this, std::move(response));
     }
