--- a/include/dandeliondock/accounts/account_directory.h
+++ b/include/dandeliondock/accounts/account_directory.h
@@ -22,8 +22,9 @@
     AccountDirectory() = default;
 
     /// \brief Builds a directory.
-    /// \return InvalidRow, with the name of the account, for an empty or repeated name or key, or a quota whose rate or
-    /// burst is negative, not finite or above maxMessageCount.
+    /// \return InvalidRow, with the name of the account, for an empty or repeated name or key, a name that cannot be
+    /// the value of a header, a quota whose rate or burst is negative, not finite or above maxMessageCount, or a
+    /// malformed name of a region.
     [[nodiscard]] static absl::StatusOr<AccountDirectory> create(std::vector<ClientAccount> accounts);
 
     /// \brief Whether the configuration has accounts, so that requests need a key.
--- a/src/accounts/account_directory.cpp
+++ b/src/accounts/account_directory.cpp
@@ -3,19 +3,41 @@
 #include <dandeliondock/core/error.h>
 
 #include <absl/container/flat_hash_set.h>
+#include <absl/strings/ascii.h>
 #include <absl/strings/str_cat.h>
 
+#include <algorithm>
 #include <cmath>
+#include <string>
 
 namespace dandeliondock {
 
 namespace {
 
+constexpr std::size_t maxAccountNameLength = 256;
+constexpr std::size_t maxRegionNameLength = 128; // as for the regions of a route
+
 absl::Status invalidAccount(const AccountName &name, absl::string_view reason)
 {
     return makeError(ErrorKind::InvalidRow, absl::StrCat("client account \"", name.value(), "\": ", reason));
 }
 
+// The name is sent as the value of a header, in which control characters and outer blanks do not survive.
+bool isValidAccountName(absl::string_view name)
+{
+    return name.size() <= maxAccountNameLength && absl::StripAsciiWhitespace(name) == name
+           && std::none_of(name.begin(), name.end(),
+                           [](char c) { return absl::ascii_iscntrl(static_cast<unsigned char>(c)); });
+}
+
+bool isValidRegion(const RegionName &region)
+{
+    const std::string &name = region.value();
+    return !name.empty() && name.size() <= maxRegionNameLength && std::all_of(name.begin(), name.end(), [](char c) {
+        return absl::ascii_isalnum(static_cast<unsigned char>(c)) || c == '-' || c == '_' || c == '.';
+    });
+}
+
 bool isValidAmount(double amount)
 {
     return std::isfinite(amount) && amount >= 0 && amount <= maxMessageCount;
@@ -32,10 +54,15 @@
         const ClientAccount &account = directory.m_accounts[index];
         if (account.name.value().empty())
             return invalidAccount(account.name, "the name must not be empty");
+        if (!isValidAccountName(account.name.value()))
+            return invalidAccount(account.name, absl::StrCat("the name must have at most ", maxAccountNameLength,
+                                                             " bytes, no control characters and no outer blanks"));
         if (!names.insert(account.name).second)
             return invalidAccount(account.name, "the name must be given once");
         if (!isValidAmount(account.quota.rate.value()) || !isValidAmount(account.quota.burst.value()))
             return invalidAccount(account.name, absl::StrCat("rate and burst must be from 0 to ", maxMessageCount));
+        if (!std::all_of(account.allowedRegions.begin(), account.allowedRegions.end(), isValidRegion))
+            return invalidAccount(account.name, "each of allowed_regions must be a name of a region");
         if (absl::Status status = directory.addKeys(index); !status.ok())
             return status;
     }
--- a/tests/platform/operator_rows_test.cpp
+++ b/tests/platform/operator_rows_test.cpp
@@ -69,6 +69,71 @@
     }
 }
 
+TEST_CASE("client accounts and what routes and services say of them are read", "[platform]")
+{
+    std::string text = configWith(R"("priority":1,"service":"t")",
+                                  R"("priority":1,"service":"t","auth_exempt":true,"allowed_regions":["east"])");
+    text.insert(text.size() - 1, R"(,"tenants":{"mill":{"api_keys":["key-1","key-2"],"priority":0,"rate_per_s":2.5,)"
+                                 R"("burst":3,"allowed_regions":["east","west"]},"farm":{"api_keys":["key-3"]}})");
+    const auto document = readConfigText(text);
+    REQUIRE(document.ok());
+    const ProxyConfigPtr config = std::get<ProxyConfigPtr>(*document);
+    const Route *exempt = config->routes.match("h", "/a/b/").route;
+    REQUIRE(exempt != nullptr);
+    CHECK(exempt->isKeyExempt);
+    CHECK(exempt->allowedRegions == std::vector<RegionName>{RegionName("east")});
+    CHECK_FALSE(config->routes.match("h", "/a/").route->isKeyExempt);
+    const ClientAccount *mill = config->accounts.find("key-2");
+    REQUIRE(mill != nullptr);
+    CHECK(mill->name == AccountName("mill"));
+    CHECK(mill->workClass == WorkClass::Critical);
+    CHECK(mill->quota == RequestQuota{RequestRate(2.5), RequestAmount(3)});
+    CHECK(mill->allowedRegions == std::vector<RegionName>{RegionName("east"), RegionName("west")});
+    const ClientAccount *farm = config->accounts.find("key-3");
+    REQUIRE(farm != nullptr);
+    CHECK_FALSE(farm->workClass.has_value());
+    CHECK(farm->quota.isUnlimited());
+    CHECK(config->accounts.find("key-4") == nullptr);
+    CHECK(std::get<ProxyConfigPtr>(*readConfigText(validConfig))->accounts.isEmpty());
+}
+
+// Guards against a configuration whose accounts are read in part, that throws on an odd type, or whose error shows a
+// key in the log.
+TEST_CASE("a configuration with an odd account is rejected as a whole with an error that names it", "[platform]")
+{
+    for (const std::string account :
+         {R"({"api_keys":["secret-1",""]})", R"({"api_keys":["secret-1","secret-1"]})",
+          R"({"api_keys":["secret-1","secret-0"]})", R"({"api_keys":["secret-1"],"rate_per_s":-1})",
+          R"({"api_keys":["secret-1"],"burst":-0.5})", R"({"api_keys":["secret-1"],"rate_per_s":1e300})",
+          R"({"api_keys":["secret-1"],"burst":1000001})", R"({"api_keys":["secret-1"],"allowed_regions":[""]})",
+          R"({"api_keys":["secret-1"],"allowed_regions":["ea st"]})"}) {
+        INFO(account);
+        std::string text = validConfig;
+        text.insert(text.size() - 1, R"(,"tenants":{"first":{"api_keys":["secret-0"]},"odd":)" + account + "}");
+        const auto document = readConfigText(text);
+        REQUIRE_FALSE(document.ok());
+        CHECK(errorKind(document.status()) == ErrorKind::InvalidRow);
+        // Which of two accounts that hold one key is at fault is not known; the error names both.
+        CHECK_THAT(std::string(document.status().message()), Catch::Contains("\"odd\""));
+        CHECK_THAT(std::string(document.status().message()), !Catch::Contains("secret"));
+    }
+    for (const std::string accounts :
+         {R"({"odd":{"api_keys":"secret-1"}})", R"({"odd":{"api_keys":["secret-1",7]}})",
+          R"({"odd":{"api_keys":[["secret-1"]]}})", R"({"odd":{"api_keys":{"secret-1":"secret-1"}}})",
+          R"({"odd":{"api_keys":null}})", R"({"odd":["secret-1"]})", R"(["secret-1"])", R"({"odd":"secret-1"})",
+          R"({"odd":{"api_keys":["secret-1"],"priority":-1}})", R"({"odd":{"api_keys":["secret-1"],"priority":"1"}})",
+          R"({"odd":{"api_keys":["secret-1"],"rate_per_s":"2"}})",
+          R"({"odd":{"api_keys":["secret-1"],"rate_per_s":1e999}})", R"({"":{"api_keys":["secret-1"]}})",
+          R"({"odd\r\nX-Other: 1":{"api_keys":["secret-1"]}})", R"({"odd":{"api_keys":["secret-1)"}) {
+        INFO(accounts);
+        std::string text = validConfig;
+        text.insert(text.size() - 1, R"(,"tenants":)" + accounts);
+        const auto document = readConfigText(text);
+        REQUIRE_FALSE(document.ok());
+        CHECK_THAT(std::string(document.status().message()), !Catch::Contains("secret"));
+    }
+}
+
 TEST_CASE("a rollout order takes its number from the row version, and its state is written to the status table",
           "[platform]")
 {
