Decide about the keys of requests and for how long they are known

KeyLease decides for how long after the last confirmation of the configuration its keys may be accepted; it uses a clock that continues while the machine is suspended and is a twentieth, at least 100 ms, shorter than its bound.

--- /dev/null
+++ b/include/dandeliondock/accounts/key_lease.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include <dandeliondock/core/boot_clock.h>
+#include <dandeliondock/core/units.h>
+
+#include <optional>
+
+namespace dandeliondock {
+
+/// \brief Part of the bound that a lease leaves unused, as a divisor: it covers the rounding of the ages that proxies
+/// report, differences between the rates of clocks, and the way of an admitted request to its target.
+inline constexpr int keyLeaseReserveDivisor = 20;
+/// \brief Smallest part of the bound that a lease leaves unused.
+inline constexpr Milliseconds minKeyLeaseReserve{100};
+
+/// \brief Returns how long after its confirmation a configuration may be used to accept keys, when a withdrawn key must
+/// not be accepted any more after \c bound; 0 for a bound of at most minKeyLeaseReserve. Thread-safe.
+[[nodiscard]] Milliseconds keyLeaseDuration(Milliseconds bound) noexcept;
+
+/// \brief Age of a confirmation from which a new one is sought at once, in tenths of the bound. It is more than the age
+/// that confirmations reach while a table is polled with a hold of 0.7 s, for a bound of 5 s.
+inline constexpr int oldConfirmationTenths = 3;
+
+/// \brief Whether a new confirmation should be sought without waiting for the next regular read. Thread-safe.
+[[nodiscard]] bool isConfirmationOld(std::optional<BootTime> confirmedAt, Milliseconds bound, BootTime now) noexcept;
+
+/// \brief Decides whether the known keys are recent enough to be accepted.
+///
+/// The lease begins at a time at which the configuration is known to have been the current one, not at the time at
+/// which this became known, so that delays on the way shorten it and nothing extends it.
+///
+/// \remark Not thread-safe.
+class KeyLease
+{
+public:
+    /// \brief Creates a lease that is not held until the first confirmation.
+    /// \param bound time after which a withdrawn key must not be accepted; empty for no bound: always held.
+    explicit KeyLease(std::optional<Milliseconds> bound);
+
+    /// \brief Extends the lease; a time that is not later than the last one has no effect, and one after \c now counts
+    /// as \c now.
+    /// \return Whether the lease is held again after a loss was recorded.
+    bool confirm(BootTime confirmedAt, BootTime now);
+
+    /// \brief Whether keys may be accepted.
+    [[nodiscard]] bool isHeld(BootTime now) const;
+
+    /// \brief Records that a request found the lease expired.
+    /// \return Whether it is the first one since the lease was held.
+    bool recordLoss();
+
+    /// \brief Returns the last confirmed time; empty before the first confirmation.
+    [[nodiscard]] std::optional<BootTime> confirmedAt() const noexcept { return m_confirmedAt; }
+
+private:
+    std::optional<Milliseconds> m_duration;
+    std::optional<BootTime> m_confirmedAt;
+    bool m_isLossRecorded = false;
+};
+
+} // namespace dandeliondock
