Report at which time a table was certainly in the state that was read

TableReadResult::age counts a response of the platform as fresh on its arrival and uses a clock that stops while a machine is suspended. That is sufficient for choosing a source, but not for deciding until when a withdrawn key may be accepted. confirmedAt is a lower bound that assumes nothing about delays on the way: the sending of the call, plus the hold if the store held the poll without a change. It is relayed as an age in TableCopy.confirmed_age_ms; a proxy of an earlier version reports none, and its copies confirm nothing. The age and the limit on it are unchanged.

--- a/include/dandeliondock/proxy/table_relay_server.h
+++ b/include/dandeliondock/proxy/table_relay_server.h
@@ -13,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace dandeliondock {
@@ -63,7 +64,8 @@
     struct Table
     {
         TableCache cache;
-        MonotonicTime confirmedAt; ///< last known confirmation by the platform
+        MonotonicTime confirmedAt;                ///< last known confirmation by the platform
+        std::optional<BootTime> stateConfirmedAt; ///< latest known TableReadResult::confirmedAt
         bool isCurrent = false;
         std::map<std::uint64_t, HeldPoll> heldPolls;
     };
@@ -72,6 +74,8 @@
     [[nodiscard]] bool canServe(const Table &table) const;
     /// Time since the platform confirmed a table.
     [[nodiscard]] static Milliseconds ageOf(const Table &table);
+    /// Age of the confirmation of a table's state, rounded up; empty if none is known.
+    [[nodiscard]] static std::optional<Milliseconds> confirmedAgeOf(const Table &table);
     void respondTo(Table &table, std::uint64_t pollId);
 
     TableRelayServerDependencies m_dependencies;
--- a/include/dandeliondock/store/async_table.h
+++ b/include/dandeliondock/store/async_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliondock/core/boot_clock.h>
 #include <dandeliondock/core/ids.h>
 #include <dandeliondock/core/units.h>
 #include <dandeliondock/store/store_hooks.h>
@@ -7,6 +8,7 @@
 #include <absl/status/statusor.h>
 
 #include <functional>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -29,6 +31,11 @@
     WallTime tableTime;         ///< time of the table's own clock
     Milliseconds age{0};        ///< time since the platform confirmed the data; 0 unless a proxy relayed it
     Milliseconds holdTime{0};   ///< time for which the relaying proxy held the poll
+    /// A time at which the table certainly had no changes after asOfVersion; empty if none is known. Unlike age it does
+    /// not assume that the platform's response arrived at once.
+    std::optional<BootTime> confirmedAt;
+    /// In a response of a relaying proxy: age of its confirmedAt when it responded.
+    std::optional<Milliseconds> confirmedAge;
 
     /// \brief Appends a changed row; it replaces an earlier change with the same key.
     void put(TableRow row)
--- a/src/codec/table_codec.cpp
+++ b/src/codec/table_codec.cpp
@@ -5,12 +5,14 @@
 #include <proxy.pb.h>
 
 #include <algorithm>
+#include <limits>
 
 namespace dandeliondock {
 
 namespace {
 
 constexpr ByteCount maxDecompressedSize{67'108'864};
+constexpr Milliseconds::rep maxAge = std::numeric_limits<std::uint32_t>::max();
 
 } // namespace
 
@@ -48,6 +50,9 @@
     message.set_table_ms(result.tableTime.time_since_epoch().count());
     message.set_age_ms(static_cast<std::uint32_t>(std::max<Milliseconds::rep>(0, result.age.count())));
     message.set_held_ms(static_cast<std::uint32_t>(std::max<Milliseconds::rep>(0, result.holdTime.count())));
+    if (result.confirmedAge)
+        message.set_confirmed_age_ms(
+                static_cast<std::uint32_t>(std::clamp<Milliseconds::rep>(result.confirmedAge->count(), 0, maxAge)));
     return compressBytes(message.SerializeAsString());
 }
 
@@ -68,6 +73,8 @@
     result.tableTime = WallTime(Milliseconds(message->table_ms()));
     result.age = Milliseconds(message->age_ms());
     result.holdTime = Milliseconds(message->held_ms());
+    if (message->has_confirmed_age_ms())
+        result.confirmedAge = Milliseconds(message->confirmed_age_ms());
     return result;
 }
 
--- a/src/proxy/table_relay_client.cpp
+++ b/src/proxy/table_relay_client.cpp
@@ -23,6 +23,22 @@
     return std::chrono::duration_cast<Milliseconds>(EventLoop::now() - time);
 }
 
+/// \brief When a call to a peer was sent.
+struct CallStart
+{
+    MonotonicTime monotonic;
+    BootTime boot;
+};
+
+// The peer began to hold the call after it was sent and responded after the hold time. Counting from the sending, and
+// not back from the arrival, leaves out no delay of the response and no pause of this process.
+std::optional<BootTime> confirmationTime(BootTime sentAt, const TableReadResult &result)
+{
+    if (!result.confirmedAge)
+        return std::nullopt;
+    return std::min(sentAt + result.holdTime, BootClock::now()) - *result.confirmedAge;
+}
+
 } // namespace
 
 /// \brief State shared by the reads of a relay client.
@@ -189,7 +205,8 @@
     void startOverdueTimer(Milliseconds delay);
     void handleOverdueCall();
     void callNextSource();
-    void handlePeerResult(const Address &peer, RelayCallId id, MonotonicTime sentAt, const AsyncCallResult &callResult);
+    void handlePeerResult(const Address &peer, RelayCallId id, const CallStart &start,
+                          const AsyncCallResult &callResult);
     void handlePeerFailure(const PeerExclusion &exclusion, const absl::Status &status);
     void finish(absl::StatusOr<TableReadResult> result);
 
@@ -235,9 +252,10 @@
     const RelayCallId id = m_state->peerHealth.callSent(peer, now, now + dueAfter);
     ++m_callsSent;
     ++m_callsInProgress;
+    const CallStart start{now, BootClock::now()};
     m_latestCall = m_state->sendPoll(peer, m_poll, hold(),
-                                     [self = shared_from_this(), peer, id, now](const AsyncCallResult &callResult) {
-                                         self->handlePeerResult(peer, id, now, callResult);
+                                     [self = shared_from_this(), peer, id, start](const AsyncCallResult &callResult) {
+                                         self->handlePeerResult(peer, id, start, callResult);
                                      });
     startOverdueTimer(dueAfter);
 }
@@ -298,7 +316,7 @@
         callPlatform(relayHold);
 }
 
-void RelayedTableRead::handlePeerResult(const Address &peer, RelayCallId id, MonotonicTime sentAt,
+void RelayedTableRead::handlePeerResult(const Address &peer, RelayCallId id, const CallStart &start,
                                         const AsyncCallResult &callResult)
 {
     --m_callsInProgress;
@@ -332,13 +350,14 @@
         rejectResponse(result.status());
         return;
     }
-    const Milliseconds roundTrip = elapsedSince(sentAt) - result->holdTime;
+    const Milliseconds roundTrip = elapsedSince(start.monotonic) - result->holdTime;
     m_state->recordRoundTrip(peer, m_poll, roundTrip, *result);
     if (result->age > maxRelayedAge) {
         rejectResponse(makeError(ErrorKind::StoreUnavailable, "the data of the parent proxy is too old"));
         return;
     }
     result->age += roundTrip;
+    result->confirmedAt = confirmationTime(start.boot, *result);
     m_state->recordUnresponsivePeers(m_state->peerHealth.callSucceeded(id, EventLoop::now()));
     if (m_poll.isFull)
         m_state->fullReadFailures = 0;
--- a/src/proxy/table_relay_server.cpp
+++ b/src/proxy/table_relay_server.cpp
@@ -28,6 +28,8 @@
     Table &table = m_tables[name];
     table.cache.apply(result, isFull);
     table.confirmedAt = EventLoop::now() - result.age;
+    if (result.confirmedAt)
+        table.stateConfirmedAt = std::max(table.stateConfirmedAt.value_or(*result.confirmedAt), *result.confirmedAt);
     // Held polls get a response even without changes, so that a confirmation reaches every level of the tree equally
     // fast.
     std::vector<std::uint64_t> pollIds;
@@ -72,6 +74,7 @@
     if (poll->isFull) {
         TableReadResult result = table.cache.fullTable();
         result.age = ageOf(table);
+        result.confirmedAge = confirmedAgeOf(table);
         respond(statusOk, encodeTableReadResult(result));
         return;
     }
@@ -94,6 +97,13 @@
     return std::chrono::duration_cast<Milliseconds>(EventLoop::now() - table.confirmedAt);
 }
 
+std::optional<Milliseconds> TableRelayServer::confirmedAgeOf(const Table &table)
+{
+    if (!table.stateConfirmedAt)
+        return std::nullopt;
+    return std::chrono::ceil<Milliseconds>(BootClock::now() - *table.stateConfirmedAt);
+}
+
 void TableRelayServer::respondTo(Table &table, std::uint64_t id)
 {
     const auto found = table.heldPolls.find(id);
@@ -105,6 +115,8 @@
     if (changes) {
         changes->age = ageOf(table);
         changes->holdTime = std::chrono::duration_cast<Milliseconds>(EventLoop::now() - heldPoll.heldSince);
+        // Read after the hold time: a pause of the process between the two makes the data look older, not newer.
+        changes->confirmedAge = confirmedAgeOf(table);
         heldPoll.respond(statusOk, encodeTableReadResult(*changes));
     } else {
         heldPoll.respond(statusGone, {});
