Check the keys of requests while the configuration is confirmed

The forwarder asks KeyCheck after the route match. A request without the key of an account gets 401, on routes that need one, and 503 with Retry-After while the lease has expired. The key is removed, the account is sent to the target and to the inbound handler, and its work class takes precedence. The control duty publishes ConfigConfirmed after the configuration that it confirms, and the lease is not extended while an older one is in force.

ConfirmationProbe polls the store directly while the confirmation is older than 0.3 of the bound: after an interruption the watch of the table needs up to 2.2 s until its next read, which is more than the lease leaves after 0.6 of the bound.

--- /dev/null
+++ b/include/dandeliondock/proxy/config_confirmed.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <dandeliondock/core/boot_clock.h>
+#include <dandeliondock/core/ids.h>
+
+namespace dandeliondock {
+
+/// \brief The platform's table held no later configuration than this one.
+struct ConfigConfirmed
+{
+    RevisionNumber revision;
+    BootTime at; ///< a time at which this was certainly so
+};
+
+/// \brief Smallest progress of the confirmed time that is published, which bounds the messages between the duties.
+inline constexpr Milliseconds confirmationInterval{200};
+
+} // namespace dandeliondock
--- a/include/dandeliondock/proxy/control_duty.h
+++ b/include/dandeliondock/proxy/control_duty.h
@@ -5,6 +5,8 @@
 #include <dandeliondock/core/random_source.h>
 #include <dandeliondock/http/async_client.h>
 #include <dandeliondock/http/event_loop.h>
+#include <dandeliondock/proxy/config_confirmed.h>
+#include <dandeliondock/proxy/confirmation_probe.h>
 #include <dandeliondock/proxy/loop_monitor.h>
 #include <dandeliondock/proxy/operator_documents.h>
 #include <dandeliondock/proxy/rollout_control.h>
@@ -49,7 +51,7 @@
 
 /// \brief Message from the control duty to the traffic duty.
 using ControlUpdate = std::variant<ProxyConfigPtr, ServiceVersions, Endpoint, EndpointRemoved, TargetRecordRead,
-                                   TargetRecorded, InitialSyncDone>;
+                                   TargetRecorded, InitialSyncDone, ConfigConfirmed>;
 
 /// \brief Name of the table that the proxies share.
 inline constexpr absl::string_view sharedTableName = "dandeliondock";
@@ -73,6 +75,7 @@
     Address inboundAddress;
     RegionName region;
     ServiceName service;
+    std::optional<Milliseconds> keyWithdrawalBound; ///< time after which a withdrawn key must not be accepted
     /// Sends an update to the traffic duty; called on this duty's thread.
     std::function<void(ControlUpdate)> publish;
 };
@@ -114,6 +117,7 @@
     void removeMissingTargets(const TableReadResult &result);
     void declareServiceVersion();
     void recordTableTime(const TableReadResult &result);
+    void publishConfirmation(const TableReadResult &result);
     void publishWhenSynced();
     [[nodiscard]] std::uint32_t servingCount(const VersionName &version) const;
     /// Rank of this proxy among the proxies of its service, by inbound address.
@@ -122,6 +126,7 @@
     [[nodiscard]] TableRelayClientDependencies relayClientDependencies();
     [[nodiscard]] TableRelayServerDependencies relayServerDependencies();
     [[nodiscard]] TargetRowDependencies targetRowDependencies();
+    [[nodiscard]] ConfirmationProbeDependencies confirmationProbeDependencies();
     [[nodiscard]] std::vector<RelayPeer> servingPeers() const;
     void startOperatorWatch();
 
@@ -134,6 +139,7 @@
     TableWatch m_sharedWatch;
     RolloutControl m_rolloutControl;
     TargetRow m_targetRow;
+    ConfirmationProbe m_confirmationProbe;
     std::map<Address, Endpoint> m_endpoints; ///< by inbound address
     absl::flat_hash_map<ServiceName, ServiceVersions> m_serviceVersions;
     std::optional<Endpoint> m_localTarget;
@@ -141,6 +147,8 @@
     LoopTimer m_operatorWatchTimer;
     WallTime m_tableTime;
     MonotonicTime m_tableTimeReadAt;
+    ProxyConfigPtr m_config; ///< the read configuration with the highest revision
+    std::optional<ConfigConfirmed> m_publishedConfirmation;
     bool m_hasConfig = false;
     bool m_isInitialSyncDone = false;
     bool m_isOperatorWatchStarted = false;
--- a/include/dandeliondock/proxy/forwarder.h
+++ b/include/dandeliondock/proxy/forwarder.h
@@ -11,6 +11,7 @@
 #include <dandeliondock/proxy/forwarder_counters.h>
 #include <dandeliondock/proxy/header_names.h>
 #include <dandeliondock/proxy/inbound_handler.h>
+#include <dandeliondock/proxy/key_check.h>
 #include <dandeliondock/proxy/proxy_config.h>
 #include <dandeliondock/proxy/response_sizes.h>
 #include <dandeliondock/proxy/service_versions.h>
@@ -50,6 +51,7 @@
     Locality self;             ///< region and data centre of this proxy
     ServiceName callerService; ///< service of the target on this instance
     RetryBudgetLimits retries;
+    std::optional<Milliseconds> keyWithdrawalBound; ///< time after which a withdrawn key must not be accepted
 };
 
 /// \brief Forwards the requests of callers on this instance, each to one target at a time.
@@ -68,6 +70,8 @@
 
     /// \brief Sets the configuration unless its revision is not newer than the current one.
     void setConfig(ProxyConfigPtr config);
+    /// \brief Extends the time for which the keys of the configuration are accepted.
+    void confirmConfig(const ConfigConfirmed &confirmed);
     /// \brief Replaces the versions of one service.
     void setVersions(const ServiceVersions &versions);
     /// \brief Adds or updates a target; removes it unless its state is Serving.
@@ -91,6 +95,7 @@
 private:
     class Session;
 
+    [[nodiscard]] KeyCheckDependencies keyCheckDependencies() const;
     [[nodiscard]] VersionChoice chooseVersionFor(const ServiceName &service);
     [[nodiscard]] const std::optional<VersionSplit> &splitFor(const ServiceVersions &versions);
     struct ServiceRetries
@@ -109,6 +114,7 @@
     ForwarderDependencies m_dependencies;
     ForwarderCounters m_counters;
     ProxyConfigPtr m_config;
+    KeyCheck m_keyCheck;
     TargetBalancer m_balancer;
     WeightedChoice m_weightedChoice;
     ResponseSizes m_responseSizes;
--- a/include/dandeliondock/proxy/table_watch.h
+++ b/include/dandeliondock/proxy/table_watch.h
@@ -47,6 +47,14 @@
 
     void start();
 
+    /// \brief Returns the version up to which changes are applied.
+    [[nodiscard]] RowVersion asOfVersion() const noexcept { return m_asOfVersion; }
+
+    /// \brief Applies the result of a poll that the owner made for the changes after asOfVersion(); the watch goes on
+    /// polling as before. An error has no effect.
+    /// \pre The table was read in full.
+    void applyPoll(const absl::StatusOr<TableReadResult> &result) { handleLateResult(result); }
+
     /// \brief Whether the table was read and no read has failed or timed out since the last success.
     [[nodiscard]] bool isCurrent() const noexcept { return m_isSynced && m_failures == 0; }
 
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -42,7 +42,8 @@
                   applySharedRows(result, isFull);
               },
               [this](bool isCurrent) { m_relayServer.setCurrent(sharedTable(), isCurrent); }),
-      m_rolloutControl(rolloutDependencies()), m_targetRow(targetRowDependencies())
+      m_rolloutControl(rolloutDependencies()), m_targetRow(targetRowDependencies()),
+      m_confirmationProbe(confirmationProbeDependencies())
 {
 }
 
@@ -85,6 +86,24 @@
     return dependencies;
 }
 
+ConfirmationProbeDependencies ControlDuty::confirmationProbeDependencies()
+{
+    ConfirmationProbeDependencies dependencies;
+    dependencies.loop = m_dependencies.loop;
+    dependencies.bound = m_dependencies.keyWithdrawalBound;
+    dependencies.isNeeded = [this] { return m_config && !m_config->accounts.isEmpty(); };
+    dependencies.fleetSize = [this] { return servingPeers().size(); };
+    dependencies.poll = [this](std::function<void()> onEnd) {
+        m_dependencies.table.pollChanges(
+                m_dependencies.documents.table, m_operatorWatch.asOfVersion(), Milliseconds{0},
+                [this, onEnd = std::move(onEnd)](const absl::StatusOr<TableReadResult> &result) {
+                    onEnd();
+                    m_operatorWatch.applyPoll(result);
+                });
+    };
+    return dependencies;
+}
+
 std::vector<RelayPeer> ControlDuty::servingPeers() const
 {
     std::vector<RelayPeer> peers;
@@ -131,6 +150,7 @@
     m_loopMonitor.start();
     m_targetRow.start();
     m_sharedWatch.start();
+    m_confirmationProbe.start();
 }
 
 // Starts after the shared table was read, because that table lists the peers through which the operator's table is
@@ -199,15 +219,32 @@
                     .field("row_version", row.version)
                     .write(m_dependencies.log);
             m_hasConfig = true;
+            if (!m_config || m_config->state->revision() < (*config)->state->revision())
+                m_config = *config;
             m_dependencies.publish(*config);
         } else if (const auto *order = std::get_if<RolloutOrder>(&*document)) {
             if (order->service == m_dependencies.service)
                 m_rolloutControl.setOrder(*order);
         }
     }
+    publishConfirmation(result);
     publishWhenSynced();
 }
 
+// Follows the configuration itself, which the traffic duty receives first.
+void ControlDuty::publishConfirmation(const TableReadResult &result)
+{
+    if (!result.confirmedAt || !m_config || m_config->accounts.isEmpty())
+        return;
+    m_confirmationProbe.recordConfirmation(*result.confirmedAt);
+    const ConfigConfirmed confirmed{m_config->state->revision(), *result.confirmedAt};
+    if (m_publishedConfirmation && m_publishedConfirmation->revision == confirmed.revision
+        && confirmed.at - m_publishedConfirmation->at < confirmationInterval)
+        return;
+    m_publishedConfirmation = confirmed;
+    m_dependencies.publish(confirmed);
+}
+
 void ControlDuty::applySharedRows(const TableReadResult &result, bool isFull)
 {
     recordTableTime(result);
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -14,12 +14,15 @@
 namespace {
 
 constexpr int badRequest = 400;
+constexpr int unauthorized = 401;
 constexpr int notFound = 404;
 constexpr int firstServerError = 500;
 constexpr int badGateway = 502;
 constexpr int unavailable = 503;
 constexpr int gatewayTimeout = 504;
 constexpr Milliseconds noConfigRetryDelay{300};
+// The table is polled again within about half a second when a read of it has failed.
+constexpr Milliseconds keysUnconfirmedRetryDelay{400};
 
 TargetFeedback feedbackFor(const InboundResult &result)
 {
@@ -64,6 +67,7 @@
     void logAttempt(const InboundResult &result, MonotonicTime now);
     void logEnd(int status, absl::string_view reason);
     void refuse(absl::string_view reason, Microseconds retryHint);
+    void rejectKey();
     void respondWithStatus(int status, absl::string_view reason);
     void handleCancellation();
     [[nodiscard]] MetricsRegistry &metrics() { return *m_owner.m_dependencies.metrics; }
@@ -72,6 +76,7 @@
     HttpRequestContextPtr m_context;
     ProxyConfigPtr m_config;
     RouteMatch m_match;
+    Authentication m_authentication;
     InboundRequest m_request;
     BalancerRequest m_balancerRequest;
     std::optional<ForwardPlan> m_plan;
@@ -114,12 +119,21 @@
         return false;
     }
     const Route &route = *m_match.route;
+    m_request.route = route.name;
+    m_authentication = m_owner.m_keyCheck.check(*m_config, route, request.headers);
+    if (!m_authentication.isAdmitted()) {
+        rejectKey();
+        return false;
+    }
     const MonotonicTime arrived = m_context->arrivedAt();
     const Deadline deadline =
             Deadline::fromHeader(request.headers.first(headerNames.timeBudget), route.timeout, arrived);
     m_request.service = m_owner.m_weightedChoice.choose(route);
-    m_request.route = route.name;
     m_request.workClass = route.workClass;
+    if (const ClientAccount *account = m_authentication.account) {
+        m_request.account = account->name;
+        m_request.workClass = account->workClass.value_or(route.workClass);
+    }
     m_request.isIdempotent = route.idempotent;
     m_request.deadline = deadline.at();
     m_request.softDeadline = route.targetLatency.count() > 0
@@ -151,6 +165,7 @@
     m_request.request.headers.set(m_owner.m_dependencies.headerNames.callerService,
                                   m_owner.m_dependencies.callerService.value());
     m_request.request.headers.remove(m_owner.m_dependencies.headerNames.expectTarget);
+    m_owner.m_keyCheck.rewriteHeaders(m_authentication, m_request.request.headers);
 }
 
 void Forwarder::Session::attempt()
@@ -328,6 +343,15 @@
     m_context->respond(std::move(response));
 }
 
+void Forwarder::Session::rejectKey()
+{
+    const char *reason = keyVerdictName(m_authentication.verdict);
+    if (m_authentication.verdict == KeyVerdict::Unconfirmed)
+        refuse(reason, keysUnconfirmedRetryDelay);
+    else
+        respondWithStatus(unauthorized, reason);
+}
+
 void Forwarder::Session::respondWithStatus(int status, absl::string_view reason)
 {
     m_isDone = true;
@@ -337,6 +361,8 @@
     logEnd(status, reason);
     HttpResponse response;
     response.status = status;
+    if (status == unauthorized)
+        response.headers.add("WWW-Authenticate", "Bearer");
     m_context->respond(std::move(response));
 }
 
@@ -356,7 +382,7 @@
 }
 
 Forwarder::Forwarder(ForwarderDependencies dependencies)
-    : m_dependencies(std::move(dependencies)), m_counters(*m_dependencies.metrics),
+    : m_dependencies(std::move(dependencies)), m_counters(*m_dependencies.metrics), m_keyCheck(keyCheckDependencies()),
       m_balancer(m_dependencies.self, m_dependencies.random)
 {
 }
@@ -376,6 +402,22 @@
     m_responseSizes.retain([this](const RouteName &route) { return m_config->state->route(route) != nullptr; });
 }
 
+KeyCheckDependencies Forwarder::keyCheckDependencies() const
+{
+    KeyCheckDependencies dependencies;
+    dependencies.metrics = m_dependencies.metrics;
+    dependencies.log = m_dependencies.log;
+    dependencies.headerNames = m_dependencies.headerNames;
+    dependencies.withdrawalBound = m_dependencies.keyWithdrawalBound;
+    return dependencies;
+}
+
+void Forwarder::confirmConfig(const ConfigConfirmed &confirmed)
+{
+    if (m_config)
+        m_keyCheck.confirm(confirmed, *m_config);
+}
+
 void Forwarder::setVersions(const ServiceVersions &versions)
 {
     m_versions[versions.service] = versions;
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -86,6 +86,7 @@
         dependencies.inboundAddress = m_settings.inbound;
         dependencies.region = m_settings.region;
         dependencies.service = m_settings.service;
+        dependencies.keyWithdrawalBound = m_settings.keyWithdrawalBound;
         dependencies.publish = [this](ControlUpdate update) { m_controlUpdates.push(std::move(update)); };
         return dependencies;
     }
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -79,6 +79,7 @@
     dependencies.self = {m_settings.region, m_settings.dataCentre};
     dependencies.callerService = m_settings.service;
     dependencies.retries = m_settings.retries;
+    dependencies.keyWithdrawalBound = m_settings.keyWithdrawalBound;
     return dependencies;
 }
 
@@ -119,6 +120,8 @@
         applyTargetRecord(read->record);
     } else if (const auto *recorded = std::get_if<TargetRecorded>(&update)) {
         handleTargetRecorded(recorded->record);
+    } else if (const auto *confirmed = std::get_if<ConfigConfirmed>(&update)) {
+        m_forwarder.confirmConfig(*confirmed);
     } else if (!std::exchange(m_isSynced, true)) {
         LogEvent(LogLevel::Info, "proxy.ready").field("node", m_settings.node).write(m_log);
     }
--- /dev/null
+++ b/tests/platform/accounts_test.cpp
@@ -0,0 +1,398 @@
+#include "support/child_process.h"
+#include "support/fake_store.h"
+#include "support/loop_thread.h"
+#include "support/raw_socket.h"
+
+#include <platform/adapter.h>
+
+#include <dandeliondock/accounts/key_lease.h>
+#include <dandeliondock/http/async_client.h>
+#include <dandeliondock/proxy/proxy.h>
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <catch2/catch.hpp>
+
+#include <array>
+#include <chrono>
+#include <functional>
+#include <future>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <utility>
+
+namespace dandeliondock::testing {
+namespace {
+
+constexpr Seconds testTimeout{6};
+constexpr Milliseconds bound{5'000};
+const std::string millKey = "k3y-of-mill";
+const std::string farmKey = "k3y-of-farm";
+
+/// Returns a configuration in which \c millKeys are the keys of the account "mill".
+std::string configText(int version, const std::string &millKeys)
+{
+    return absl::StrCat(
+            R"({"version":"r)", version,
+            R"(","routes":{"keyed":{"host":"h","prefix":"/a/","kind":"safe","timeout_ms":2000,"priority":2,"service":"s"},)"
+            R"("open":{"host":"h","prefix":"/open/","kind":"safe","timeout_ms":2000,"priority":2,"service":"s",)"
+            R"("auth_exempt":true}},"services":{"s":{"health_path":"/health","max_connections":130}},"limits":{},)"
+            R"("tenants":{"mill":{"api_keys":[)",
+            millKeys, R"(],"priority":0},"farm":{"api_keys":[")", farmKey, R"("]}}})");
+}
+
+std::string quoted(const std::string &text)
+{
+    return absl::StrCat("\"", text, "\"");
+}
+
+/// A target that responds with the headers of each request.
+class EchoTarget
+{
+public:
+    EchoTarget() : address(absl::StrCat("127.0.0.1:", freePort()))
+    {
+        m_thread.run([this] {
+            m_server = std::make_unique<AsyncHttpServer>(m_thread.loop(), [](const HttpRequestContextPtr &context) {
+                HttpResponse response;
+                const auto &headers = context->request().headers;
+                response.headers.add("X-Dandeliondock-Attempt-Id",
+                                     headers.first("X-Dandeliondock-Attempt-Id").value_or(""));
+                response.headers.add("X-Dandeliondock-Server-Seal", "seal");
+                for (const HttpHeader &line : headers.lines())
+                    absl::StrAppend(&response.body, line.name, ": ", line.value, "\n");
+                context->respond(std::move(response));
+            });
+            REQUIRE(m_server->listen(address).ok());
+        });
+    }
+
+    ~EchoTarget()
+    {
+        m_thread.run([this] { m_server.reset(); });
+    }
+
+    const Address address;
+
+private:
+    LoopThread m_thread;
+    std::unique_ptr<AsyncHttpServer> m_server;
+};
+
+/// Two proxies with the target of the second one, a fake of the platform's store, a client, and the log of both
+/// proxies.
+class AccountsDeployment
+{
+public:
+    explicit AccountsDeployment(std::optional<Milliseconds> withdrawalBound = bound)
+    {
+        for (ProxySettings &settings : m_settings) {
+            const auto freeAddress = [] { return Address(absl::StrCat("127.0.0.1:", freePort())); };
+            settings.node = NodeId(absl::StrCat("n", &settings - m_settings.data()));
+            settings.region = RegionName("east");
+            settings.dataCentre = DataCentreName("a");
+            settings.callers = freeAddress();
+            settings.inbound = freeAddress();
+            settings.health = freeAddress();
+            settings.announcements = freeAddress();
+            settings.metrics = freeAddress();
+            settings.target = m_target.address;
+            settings.service = ServiceName("s");
+            settings.store = store.address();
+            settings.grace = Milliseconds(1'500);
+            settings.keyWithdrawalBound = withdrawalBound;
+        }
+        m_thread.run([this] { m_client = std::make_unique<AsyncHttpClient>(m_thread.loop()); });
+        start(0);
+        start(1);
+    }
+
+    ~AccountsDeployment()
+    {
+        m_thread.run([this] { m_client.reset(); });
+    }
+
+    void start(std::size_t proxy)
+    {
+        m_proxies.at(proxy).reset();
+        auto started =
+                Proxy::start(m_settings.at(proxy), platform::adapter(), [this](LogLevel, const std::string &line) {
+                    const std::lock_guard lock(m_logMutex);
+                    absl::StrAppend(&m_log, line, "\n");
+                });
+        REQUIRE(started.ok());
+        m_proxies.at(proxy) = *std::move(started);
+    }
+
+    HttpResponse call(const Address &address, HttpRequest request)
+    {
+        const auto promise = std::make_shared<std::promise<AsyncCallResult>>();
+        m_thread.run([&] {
+            m_client->send(address, request, {EventLoop::now() + testTimeout, Microseconds{0}},
+                           [promise](AsyncCallResult result) { promise->set_value(std::move(result)); });
+        });
+        AsyncCallResult result = promise->get_future().get();
+        if (!result.status.ok())
+            result.response.status = 0;
+        return std::move(result.response);
+    }
+
+    HttpResponse callProxy(std::size_t proxy, const std::string &path, const HttpHeaders &headers = {})
+    {
+        HttpRequest request{"GET", path, headers, {}};
+        request.headers.add("Host", "h");
+        request.headers.add("X-Dandeliondock-Attempt-Id", absl::StrCat("id", ++m_ids));
+        request.headers.add("X-Dandeliondock-Time-Budget", "2000");
+        return call(m_settings.at(proxy).callers, request);
+    }
+
+    HttpResponse callWithKey(const std::string &key, std::size_t proxy = 0)
+    {
+        HttpHeaders headers;
+        headers.add("Authorization", "Bearer " + key);
+        return callProxy(proxy, "/a/1", headers);
+    }
+
+    void announceTarget()
+    {
+        HttpRequest request{"POST", "/api/rpc?call=instances.heartbeat&of=" + m_settings[1].node.value(), {}, {}};
+        request.body = absl::StrCat(R"({"service":"s","address":")", m_target.address.value(),
+                                    R"(","zone":"a","version":"v1","slots":4,"state":"ready",)",
+                                    R"("cold_remaining_ms":0,"sequence":1,"born":1000})");
+        REQUIRE(call(m_settings[1].announcements, request).status == 200);
+    }
+
+    static bool eventually(const std::function<bool()> &condition)
+    {
+        const auto end = std::chrono::steady_clock::now() + testTimeout;
+        while (std::chrono::steady_clock::now() < end) {
+            if (condition())
+                return true;
+            std::this_thread::sleep_for(Milliseconds(20));
+        }
+        return false;
+    }
+
+    void startServing()
+    {
+        store.put("op", "config", configText(1, quoted(millKey)));
+        announceTarget();
+        for (const std::size_t proxy : {0U, 1U})
+            REQUIRE(eventually([&] { return callWithKey(millKey, proxy).status == 200; }));
+    }
+
+    std::uint16_t callersPort()
+    {
+        const std::string &callers = m_settings[0].callers.value();
+        return static_cast<std::uint16_t>(std::stoi(callers.substr(callers.rfind(':') + 1)));
+    }
+
+    std::string metricsPage() { return call(m_settings[0].metrics, {"GET", "/", {}, {}}).body; }
+
+    std::string log()
+    {
+        const std::lock_guard lock(m_logMutex);
+        return m_log;
+    }
+
+    FakeStore store;
+
+private:
+    std::mutex m_logMutex;
+    std::string m_log;
+    EchoTarget m_target;
+    std::array<ProxySettings, 2> m_settings;
+    std::array<std::unique_ptr<Proxy>, 2> m_proxies;
+    LoopThread m_thread;
+    std::unique_ptr<AsyncHttpClient> m_client;
+    int m_ids = 0;
+};
+
+} // namespace
+
+// Guards against requests that reach a target without a key, with the key, or under an account that the client made up.
+TEST_CASE("a request needs the key of an account, and its target gets the account instead of the key", "[platform]")
+{
+    AccountsDeployment deployment;
+    HttpHeaders headers;
+    headers.add("Authorization", "bearer " + millKey);
+    headers.add("X-Dandeliondock-Tenant", "forged");
+    headers.add("Connection", "X-Dandeliondock-Tenant, Authorization");
+    CHECK(deployment.callProxy(0, "/a/1", headers).status == 503); // no configuration
+    deployment.startServing();
+    const HttpResponse served = deployment.callProxy(0, "/a/1", headers);
+    CHECK(served.status == 200);
+    CHECK_THAT(served.body, Catch::Contains("X-Dandeliondock-Tenant: mill\n"));
+    CHECK_THAT(served.body, !Catch::Contains("forged") && !Catch::Contains("uthorization"));
+    CHECK_THAT(deployment.callWithKey(farmKey).body, Catch::Contains("X-Dandeliondock-Tenant: farm\n"));
+
+    CHECK(deployment.callProxy(0, "/none/", headers).status == 404);
+    const HttpResponse refused = deployment.callProxy(0, "/a/1");
+    CHECK(refused.status == 401);
+    CHECK(refused.headers.first("WWW-Authenticate") == "Bearer");
+    CHECK(deployment.callWithKey("k3y-of-nobody").status == 401);
+
+    const HttpResponse exempt = deployment.callProxy(0, "/open/1", headers);
+    CHECK(exempt.status == 200);
+    CHECK_THAT(exempt.body, !Catch::Contains("Tenant") && !Catch::Contains("uthorization"));
+    HttpHeaders other;
+    other.add("Authorization", "Basic of-the-application");
+    CHECK_THAT(deployment.callProxy(0, "/open/1", other).body, Catch::Contains("Basic of-the-application"));
+    CHECK(deployment.callProxy(0, "/open/1").status == 200);
+}
+
+// Guards against a key that an operator or a client can find in a log, on the metrics page or in a response.
+TEST_CASE("keys appear neither in the log nor on the metrics page nor in responses", "[platform]")
+{
+    AccountsDeployment deployment;
+    deployment.startServing();
+    std::string responses;
+    CHECK(deployment.callWithKey(millKey + "x").status == 401);
+    for (const std::string &value : {"Bearer " + millKey, "Basic " + millKey, millKey}) {
+        for (const char *path : {"/a/1", "/open/1", "/none/"}) {
+            HttpHeaders headers;
+            headers.add("Authorization", value);
+            absl::StrAppend(&responses, deployment.callProxy(0, path, headers).body);
+        }
+    }
+    deployment.store.put("op", "config", configText(2, quoted(farmKey))); // refused: two accounts hold one key
+    deployment.store.put("op", "config", configText(3, quoted(millKey) + ",7"));
+    deployment.store.put("op", "config", configText(4, quoted(millKey) + ",[}"));
+    CHECK(deployment.eventually([&] { return absl::StrContains(deployment.log(), "operator.row_refused"); }));
+    CHECK(deployment.callWithKey(millKey).status == 200);
+    CHECK_THAT(deployment.log(),
+               Catch::Contains("key_missing") && Catch::Contains("key_unknown") && !Catch::Contains("k3y"));
+    CHECK_THAT(deployment.metricsPage(), Catch::Contains("key_missing") && !Catch::Contains("k3y"));
+    CHECK_THAT(responses, !Catch::Contains("k3y"));
+}
+
+// Guards against odd credentials that are accepted, forwarded or end the connection of a well-formed request.
+TEST_CASE("odd credentials are refused", "[platform]")
+{
+    AccountsDeployment deployment;
+    deployment.startServing();
+    const std::string bearer = "Authorization: Bearer " + millKey;
+    const auto statusLine = [&](const std::string &lines) {
+        const RawConnection connection(deployment.callersPort());
+        connection.write(
+                absl::StrCat("GET /a/1 HTTP/1.1\r\nHost: h\r\nX-Dandeliondock-Attempt-Id: x\r\n", lines, "\r\n\r\n"));
+        return connection.readUntil("\r\n").substr(0, 12);
+    };
+    CHECK(statusLine(bearer) == "HTTP/1.1 200");
+    CHECK(statusLine("AUTHORIZATION:bEARER   " + millKey + " \t") == "HTTP/1.1 200");
+    for (const std::string &lines :
+         {std::string("Authorization:"), std::string("Authorization: Bearer"), "Authorization: " + millKey,
+          "Authorization: Bearer\t" + millKey, "Authorization: Basic " + millKey, bearer + "x", bearer + "," + millKey,
+          "Authorization: Bearer " + std::string(8'000, 'k'), "Authorization: Bearer \xff\xfe\x80" + millKey,
+          bearer + "\r\n" + bearer, bearer + "\r\nAuthorization: Bearer other", "Authorization: \r\n" + bearer,
+          "Proxy-" + bearer}) {
+        INFO(lines.substr(0, 100));
+        CHECK(statusLine(lines) == "HTTP/1.1 401");
+    }
+    // A header with control characters is not valid HTTP and is refused as such; one above the limit of the
+    // configuration is too large.
+    for (const std::string &lines :
+         {bearer + '\x01', bearer + std::string(1, '\0'), "Authorization: Bearer " + std::string(100'000, 'k')}) {
+        INFO(lines.substr(0, 100));
+        CHECK_THAT(statusLine(lines), Catch::StartsWith("HTTP/1.1 4"));
+    }
+    CHECK(statusLine(bearer) == "HTTP/1.1 200");
+}
+
+// Guards against a change of keys alone that does not take effect, and against keys that are lost with a configuration
+// that is refused.
+TEST_CASE("a configuration that differs in keys only takes effect", "[platform]")
+{
+    AccountsDeployment deployment;
+    deployment.startServing();
+    deployment.store.put("op", "config", configText(2, quoted("k3y-new")));
+    for (const std::size_t proxy : {0U, 1U}) {
+        CHECK(deployment.eventually([&] { return deployment.callWithKey("k3y-new", proxy).status == 200; }));
+        CHECK(deployment.callWithKey(millKey, proxy).status == 401);
+    }
+    deployment.store.put("op", "config", configText(3, quoted(millKey) + "," + quoted(farmKey)));
+    std::this_thread::sleep_for(Seconds(1));
+    CHECK(deployment.callWithKey("k3y-new").status == 200);
+    CHECK(deployment.callWithKey(millKey).status == 401);
+}
+
+// Guards against a withdrawn key that a proxy without contact to the store still accepts after the bound, or again
+// after its restart.
+TEST_CASE("a proxy that cannot reach the store refuses keys before the bound ends", "[platform]")
+{
+    AccountsDeployment deployment;
+    deployment.startServing();
+    FakeStoreFaults faults;
+    faults.isUnresponsive = true;
+    deployment.store.setFaults(faults);
+    deployment.store.put("op", "config", configText(2, quoted("k3y-new")));
+    const BootTime withdrawnAt = BootClock::now();
+    BootTime servedAt = withdrawnAt;
+    while (BootClock::now() - withdrawnAt < bound + Milliseconds(500)) {
+        const BootTime calledAt = BootClock::now();
+        const HttpResponse response = deployment.callWithKey(millKey);
+        CHECK((response.status == 200 || response.status == 503));
+        CHECK((response.status == 200 || response.headers.first("Retry-After").has_value()));
+        if (response.status == 200)
+            servedAt = calledAt;
+        std::this_thread::sleep_for(Milliseconds(20));
+    }
+    CHECK(servedAt - withdrawnAt < bound);
+    for (const std::size_t proxy : {0U, 1U})
+        CHECK(deployment.callWithKey(millKey, proxy).status == 503);
+    CHECK(deployment.callProxy(0, "/open/1").status == 200);
+    CHECK_THAT(deployment.log(), Catch::Contains("event=keys.unconfirmed revoke_ms=5000"));
+    CHECK_THAT(deployment.log(), Catch::Contains("reason=keys_unconfirmed"));
+    CHECK_THAT(deployment.metricsPage(), Catch::Contains("keys_unconfirmed"));
+
+    deployment.start(0);
+    CHECK(deployment.callWithKey(millKey).status == 503);
+    deployment.store.setFaults({});
+    CHECK(deployment.eventually([&] { return deployment.callWithKey("k3y-new").status == 200; }));
+    CHECK(deployment.eventually([&] { return deployment.callWithKey("k3y-new", 1).status == 200; }));
+    CHECK(deployment.callWithKey(millKey).status == 401);
+    CHECK_THAT(deployment.log(), Catch::Contains("event=keys.confirmed_again"));
+}
+
+// Guards against refusals during an interruption of the store that is shorter than 0.6 of the bound.
+TEST_CASE("an interruption of the store of 0.6 of the bound refuses no key", "[platform]")
+{
+    AccountsDeployment deployment;
+    deployment.startServing();
+    std::this_thread::sleep_for(Milliseconds(1'500)); // the confirmation of a change is older than that of an idle poll
+    FakeStoreFaults faults;
+    faults.isUnresponsive = true;
+    deployment.store.setFaults(faults);
+    const BootTime interruptedAt = BootClock::now();
+    int refused = 0;
+    int requests = 0;
+    while (BootClock::now() - interruptedAt < bound * 12 / 10) {
+        for (const std::size_t proxy : {0U, 1U}) {
+            ++requests;
+            refused += deployment.callWithKey(millKey, proxy).status == 200 ? 0 : 1;
+        }
+        if (BootClock::now() - interruptedAt >= bound * 6 / 10 && std::exchange(faults.isUnresponsive, false))
+            deployment.store.setFaults(faults);
+        std::this_thread::sleep_for(Milliseconds(20));
+    }
+    INFO(requests << " requests");
+    CHECK(refused == 0);
+}
+
+// Guards against a deployment that sets no bound and refuses keys when the store is out of reach.
+TEST_CASE("without a bound keys are accepted however long the store is out of reach", "[platform]")
+{
+    AccountsDeployment deployment(std::nullopt);
+    deployment.startServing();
+    FakeStoreFaults faults;
+    faults.refusesAll = true;
+    deployment.store.setFaults(faults);
+    std::this_thread::sleep_for(Seconds(1));
+    CHECK(deployment.callWithKey(millKey).status == 200);
+    CHECK(deployment.callWithKey("k3y-other").status == 401);
+}
+
+} // namespace dandeliondock::testing
