Keep requests out of regions that are not allowed and data centres that are evacuated

Locality was a cost only: a busy or failed near region sent a restricted request elsewhere, and nothing read the evacuation rows.

The balancer chooses only targets of allowed regions outside evacuated data centres, for every attempt; regions of a configuration that arrived since the first attempt apply as well. The control duty publishes the whole set of evacuations, before the configuration of the same read.

--- a/include/dandeliondock/proxy/control_duty.h
+++ b/include/dandeliondock/proxy/control_duty.h
@@ -5,6 +5,7 @@
 #include <dandeliondock/core/random_source.h>
 #include <dandeliondock/http/async_client.h>
 #include <dandeliondock/http/event_loop.h>
+#include <dandeliondock/places/evacuations.h>
 #include <dandeliondock/proxy/loop_monitor.h>
 #include <dandeliondock/proxy/operator_documents.h>
 #include <dandeliondock/proxy/rollout_control.h>
@@ -20,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <variant>
 
 namespace dandeliondock {
@@ -47,9 +49,15 @@
 {
 };
 
+/// \brief All evacuated data centres.
+struct EvacuationsUpdate
+{
+    std::set<DataCentreName> dataCentres;
+};
+
 /// \brief Message from the control duty to the traffic duty.
 using ControlUpdate = std::variant<ProxyConfigPtr, ServiceVersions, Endpoint, EndpointRemoved, TargetRecordRead,
-                                   TargetRecorded, InitialSyncDone>;
+                                   TargetRecorded, EvacuationsUpdate, InitialSyncDone>;
 
 /// \brief Name of the table that the proxies share.
 inline constexpr absl::string_view sharedTableName = "dandeliondock";
@@ -108,6 +116,7 @@
 
 private:
     void applyOperatorRows(const TableReadResult &result);
+    void applyEvacuations(const TableReadResult &result, bool isFull);
     void applySharedRows(const TableReadResult &result, bool isFull);
     void applySharedRow(const TableRow &row);
     void removeSharedRow(const RowKey &key);
@@ -134,6 +143,7 @@
     TableWatch m_sharedWatch;
     RolloutControl m_rolloutControl;
     TargetRow m_targetRow;
+    Evacuations m_evacuations;
     std::map<Address, Endpoint> m_endpoints; ///< by inbound address
     absl::flat_hash_map<ServiceName, ServiceVersions> m_serviceVersions;
     std::optional<Endpoint> m_localTarget;
--- a/include/dandeliondock/proxy/forwarder.h
+++ b/include/dandeliondock/proxy/forwarder.h
@@ -8,6 +8,7 @@
 #include <dandeliondock/core/random_source.h>
 #include <dandeliondock/http/async_client.h>
 #include <dandeliondock/http/async_server.h>
+#include <dandeliondock/places/region_rules.h>
 #include <dandeliondock/proxy/forwarder_counters.h>
 #include <dandeliondock/proxy/header_names.h>
 #include <dandeliondock/proxy/inbound_handler.h>
@@ -20,6 +21,7 @@
 #include <absl/container/flat_hash_map.h>
 
 #include <memory>
+#include <set>
 #include <string>
 
 namespace dandeliondock {
@@ -74,6 +76,10 @@
     void setEndpoint(const Endpoint &endpoint);
     /// \brief Removes the target whose proxy has this inbound address.
     void removeEndpoint(const Address &inboundAddress);
+    /// \brief Sets the evacuated data centres, to whose targets no attempt is sent.
+    void setEvacuated(std::set<DataCentreName> dataCentres);
+    /// \brief Whether the configuration lets targets in the region of this proxy serve a request.
+    [[nodiscard]] bool isRegionAllowed(const InboundRequest &request) const;
     /// \brief Refuses requests, from now on, whose deadline is later than \c end: this process ends then, and would cut
     /// them off at a target.
     void setEnd(MonotonicTime end) { m_endsAt = end; }
@@ -109,6 +115,7 @@
     ForwarderDependencies m_dependencies;
     ForwarderCounters m_counters;
     ProxyConfigPtr m_config;
+    RegionRules m_regionRules; ///< of m_config
     TargetBalancer m_balancer;
     WeightedChoice m_weightedChoice;
     ResponseSizes m_responseSizes;
--- a/include/dandeliondock/proxy/inbound_handler.h
+++ b/include/dandeliondock/proxy/inbound_handler.h
@@ -37,6 +37,8 @@
     LogSink log;
     HeaderNames headerNames;
     Address target; ///< address of the target on this instance
+    /// Whether the region of this instance may serve a request by the configuration known here; null: every one.
+    std::function<bool(const InboundRequest &)> isRegionAllowed;
     /// Called with each attempt on a service that has a running rollout.
     std::function<void(const AttemptReport &, TicketNumber)> onAttempt;
     /// Returns the versions of a service, or null if none are known. The pointer is not kept.
@@ -82,6 +84,13 @@
     /// refused. When the target no longer accepts requests, waiting ones are refused.
     AnnouncementEffect applyRecord(const std::optional<TargetAnnouncement> &record);
 
+    /// \brief Refuses waiting requests that a new configuration does not allow here.
+    void refuseDisallowed();
+
+    /// \brief Sets whether the data centre of this instance is evacuated. If it is, waiting and further requests are
+    /// refused.
+    void setEvacuated(bool isEvacuated);
+
     /// \brief Refuses waiting and all further requests, because this process is shutting down.
     void stop();
 
@@ -108,7 +117,7 @@
     void reportAttempt(const impl::InboundJob &job, const InboundResult &result, Microseconds latency);
     void finish(const InboundJobPtr &job, InboundResult result);
     void runNext();
-    void refuseWaiting();
+    void refuseWaiting(InboundRefusal refusal);
     AnnouncementEffect followTarget(AnnouncementEffect effect);
 
     InboundHandlerDependencies m_dependencies;
@@ -123,6 +132,7 @@
     std::uint32_t m_running = 0;        ///< requests that the target is processing
     std::uint32_t m_runningRepeats = 0; ///< repeats among these
     LogRateLimiter m_logLimiter;
+    bool m_isEvacuated = false;
     bool m_isStopped = false;
 };
 
--- a/include/dandeliondock/proxy/inbound_request.h
+++ b/include/dandeliondock/proxy/inbound_request.h
@@ -41,7 +41,9 @@
     OtherTarget,  ///< the target on this instance has another id or service
     OtherVersion, ///< the target has a version that gets no traffic
     Unreachable,  ///< no connection to the target
-    LinkFull      ///< the instance's link cannot deliver the response in time
+    LinkFull,     ///< the instance's link cannot deliver the response in time
+    Evacuated,    ///< the data centre of this instance is evacuated
+    OtherRegion   ///< the route or the client account does not allow the region of this instance
 };
 
 /// \brief Returns the name of a refusal for metrics, logs and headers. Thread-safe.
--- a/include/dandeliondock/proxy/target_balancer.h
+++ b/include/dandeliondock/proxy/target_balancer.h
@@ -4,6 +4,7 @@
 #include <dandeliondock/core/random_source.h>
 #include <dandeliondock/core/units.h>
 #include <dandeliondock/membership/endpoint.h>
+#include <dandeliondock/places/allowed_regions.h>
 #include <dandeliondock/proxy/congestion_window.h>
 #include <dandeliondock/proxy/target_load.h>
 #include <dandeliondock/routing/locality.h>
@@ -15,6 +16,7 @@
 #include <cstdint>
 #include <memory>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace dandeliondock {
@@ -41,6 +43,10 @@
 /// \brief Weight of the recent failure rate in the cost of a target.
 inline constexpr double failureCost = 1.5;
 
+/// \brief Time for which the targets of a data centre are not used after the proxy of one of them reported its
+/// evacuation. The record of the evacuation reaches this proxy within that time.
+inline constexpr Milliseconds reportedEvacuationTime{1'000};
+
 /// \brief A target with the statistics that the balancer keeps about it and its proxy.
 struct BalancedTarget
 {
@@ -55,6 +61,8 @@
     Microseconds roundTrip{0}; ///< smoothed network round trip, without the time at the target's proxy
     MonotonicTime servingSince;
     bool isLeaving = false; ///< reported by the target's proxy before the endpoint record changed
+    bool isEvacuated = false;
+    MonotonicTime evacuatedUntil; ///< end of an evacuation reported by a proxy in the data centre of the target
 };
 
 using BalancedTargetPtr = std::shared_ptr<BalancedTarget>;
@@ -66,6 +74,7 @@
     VersionChoice version;
     std::vector<TargetId> tried{}; ///< targets of earlier attempts; selected again only when no other target is usable
     ByteCount responseSize{};      ///< mean response size of the route
+    AllowedRegions allowedRegions{};
 };
 
 /// \brief Reservation of a target for one request; ended by TargetBalancer::finish().
@@ -82,6 +91,7 @@
     Failed,       ///< the target responded with a failure, did not run the request or did not respond
     Refused,      ///< the target's proxy refused the request
     Leaving,      ///< the target accepts no new requests
+    Evacuated,    ///< the target's proxy refused the request, because its data centre is evacuated
     Unreachable,  ///< no connection could be opened
     Inconclusive, ///< the attempt says nothing about the target, because the caller disconnected or a call of the
                   ///< target failed
@@ -104,6 +114,9 @@
     /// \brief Removes the target whose proxy has this inbound address.
     void remove(const Address &controlAddress);
 
+    /// \brief Sets the evacuated data centres, whose targets are not chosen.
+    void setEvacuated(std::set<DataCentreName> dataCentres, MonotonicTime now);
+
     /// \brief Chooses and reserves a target for a request; empty when no target is usable.
     [[nodiscard]] std::optional<BalancerClaim> choose(const BalancerRequest &request, MonotonicTime now);
 
@@ -126,6 +139,10 @@
 
     /// Returns the targets of a version that its target share allows.
     [[nodiscard]] static Targets targetsInShare(const Targets &targets, const VersionChoice &version);
+    /// Whether a target may serve the request, regardless of its load and its failures.
+    [[nodiscard]] static bool isEligible(const BalancedTarget &target, const BalancerRequest &request,
+                                         MonotonicTime now);
+    void recordReportedEvacuation(const DataCentreName &dataCentre, MonotonicTime now);
     [[nodiscard]] BalancedTargetPtr cheapest(const Targets &targets, const BalancerRequest &request, bool avoidTried,
                                              MonotonicTime now);
     void tryEject(BalancedTarget &target, MonotonicTime now);
@@ -134,6 +151,7 @@
     CongestionWindow m_congestionWindow; ///< for the link to other regions
     RandomSource m_random;
     absl::flat_hash_map<ServiceName, Targets> m_services;
+    std::set<DataCentreName> m_evacuated;
 };
 
 } // namespace dandeliondock
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -3,6 +3,7 @@
 #include <dandeliondock/proxy/control_duty.h>
 
 #include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
 #include <absl/strings/strip.h>
 
 #include <algorithm>
@@ -32,6 +33,7 @@
               m_dependencies.log,
               [this](const TableReadResult &result, bool isFull) {
                   m_relayServer.apply(m_dependencies.documents.table, result, isFull);
+                  applyEvacuations(result, isFull);
                   applyOperatorRows(result);
               },
               [this](bool isCurrent) { m_relayServer.setCurrent(m_dependencies.documents.table, isCurrent); }),
@@ -179,6 +181,31 @@
     m_tableTimeReadAt = EventLoop::now();
 }
 
+// Called before a configuration of the same read is published, so that no request is sent by that configuration to a
+// data centre which is evacuated. An evacuation applies whatever the value of its row.
+void ControlDuty::applyEvacuations(const TableReadResult &result, bool isFull)
+{
+    EvacuationChanges changes;
+    changes.asOfVersion = result.asOfVersion;
+    changes.isFull = isFull;
+    for (const TableRow &row : result.rows) {
+        if (auto dataCentre = m_dependencies.documents.evacuatedDataCentre(row.key))
+            changes.declared.push_back({*std::move(dataCentre), row.version});
+    }
+    for (const RowKey &key : result.removed) {
+        if (auto dataCentre = m_dependencies.documents.evacuatedDataCentre(key))
+            changes.ended.push_back(*std::move(dataCentre));
+    }
+    if (!m_evacuations.apply(changes))
+        return;
+    const std::set<DataCentreName> dataCentres = m_evacuations.dataCentres();
+    LogEvent(LogLevel::Info, "evacuations.changed")
+            .field("data_centres", absl::StrJoin(dataCentres, ",", absl::StreamFormatter()))
+            .field("version", result.asOfVersion)
+            .write(m_dependencies.log);
+    m_dependencies.publish(EvacuationsUpdate{dataCentres});
+}
+
 void ControlDuty::applyOperatorRows(const TableReadResult &result)
 {
     recordTableTime(result);
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <optional>
 #include <utility>
+#include <variant>
 
 namespace dandeliondock {
 
@@ -27,6 +28,8 @@
     case ForwardOutcome::Responded:
         return TargetFeedback::Served;
     case ForwardOutcome::Refused:
+        if (result.refusal == InboundRefusal::Evacuated)
+            return TargetFeedback::Evacuated;
         return isTargetGone(result.refusal) ? TargetFeedback::Leaving : TargetFeedback::Refused;
     case ForwardOutcome::NotSent:
         return TargetFeedback::Unreachable;
@@ -41,6 +44,18 @@
     return TargetFeedback::Failed;
 }
 
+RegionRules regionRulesOf(const ProxyConfig &config)
+{
+    RegionRules rules;
+    for (const auto &[key, stamped] : config.state->resources()) {
+        if (stamped.resource && std::holds_alternative<Route>(*stamped.resource))
+            rules.add(std::get<Route>(*stamped.resource));
+    }
+    for (const ClientAccount &account : config.accounts.accounts())
+        rules.add(account);
+    return rules;
+}
+
 } // namespace
 
 /// \brief One caller's request; keeps itself alive until the response is sent or the caller disconnects.
@@ -156,6 +171,8 @@
 void Forwarder::Session::attempt()
 {
     const MonotonicTime now = EventLoop::now();
+    // A configuration that arrived since the first attempt can restrict the regions further.
+    m_balancerRequest.allowedRegions.restrictTo(m_owner.m_regionRules.allowedFor(m_request.route, m_request.account));
     m_claim = m_owner.m_balancer.choose(m_balancerRequest, now);
     if (!m_claim && m_balancerRequest.version.isNew) {
         // After a rollback the targets of the new version refuse requests, possibly before this proxy learns of it.
@@ -164,7 +181,8 @@
     }
     if (!m_claim) {
         if (m_plan->giveUp() == ForwardStep::Refuse)
-            refuse("no_target", Microseconds{0});
+            refuse(m_balancerRequest.allowedRegions.isRestricted() ? "no_allowed_target" : "no_target",
+                   Microseconds{0});
         else
             fail();
         return;
@@ -373,9 +391,20 @@
     if (m_config && config->state->revision() <= m_config->state->revision())
         return;
     m_config = std::move(config);
+    m_regionRules = regionRulesOf(*m_config);
     m_responseSizes.retain([this](const RouteName &route) { return m_config->state->route(route) != nullptr; });
 }
 
+void Forwarder::setEvacuated(std::set<DataCentreName> dataCentres)
+{
+    m_balancer.setEvacuated(std::move(dataCentres), EventLoop::now());
+}
+
+bool Forwarder::isRegionAllowed(const InboundRequest &request) const
+{
+    return m_regionRules.allowedFor(request.route, request.account).allows(m_dependencies.self.region);
+}
+
 void Forwarder::setVersions(const ServiceVersions &versions)
 {
     m_versions[versions.service] = versions;
--- a/src/proxy/inbound_handler.cpp
+++ b/src/proxy/inbound_handler.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <utility>
+#include <vector>
 
 namespace dandeliondock {
 
@@ -50,6 +51,10 @@
     const ServiceVersions *versions = m_dependencies.versions(request.service);
     if (versions != nullptr && !mayServe(*versions, target.version))
         return InboundRefusal::OtherVersion;
+    if (m_isEvacuated)
+        return InboundRefusal::Evacuated;
+    if (m_dependencies.isRegionAllowed && !m_dependencies.isRegionAllowed(request))
+        return InboundRefusal::OtherRegion;
     return now >= request.deadline ? InboundRefusal::Late : InboundRefusal::None;
 }
 
@@ -350,22 +355,46 @@
     if (m_target.current())
         m_queue.setSlots(m_target.current()->slots);
     if (!m_target.acceptsRequests())
-        refuseWaiting();
+        refuseWaiting(InboundRefusal::Leaving);
     return effect;
 }
 
 void InboundHandler::stop()
 {
     m_isStopped = true;
-    refuseWaiting();
+    refuseWaiting(InboundRefusal::Leaving);
 }
 
-void InboundHandler::refuseWaiting()
+void InboundHandler::setEvacuated(bool isEvacuated)
+{
+    m_isEvacuated = isEvacuated;
+    if (isEvacuated)
+        refuseWaiting(InboundRefusal::Evacuated);
+}
+
+void InboundHandler::refuseDisallowed()
+{
+    if (!m_dependencies.isRegionAllowed)
+        return;
+    std::vector<InboundJobPtr> disallowed;
+    for (const auto &[id, job] : m_waiting) {
+        if (!m_dependencies.isRegionAllowed(job->request))
+            disallowed.push_back(job);
+    }
+    for (const InboundJobPtr &job : disallowed) {
+        if (m_waiting.erase(job->waiter) == 0)
+            continue;
+        m_queue.withdraw(job->waiter);
+        refuse(job, InboundRefusal::OtherRegion, Microseconds{0});
+    }
+}
+
+void InboundHandler::refuseWaiting(InboundRefusal refusal)
 {
     const auto waiting = std::exchange(m_waiting, {});
     for (const auto &[id, job] : waiting) {
         m_queue.withdraw(id);
-        refuse(job, InboundRefusal::Leaving, Microseconds{0});
+        refuse(job, refusal, Microseconds{0});
     }
 }
 
--- a/src/proxy/inbound_request.cpp
+++ b/src/proxy/inbound_request.cpp
@@ -37,8 +37,9 @@
 
 constexpr std::array<const char *, 8> outcomeNames = {"answered", "failed",  "call_failed",  "refused",
                                                       "not_sent", "not_run", "may_have_run", "timed_out"};
-constexpr std::array<const char *, 9> refusalNames = {
-        "none", "late", "busy", "displaced", "leaving", "other_target", "other_version", "unreachable", "link_full"};
+constexpr std::array<const char *, 11> refusalNames = {"none",      "late",         "busy",          "displaced",
+                                                       "leaving",   "other_target", "other_version", "unreachable",
+                                                       "link_full", "evacuated",    "other_region"};
 constexpr int refusedStatus = 503;
 
 absl::Status invalidHeader(absl::string_view header)
--- a/src/proxy/target_balancer.cpp
+++ b/src/proxy/target_balancer.cpp
@@ -3,6 +3,7 @@
 #include <dandeliondock/routing/rendezvous.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace dandeliondock {
 
@@ -71,6 +72,7 @@
     target->endpoint = endpoint;
     target->tier = localityTier(m_self, endpoint);
     target->servingSince = now;
+    target->isEvacuated = m_evacuated.contains(endpoint.dataCentre);
     m_services[endpoint.service].push_back(std::move(target));
 }
 
@@ -83,6 +85,37 @@
     }
 }
 
+void TargetBalancer::setEvacuated(std::set<DataCentreName> dataCentres, MonotonicTime now)
+{
+    m_evacuated = std::move(dataCentres);
+    for (auto &[service, targets] : m_services) {
+        for (const BalancedTargetPtr &target : targets) {
+            const bool wasEvacuated =
+                    std::exchange(target->isEvacuated, m_evacuated.contains(target->endpoint.dataCentre));
+            // Targets without traffic may have become cold.
+            if (wasEvacuated && !target->isEvacuated)
+                target->servingSince = now;
+        }
+    }
+}
+
+void TargetBalancer::recordReportedEvacuation(const DataCentreName &dataCentre, MonotonicTime now)
+{
+    for (auto &[service, targets] : m_services) {
+        for (const BalancedTargetPtr &target : targets) {
+            if (target->endpoint.dataCentre == dataCentre)
+                target->evacuatedUntil = now + reportedEvacuationTime;
+        }
+    }
+}
+
+bool TargetBalancer::isEligible(const BalancedTarget &target, const BalancerRequest &request, MonotonicTime now)
+{
+    return !target.isLeaving && !target.isEvacuated && now >= target.evacuatedUntil
+           && target.endpoint.version == request.version.version
+           && request.allowedRegions.allows(target.endpoint.region);
+}
+
 TargetBalancer::Targets TargetBalancer::targetsInShare(const Targets &targets, const VersionChoice &version)
 {
     Targets share;
@@ -104,7 +137,7 @@
     BalancedTargetPtr best;
     double bestCost = 0;
     for (const BalancedTargetPtr &target : targets) {
-        if (target->isLeaving || target->endpoint.version != request.version.version)
+        if (!isEligible(*target, request, now))
             continue;
         if (!target->ejection.isUsable(now) || (avoidTried && isTried(request, target->endpoint.target)))
             continue;
@@ -181,6 +214,10 @@
         target.isLeaving = true;
         target.ejection.abandon(claim.isTrial);
         return;
+    case TargetFeedback::Evacuated:
+        recordReportedEvacuation(target.endpoint.dataCentre, now);
+        target.ejection.abandon(claim.isTrial);
+        return;
     case TargetFeedback::Inconclusive:
         target.ejection.abandon(claim.isTrial);
         return;
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -61,6 +61,9 @@
         batchAttempt({report, rollout});
     };
     dependencies.versions = [this](const ServiceName &service) { return m_forwarder.versions(service); };
+    dependencies.isRegionAllowed = [this](const InboundRequest &request) {
+        return m_forwarder.isRegionAllowed(request);
+    };
     dependencies.lastDependencyFailure = [this] { return m_forwarder.lastDependencyFailure(); };
     return dependencies;
 }
@@ -109,6 +112,7 @@
     if (auto *config = std::get_if<ProxyConfigPtr>(&update)) {
         m_callerServer.setLimits((*config)->limits);
         m_forwarder.setConfig(std::move(*config));
+        m_inbound.refuseDisallowed();
     } else if (auto *versions = std::get_if<ServiceVersions>(&update)) {
         m_forwarder.setVersions(*versions);
     } else if (auto *endpoint = std::get_if<Endpoint>(&update)) {
@@ -119,6 +123,9 @@
         applyTargetRecord(read->record);
     } else if (const auto *recorded = std::get_if<TargetRecorded>(&update)) {
         handleTargetRecorded(recorded->record);
+    } else if (auto *evacuations = std::get_if<EvacuationsUpdate>(&update)) {
+        m_inbound.setEvacuated(evacuations->dataCentres.contains(m_settings.dataCentre));
+        m_forwarder.setEvacuated(std::move(evacuations->dataCentres));
     } else if (!std::exchange(m_isSynced, true)) {
         LogEvent(LogLevel::Info, "proxy.ready").field("node", m_settings.node).write(m_log);
     }
