Send a cold target no more than its rate

The cold time in heartbeats was read and not used; a target that had just been started got as many requests as a warm one and crashed.

The inbound handler, which sees every request for its target, refuses requests above the rate as not executed. ColdMonitor connects ColdAdmission to heartbeats, a new process, calls that break or time out, the end of an evacuation, and probes of the health path; services without a rate are never probed. Results carry the remaining cold time and the sender's next time in Dock-Cold, which proxies of the previous version ignore, and the balancer follows it.

--- a/include/dandeliondock/places/cold_admission.h
+++ b/include/dandeliondock/places/cold_admission.h
@@ -25,8 +25,10 @@
 inline constexpr Milliseconds coldProbeRetryDelay{100};
 /// \brief Part of the burst of the bound that is used; clocks and the connection to the target take up the rest.
 inline constexpr double usedSlackShare = 0.5;
-/// \brief Parts of the bound that may be sent to a warm target after it last confirmed that it is warm: at the first
-/// one its state is requested, at the second one it counts as cold until it responds.
+/// \brief Parts of the bound that may be sent to a warm target in a second after it last confirmed that it is warm: at
+/// the first one its state is requested, at the second one it counts as cold until it responds. The second one does not
+/// apply while probes have failed for minSuspicion: the health path of the service is not usable then, and a warm
+/// target would get the rate of a cold one.
 inline constexpr double probeShare = 0.5;
 inline constexpr double unconfirmedShare = 0.75;
 /// \brief Time within which an announcement may have been written before the sign that the target is cold was seen.
@@ -104,6 +106,7 @@
     [[nodiscard]] double fillRate() const;
     [[nodiscard]] double tokens(MonotonicTime now) const;
     [[nodiscard]] double unconfirmed(MonotonicTime now) const;
+    [[nodiscard]] bool hasUsableProbes(MonotonicTime now) const;
     [[nodiscard]] bool needsProbe(MonotonicTime now) const;
     void setCold(Milliseconds remaining, MonotonicTime now);
     void setWarm() { m_state = State::Warm; }
@@ -124,6 +127,7 @@
     MonotonicTime m_confirmedAt;                      ///< start of the latest probe that found the target warm
     MonotonicTime m_probeStartedAt;
     MonotonicTime m_nextProbeAt;
+    std::optional<MonotonicTime> m_failingSince; ///< first of the probes that failed since the last usable response
     bool m_isProbing = false;
     MonotonicTime m_nextTurn; ///< next time that is given to a sender
 };
--- a/include/dandeliondock/proxy/inbound_handler.h
+++ b/include/dandeliondock/proxy/inbound_handler.h
@@ -4,6 +4,7 @@
 #include <dandeliondock/core/log_rate_limiter.h>
 #include <dandeliondock/core/metrics.h>
 #include <dandeliondock/http/async_client.h>
+#include <dandeliondock/proxy/cold_monitor.h>
 #include <dandeliondock/proxy/header_names.h>
 #include <dandeliondock/proxy/inbound_queue.h>
 #include <dandeliondock/proxy/inbound_request.h>
@@ -37,6 +38,7 @@
     LogSink log;
     HeaderNames headerNames;
     Address target; ///< address of the target on this instance
+    ColdBounds coldBounds;
     /// Whether the region of this instance may serve a request by the configuration known here; null: every one.
     std::function<bool(const InboundRequest &)> isRegionAllowed;
     /// Called with each attempt on a service that has a running rollout.
@@ -84,6 +86,9 @@
     /// refused. When the target no longer accepts requests, waiting ones are refused.
     AnnouncementEffect applyRecord(const std::optional<TargetAnnouncement> &record);
 
+    /// \brief Sets the service of the target, which says how many requests it can process while it is cold.
+    void setService(const Service &service) { m_cold.setService(service); }
+
     /// \brief Refuses waiting requests that a new configuration does not allow here.
     void refuseDisallowed();
 
@@ -118,6 +123,8 @@
     void finish(const InboundJobPtr &job, InboundResult result);
     void runNext();
     void refuseWaiting(InboundRefusal refusal);
+    void applyColdChange(bool isCold);
+    [[nodiscard]] ColdMonitorDependencies coldDependencies();
     AnnouncementEffect followTarget(AnnouncementEffect effect);
 
     InboundHandlerDependencies m_dependencies;
@@ -132,6 +139,8 @@
     std::uint32_t m_running = 0;        ///< requests that the target is processing
     std::uint32_t m_runningRepeats = 0; ///< repeats among these
     LogRateLimiter m_logLimiter;
+    ColdMonitor m_cold;
+    LoopTimer m_coldTimer; ///< runs waiting requests when the limit for a cold target allows the next one
     bool m_isEvacuated = false;
     bool m_isStopped = false;
 };
--- a/include/dandeliondock/proxy/inbound_request.h
+++ b/include/dandeliondock/proxy/inbound_request.h
@@ -43,7 +43,8 @@
     Unreachable,  ///< no connection to the target
     LinkFull,     ///< the instance's link cannot deliver the response in time
     Evacuated,    ///< the data centre of this instance is evacuated
-    OtherRegion   ///< the route or the client account does not allow the region of this instance
+    OtherRegion,  ///< the route or the client account does not allow the region of this instance
+    Cold          ///< the target is cold and gets requests at its full rate for cold targets
 };
 
 /// \brief Returns the name of a refusal for metrics, logs and headers. Thread-safe.
--- a/include/dandeliondock/proxy/target_balancer.h
+++ b/include/dandeliondock/proxy/target_balancer.h
@@ -5,6 +5,7 @@
 #include <dandeliondock/core/units.h>
 #include <dandeliondock/membership/endpoint.h>
 #include <dandeliondock/places/allowed_regions.h>
+#include <dandeliondock/places/cold_pacing.h>
 #include <dandeliondock/proxy/congestion_window.h>
 #include <dandeliondock/proxy/target_load.h>
 #include <dandeliondock/routing/locality.h>
@@ -63,6 +64,7 @@
     bool isLeaving = false; ///< reported by the target's proxy before the endpoint record changed
     bool isEvacuated = false;
     MonotonicTime evacuatedUntil; ///< end of an evacuation reported by a proxy in the data centre of the target
+    ColdPacing coldPacing;
 };
 
 using BalancedTargetPtr = std::shared_ptr<BalancedTarget>;
@@ -120,6 +122,10 @@
     /// \brief Chooses and reserves a target for a request; empty when no target is usable.
     [[nodiscard]] std::optional<BalancerClaim> choose(const BalancerRequest &request, MonotonicTime now);
 
+    /// \brief Returns the time after which the next cold target may be chosen for a request, if all usable ones are
+    /// cold; otherwise 0.
+    [[nodiscard]] Microseconds timeToColdTarget(const BalancerRequest &request, MonotonicTime now) const;
+
     /// \brief Records a network round trip to the proxy of a claimed target.
     void recordRoundTrip(const BalancerClaim &claim, Microseconds roundTrip, MonotonicTime now);
 
--- a/include/dandeliondock/proxy/target_load.h
+++ b/include/dandeliondock/proxy/target_load.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliondock/core/units.h>
+#include <dandeliondock/places/cold_report.h>
 
 #include <cstdint>
 
@@ -16,6 +17,8 @@
     /// Time that the link of the target's instance needs for the responses that are queued or expected.
     Microseconds linkBacklog{0};
 
+    ColdReport cold{}; ///< limit on the rate of the target, if it is cold
+
     bool operator==(const TargetLoad &) const = default;
 };
 
--- a/src/places/cold_admission.cpp
+++ b/src/places/cold_admission.cpp
@@ -76,10 +76,12 @@
 {
     if (!hasRate())
         return;
-    if (remaining.count() > 0)
+    if (remaining.count() > 0) {
         setCold(remaining, now);
-    else if (now - m_signAt >= announcementDelay)
+    } else if (now - m_signAt >= announcementDelay) {
         setWarm();
+        m_confirmedAt = std::max(m_confirmedAt, now - announcementDelay);
+    }
 }
 
 void ColdAdmission::suspect(MonotonicTime now)
@@ -93,6 +95,11 @@
     m_limitedUntil = now + std::max(minSuspicion, m_coldStart.duration);
 }
 
+bool ColdAdmission::hasUsableProbes(MonotonicTime now) const
+{
+    return !m_failingSince || now - *m_failingSince < minSuspicion;
+}
+
 bool ColdAdmission::needsProbe(MonotonicTime now) const
 {
     if (!hasRate())
@@ -128,7 +135,12 @@
 {
     m_isProbing = false;
     m_nextProbeAt = now + (remaining ? coldProbeInterval : coldProbeRetryDelay);
-    if (!remaining || !hasRate())
+    if (!remaining) {
+        m_failingSince = m_failingSince.value_or(now);
+        return;
+    }
+    m_failingSince.reset();
+    if (!hasRate())
         return;
     if (remaining->count() > 0) {
         m_signAt = now;
@@ -148,7 +160,7 @@
         return false;
     if (m_state != State::Warm && now < m_limitedUntil)
         return true;
-    return unconfirmed(now) >= std::max(1.0, unconfirmedShare * bound());
+    return hasUsableProbes(now) && unconfirmed(now) >= std::max(1.0, unconfirmedShare * bound());
 }
 
 bool ColdAdmission::maySend(std::size_t waiting, MonotonicTime now) const
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -182,7 +182,7 @@
     if (!m_claim) {
         if (m_plan->giveUp() == ForwardStep::Refuse)
             refuse(m_balancerRequest.allowedRegions.isRestricted() ? "no_allowed_target" : "no_target",
-                   Microseconds{0});
+                   m_owner.m_balancer.timeToColdTarget(m_balancerRequest, now));
         else
             fail();
         return;
--- a/src/proxy/inbound_handler.cpp
+++ b/src/proxy/inbound_handler.cpp
@@ -35,10 +35,22 @@
 
 InboundHandler::InboundHandler(InboundHandlerDependencies dependencies)
     : m_dependencies(std::move(dependencies)), m_firstRuns(m_dependencies.metrics->counter("door_runs_total", "first")),
-      m_repeatedRuns(m_dependencies.metrics->counter("door_runs_total", "repeat"))
+      m_repeatedRuns(m_dependencies.metrics->counter("door_runs_total", "repeat")), m_cold(coldDependencies())
 {
 }
 
+ColdMonitorDependencies InboundHandler::coldDependencies()
+{
+    ColdMonitorDependencies dependencies;
+    dependencies.loop = m_dependencies.loop;
+    dependencies.metrics = m_dependencies.metrics;
+    dependencies.log = m_dependencies.log;
+    dependencies.bounds = m_dependencies.coldBounds;
+    dependencies.probe = httpColdProbe(*m_dependencies.client, m_dependencies.target, m_dependencies.headerNames);
+    dependencies.onChanged = [this](bool isCold) { applyColdChange(isCold); };
+    return dependencies;
+}
+
 InboundHandler::~InboundHandler() = default;
 
 InboundRefusal InboundHandler::refusalFor(const InboundRequest &request, MonotonicTime now) const
@@ -70,6 +82,10 @@
         refuse(job, refusal, Microseconds{0});
         return job;
     }
+    if (!m_cold.maySend(m_waiting.size())) {
+        refuse(job, InboundRefusal::Cold, m_cold.timeToSend(m_waiting.size()));
+        return job;
+    }
     enqueue(job, now);
     return job;
 }
@@ -161,6 +177,7 @@
     options.correlationHeader = m_dependencies.headerNames.requestId;
     (request.isRepeat ? m_repeatedRuns : m_firstRuns).add();
     setRunning(*job, true);
+    m_cold.recordSent();
     job->call = m_dependencies.client->send(
             m_dependencies.target, request.request, options,
             [this, job](AsyncCallResult callResult) { handleResponse(job, std::move(callResult)); });
@@ -183,6 +200,9 @@
 {
     setRunning(*job, false);
     const Microseconds latency = EventLoop::now() - job->startedAt;
+    // The process of the target may have been replaced, or the target may have stopped responding.
+    if (!callResult.status.ok() || callResult.response.status == misdirectedRequest)
+        m_cold.suspect();
     InboundResult result = resultFor(*job, std::move(callResult));
     if (result.outcome == ForwardOutcome::Failed && hasDependencyFailed(*job))
         result.outcome = ForwardOutcome::CallFailed;
@@ -286,6 +306,7 @@
     --m_openJobs;
     releaseLink(*job);
     result.load = load();
+    result.load->cold = m_cold.report(result.refusal == InboundRefusal::Cold);
     result.inboundTime = EventLoop::now() - job->arrivedAt;
     if (!hasResponse(result.outcome) && m_logLimiter.allow(EventLoop::now(), m_dependencies.log)) {
         LogEvent(LogLevel::Info, "door.not_answered")
@@ -304,7 +325,14 @@
 
 void InboundHandler::runNext()
 {
-    while (const std::optional<WaiterId> id = m_queue.takeNext()) {
+    while (true) {
+        if (!m_waiting.empty() && !m_cold.maySend(0)) {
+            m_coldTimer = m_dependencies.loop->after(m_cold.timeToSend(0), [this] { runNext(); });
+            return;
+        }
+        const std::optional<WaiterId> id = m_queue.takeNext();
+        if (!id)
+            return;
         const auto waiting = m_waiting.find(*id);
         if (waiting == m_waiting.end()) {
             m_queue.recordFinished({}, std::nullopt);
@@ -336,7 +364,14 @@
 
 AnnouncementEffect InboundHandler::announce(const TargetAnnouncement &announcement)
 {
-    return followTarget(m_target.announce(announcement, EventLoop::now()));
+    const std::optional<TargetAnnouncement> previous = m_target.current();
+    const AnnouncementEffect effect = m_target.announce(announcement, EventLoop::now());
+    if (effect != AnnouncementEffect::Stale) {
+        const bool isSameProcess =
+                previous && previous->target == announcement.target && previous->startedAt == announcement.startedAt;
+        m_cold.recordAnnouncement(announcement.coldRemaining, !isSameProcess);
+    }
+    return followTarget(effect);
 }
 
 AnnouncementEffect InboundHandler::handleDeparture(const TargetId &target, std::optional<Incarnation> startedAt,
@@ -367,9 +402,11 @@
 
 void InboundHandler::setEvacuated(bool isEvacuated)
 {
-    m_isEvacuated = isEvacuated;
+    const bool wasEvacuated = std::exchange(m_isEvacuated, isEvacuated);
     if (isEvacuated)
         refuseWaiting(InboundRefusal::Evacuated);
+    else if (wasEvacuated)
+        m_cold.suspect(); // a target without traffic may have become cold
 }
 
 void InboundHandler::refuseDisallowed()
@@ -389,6 +426,15 @@
     }
 }
 
+// Requests that wait for a target that has become cold are refused, so that other targets can run them in time.
+void InboundHandler::applyColdChange(bool isCold)
+{
+    if (isCold)
+        refuseWaiting(InboundRefusal::Cold);
+    else
+        runNext();
+}
+
 void InboundHandler::refuseWaiting(InboundRefusal refusal)
 {
     const auto waiting = std::exchange(m_waiting, {});
--- a/src/proxy/inbound_request.cpp
+++ b/src/proxy/inbound_request.cpp
@@ -31,15 +31,18 @@
 constexpr absl::string_view refusalHeader = "Dock-Refusal";
 constexpr absl::string_view loadHeader = "Dock-Load";    // running, waiting, slots
 constexpr absl::string_view linkHeader = "Dock-Link-Ms"; // backlog of the link; absent if there is none
+// Milliseconds for which the target stays cold, until the sender's next request, and between two requests at the rate
+// of the target; absent if it is warm.
+constexpr absl::string_view coldHeader = "Dock-Cold";
 constexpr absl::string_view timeHeader = "Dock-Time-Ms";
 constexpr absl::string_view retryHeader = "Dock-Retry-Ms";
 constexpr absl::string_view detailHeader = "Dock-Detail";
 
 constexpr std::array<const char *, 8> outcomeNames = {"answered", "failed",  "call_failed",  "refused",
                                                       "not_sent", "not_run", "may_have_run", "timed_out"};
-constexpr std::array<const char *, 11> refusalNames = {"none",      "late",         "busy",          "displaced",
+constexpr std::array<const char *, 12> refusalNames = {"none",      "late",         "busy",          "displaced",
                                                        "leaving",   "other_target", "other_version", "unreachable",
-                                                       "link_full", "evacuated",    "other_region"};
+                                                       "link_full", "evacuated",    "other_region",  "cold"};
 constexpr int refusedStatus = 503;
 
 absl::Status invalidHeader(absl::string_view header)
@@ -83,6 +86,20 @@
     return std::max(checkedDuration(numbers.front()).value_or(Milliseconds{0}), Milliseconds{0});
 }
 
+// Removes the header of a cold target; returns no limit if it is missing, malformed or out of range.
+ColdReport takeColdReport(HttpHeaders &headers)
+{
+    const std::vector<std::int64_t> numbers = takeNumbers(headers, coldHeader, 3);
+    if (numbers.empty() || *std::min_element(numbers.begin(), numbers.end()) < 0)
+        return {};
+    const auto remaining = checkedDuration(numbers[0]);
+    const auto wait = checkedDuration(numbers[1]);
+    const auto interval = checkedDuration(numbers[2]);
+    if (!remaining || !wait || !interval)
+        return {};
+    return {*remaining, *wait, *interval};
+}
+
 template <typename Names>
 std::optional<std::size_t> indexOf(const Names &names, absl::string_view name)
 {
@@ -187,6 +204,11 @@
         const auto backlog = std::chrono::duration_cast<Milliseconds>(result.load->linkBacklog);
         if (backlog.count() > 0)
             message.headers.add(linkHeader, absl::StrCat(backlog.count()));
+        const ColdReport &cold = result.load->cold;
+        if (cold.remaining.count() > 0) {
+            message.headers.add(coldHeader, absl::StrCat(cold.remaining.count(), ",", cold.wait.count(), ",",
+                                                         cold.interval.count()));
+        }
     }
     message.headers.add(timeHeader, absl::StrCat(std::chrono::duration_cast<Milliseconds>(result.inboundTime).count()));
     if (result.retryAfter.count() > 0) {
@@ -219,8 +241,11 @@
             result.load = TargetLoad{*running, *waiting, *slots};
     }
     const Milliseconds backlog = takeDuration(response.headers, linkHeader);
-    if (result.load)
+    const ColdReport cold = takeColdReport(response.headers);
+    if (result.load) {
         result.load->linkBacklog = backlog;
+        result.load->cold = cold;
+    }
     result.inboundTime = takeDuration(response.headers, timeHeader);
     result.retryAfter = takeDuration(response.headers, retryHeader);
     result.detail = takeHeader(response.headers, detailHeader);
--- a/src/proxy/target_balancer.cpp
+++ b/src/proxy/target_balancer.cpp
@@ -47,7 +47,8 @@
                                / std::chrono::duration<double>(fullTargetLinkBacklog);
         cost += backlog * backlog * backlog;
     }
-    if (now - target.servingSince < coldTargetTime)
+    // A target whose proxy paces its requests becomes warm only with traffic, so that its coldness is no cost.
+    if (now - target.servingSince < coldTargetTime && !target.coldPacing.isCold(now))
         cost += coldTargetCost;
     return cost;
 }
@@ -116,6 +117,21 @@
            && request.allowedRegions.allows(target.endpoint.region);
 }
 
+Microseconds TargetBalancer::timeToColdTarget(const BalancerRequest &request, MonotonicTime now) const
+{
+    const auto found = m_services.find(request.service);
+    if (found == m_services.end())
+        return Microseconds{0};
+    std::optional<Microseconds> shortest;
+    for (const BalancedTargetPtr &target : found->second) {
+        if (!isEligible(*target, request, now) || !target->ejection.isUsable(now))
+            continue;
+        const Microseconds time = target->coldPacing.timeToSend(now);
+        shortest = std::min(shortest.value_or(time), time);
+    }
+    return shortest.value_or(Microseconds{0});
+}
+
 TargetBalancer::Targets TargetBalancer::targetsInShare(const Targets &targets, const VersionChoice &version)
 {
     Targets share;
@@ -137,7 +153,7 @@
     BalancedTargetPtr best;
     double bestCost = 0;
     for (const BalancedTargetPtr &target : targets) {
-        if (!isEligible(*target, request, now))
+        if (!isEligible(*target, request, now) || !target->coldPacing.maySend(now))
             continue;
         if (!target->ejection.isUsable(now) || (avoidTried && isTried(request, target->endpoint.target)))
             continue;
@@ -171,6 +187,7 @@
     if (target->tier == LocalityTier::OtherRegion)
         m_congestionWindow.startTransfer(request.responseSize);
     ++target->sentSinceReport;
+    target->coldPacing.recordSent(now);
     return BalancerClaim{std::move(target), isTrial, request.responseSize};
 }
 
@@ -192,6 +209,7 @@
         target.reported = *load;
         target.reportedAt = now;
         target.sentSinceReport = 0;
+        target.coldPacing.record(load->cold, now);
     }
     switch (feedback) {
     case TargetFeedback::Served:
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -61,6 +61,7 @@
         batchAttempt({report, rollout});
     };
     dependencies.versions = [this](const ServiceName &service) { return m_forwarder.versions(service); };
+    dependencies.coldBounds = m_settings.cold;
     dependencies.isRegionAllowed = [this](const InboundRequest &request) {
         return m_forwarder.isRegionAllowed(request);
     };
@@ -112,7 +113,9 @@
     if (auto *config = std::get_if<ProxyConfigPtr>(&update)) {
         m_callerServer.setLimits((*config)->limits);
         m_forwarder.setConfig(std::move(*config));
+        const Service *service = m_forwarder.config()->state->service(m_settings.service);
         m_inbound.refuseDisallowed();
+        m_inbound.setService(service != nullptr ? *service : Service());
     } else if (auto *versions = std::get_if<ServiceVersions>(&update)) {
         m_forwarder.setVersions(*versions);
     } else if (auto *endpoint = std::get_if<Endpoint>(&update)) {
--- a/tests/proxy/placement_test.cpp
+++ b/tests/proxy/placement_test.cpp
@@ -156,6 +156,15 @@
     std::vector<InboundResult> m_results;
 };
 
+Service coldService()
+{
+    Service item;
+    item.name = service;
+    item.coldStart = Seconds(4);
+    item.coldRate = RequestRate(1);
+    return item;
+}
+
 } // namespace
 
 // Guards against requests that leave their allowed regions when the near targets are busy, have failed or were tried.
@@ -201,6 +210,24 @@
     CHECK(chosen(balancer, request(), 1'001) != "far");
 }
 
+// Guards against a caller's proxy that goes on sending to a target which refuses, and against one that never does.
+TEST_CASE("a cold target is chosen when its turn comes", "[proxy]")
+{
+    TargetBalancer balancer = balancerWith({endpoint("cold", "east", "e1"), endpoint("far", "west", "w1")});
+    const auto claim = balancer.choose(request(), at(0));
+    REQUIRE(claim->target->endpoint.target == TargetId("cold"));
+    TargetLoad load{0, 0, slots};
+    load.cold = {Milliseconds(4'000), Milliseconds(300), Milliseconds(100)};
+    balancer.finish(*claim, TargetFeedback::Refused, load, at(0));
+    CHECK(balancer.timeToColdTarget(request(), at(0)) == Microseconds(0)); // another target can be used
+    CHECK(chosen(balancer, request(), 1) == "far");
+    CHECK(chosen(balancer, request(), 301) == "cold");
+    CHECK(chosen(balancer, request(), 302) == "far");
+    balancer.remove(Address("far:1"));
+    CHECK(chosen(balancer, request(), 302).empty());
+    CHECK(balancer.timeToColdTarget(request(), at(302)) == Milliseconds(299));
+}
+
 // Guards against a target in an evacuated data centre that gets requests of a proxy which has not learned of it, or
 // requests that have waited.
 TEST_CASE("an inbound handler in an evacuated data centre refuses requests as not executed", "[proxy]")
@@ -233,6 +260,29 @@
     CHECK(handler.refusals()[InboundRefusal::OtherRegion] == 2);
 }
 
+// Guards against a target that is flooded while it is cold. Its proxy sees all requests, so that no caller's proxy has
+// to know of it.
+TEST_CASE("an inbound handler sends a cold target no more than the bound and reports the time to send again", "[proxy]")
+{
+    Handler handler;
+    handler.run([](InboundHandler &item) { item.setService(coldService()); });
+    handler.announce(2, Seconds(4));
+    handler.handle(30);
+    std::this_thread::sleep_for(Milliseconds(100));
+    const auto results = handler.results();
+    const auto refusals = handler.refusals();
+    REQUIRE(refusals.contains(InboundRefusal::Cold));
+    CHECK(refusals.at(InboundRefusal::Cold) >= 25);
+    for (const InboundResult &result : results) {
+        if (result.refusal != InboundRefusal::Cold)
+            continue;
+        CHECK(result.outcome == ForwardOutcome::Refused);
+        CHECK(result.retryAfter.count() > 0);
+        CHECK(result.load->cold.wait.count() > 0);
+        CHECK(result.load->cold.remaining > Milliseconds(3'000));
+    }
+}
+
 // Guards against a proxy that never learns of an evacuation or of its end, or serves requests before it has.
 TEST_CASE("evacuations are published as a whole and before the proxy is ready", "[proxy]")
 {
