--- a/tests/platform/strict_json_test.cpp
+++ b/tests/platform/strict_json_test.cpp
@@ -24,4 +24,19 @@
     }
 }
 
+// Guards against a configuration with a list of names, such as allowed regions, that ends the control duty's work.
+TEST_CASE("a list of strings is read, and one with any other item is refused", "[platform]")
+{
+    wire::Route route;
+    REQUIRE(parseStrictJson(R"({"allowed_regions":["west","east"]})", route).ok());
+    REQUIRE(route.allowed_regions_size() == 2);
+    CHECK(route.allowed_regions(0) == "west");
+    CHECK(route.allowed_regions(1) == "east");
+    for (const char *text : {R"({"allowed_regions":["west",7]})", R"({"allowed_regions":[{}]})",
+                             R"({"allowed_regions":"west"})", R"({"allowed_regions":[null]})"}) {
+        wire::Route odd;
+        CHECK_FALSE(parseStrictJson(text, odd).ok());
+    }
+}
+
 } // namespace dandeliondock::platform
