Hold requests for a cold target until its rate is known

A proxy that had just started and had not read the configuration yet sent 28 of 60 requests to a target that had announced that it was cold.

The test failed before the change: a target that announced its cold time before setColdStart() was not limited.

--- a/include/dandeliondock/places/cold_admission.h
+++ b/include/dandeliondock/places/cold_admission.h
@@ -37,6 +37,8 @@
 inline constexpr Milliseconds minSuspicion{1'000};
 /// \brief Duration that is reported for the limit while the state of the target is not known.
 inline constexpr Milliseconds suspicionReport{200};
+/// \brief Time after which a sender may try again at a target whose rate is not known yet.
+inline constexpr Milliseconds configurationDelay{100};
 /// \brief Longest wait that a sender is told. A hundred senders of a target with 10 requests per second fit; with 4 s,
 /// 80 of them had more requests refused than served.
 inline constexpr Milliseconds maxColdWait{10'000};
@@ -54,7 +56,8 @@
 public:
     explicit ColdAdmission(const ColdBounds &bounds) : m_bounds(bounds) {}
 
-    /// \brief Sets the rate; a rate of 0 removes the limit.
+    /// \brief Sets the rate; a rate of 0 removes the limit. Until the first call, a target that announced that it is
+    /// cold gets nothing.
     void setColdStart(const ColdStart &coldStart, MonotonicTime now);
 
     /// \brief Records what the target announced: the time for which it stays cold, 0 if it is warm.
@@ -129,7 +132,8 @@
     MonotonicTime m_nextProbeAt;
     std::optional<MonotonicTime> m_failingSince; ///< first of the probes that failed since the last usable response
     bool m_isProbing = false;
-    MonotonicTime m_nextTurn; ///< next time that is given to a sender
+    bool m_isConfigured = false; ///< setColdStart() was called
+    MonotonicTime m_nextTurn;    ///< next time that is given to a sender
 };
 
 } // namespace dandeliondock
--- a/src/places/cold_admission.cpp
+++ b/src/places/cold_admission.cpp
@@ -49,6 +49,7 @@
 
 void ColdAdmission::setColdStart(const ColdStart &coldStart, MonotonicTime now)
 {
+    m_isConfigured = true;
     if (coldStart == m_coldStart)
         return;
     const bool hadRate = hasRate();
@@ -62,7 +63,10 @@
     // Requests sent before this were not counted, and the target may be cold.
     m_tokens = 0;
     m_tokensAt = now;
-    suspect(now);
+    if (now < m_coldUntil)
+        setCold(std::chrono::ceil<Milliseconds>(m_coldUntil - now), now);
+    else
+        suspect(now);
 }
 
 void ColdAdmission::setCold(Milliseconds remaining, MonotonicTime now)
@@ -74,6 +78,8 @@
 
 void ColdAdmission::recordAnnouncement(Milliseconds remaining, MonotonicTime now)
 {
+    if (!m_isConfigured)
+        m_coldUntil = now + remaining;
     if (!hasRate())
         return;
     if (remaining.count() > 0) {
@@ -156,6 +162,8 @@
 
 bool ColdAdmission::isLimited(MonotonicTime now) const
 {
+    if (!m_isConfigured)
+        return now < m_coldUntil;
     if (!hasRate())
         return false;
     if (m_state != State::Warm && now < m_limitedUntil)
@@ -165,13 +173,15 @@
 
 bool ColdAdmission::maySend(std::size_t waiting, MonotonicTime now) const
 {
-    return !isLimited(now) || tokens(now) + roundingError >= static_cast<double>(waiting) + 1;
+    return !isLimited(now) || (hasRate() && tokens(now) + roundingError >= static_cast<double>(waiting) + 1);
 }
 
 Microseconds ColdAdmission::timeToSend(std::size_t waiting, MonotonicTime now) const
 {
     if (maySend(waiting, now))
         return Microseconds{0};
+    if (!hasRate())
+        return configurationDelay;
     const double missing = static_cast<double>(waiting) + 1 - tokens(now);
     return Microseconds(static_cast<std::int64_t>(std::ceil(missing / fillRate() * microsecondsPerSecond)));
 }
@@ -197,6 +207,8 @@
 {
     if (!isLimited(now))
         return {};
+    if (!hasRate())
+        return {suspicionReport, configurationDelay, configurationDelay};
     ColdReport report;
     report.remaining = suspicionReport;
     if (isCold(now))
--- a/tests/places/cold_admission_test.cpp
+++ b/tests/places/cold_admission_test.cpp
@@ -282,6 +282,27 @@
     CHECK(admission.report(true, at(0)) == ColdReport());
 }
 
+// Guards against a cold target that is flooded while its proxy, which has just started, does not know the
+// configuration.
+TEST_CASE("a target that announced that it is cold gets nothing until its rate is known", "[places]")
+{
+    ColdAdmission admission(bounds);
+    CHECK(admission.maySend(0, at(0)));
+    admission.recordAnnouncement(Milliseconds(500), at(0));
+    CHECK_FALSE(admission.maySend(0, at(499)));
+    CHECK(admission.timeToSend(0, at(499)) == configurationDelay);
+    CHECK(admission.report(true, at(499)).wait == configurationDelay);
+    CHECK(admission.maySend(0, at(500)));
+    admission.recordAnnouncement(coldTime, at(600));
+    ColdAdmission withoutRate = admission;
+    withoutRate.setColdStart({coldTime, RequestRate(0)}, at(700));
+    CHECK(withoutRate.maySend(0, at(700)));
+    admission.setColdStart({coldTime, RequestRate(rate)}, at(700));
+    CHECK(admission.isCold(at(700)));
+    CHECK_FALSE(admission.maySend(0, at(700)));
+    CHECK(admission.maySend(0, at(800)));
+}
+
 // Guards against senders that all return at the same moment after they were refused.
 TEST_CASE("refused senders get turns that are one interval apart", "[places]")
 {
