--- a/include/dandeliondock/proxy/control_duty.h
+++ b/include/dandeliondock/proxy/control_duty.h
@@ -7,6 +7,7 @@
 #include <dandeliondock/http/event_loop.h>
 #include <dandeliondock/proxy/config_confirmed.h>
 #include <dandeliondock/proxy/confirmation_probe.h>
+#include <dandeliondock/places/evacuations.h>
 #include <dandeliondock/proxy/loop_monitor.h>
 #include <dandeliondock/proxy/operator_documents.h>
 #include <dandeliondock/proxy/rollout_control.h>
@@ -22,6 +23,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <variant>
 
 namespace dandeliondock {
@@ -49,9 +51,15 @@
 {
 };
 
+/// \brief All evacuated data centres.
+struct EvacuationsUpdate
+{
+    std::set<DataCentreName> dataCentres;
+};
+
 /// \brief Message from the control duty to the traffic duty.
 using ControlUpdate = std::variant<ProxyConfigPtr, ServiceVersions, Endpoint, EndpointRemoved, TargetRecordRead,
-                                   TargetRecorded, InitialSyncDone, ConfigConfirmed>;
+                                   TargetRecorded, InitialSyncDone, EvacuationsUpdate, ConfigConfirmed>;
 
 /// \brief Name of the table that the proxies share.
 inline constexpr absl::string_view sharedTableName = "dandeliondock";
@@ -111,6 +119,7 @@
 
 private:
     void applyOperatorRows(const TableReadResult &result);
+    void applyEvacuations(const TableReadResult &result, bool isFull);
     void applySharedRows(const TableReadResult &result, bool isFull);
     void applySharedRow(const TableRow &row);
     void removeSharedRow(const RowKey &key);
@@ -140,6 +149,7 @@
     RolloutControl m_rolloutControl;
     TargetRow m_targetRow;
     ConfirmationProbe m_confirmationProbe;
+    Evacuations m_evacuations;
     std::map<Address, Endpoint> m_endpoints; ///< by inbound address
     absl::flat_hash_map<ServiceName, ServiceVersions> m_serviceVersions;
     std::optional<Endpoint> m_localTarget;
--- a/include/dandeliondock/proxy/inbound_handler.h
+++ b/include/dandeliondock/proxy/inbound_handler.h
@@ -4,6 +4,7 @@
 #include <dandeliondock/core/log_rate_limiter.h>
 #include <dandeliondock/core/metrics.h>
 #include <dandeliondock/http/async_client.h>
+#include <dandeliondock/proxy/cold_monitor.h>
 #include <dandeliondock/proxy/header_names.h>
 #include <dandeliondock/proxy/inbound_queue.h>
 #include <dandeliondock/proxy/inbound_request.h>
@@ -37,6 +38,9 @@
     LogSink log;
     HeaderNames headerNames;
     Address target; ///< address of the target on this instance
+    ColdBounds coldBounds;
+    /// Whether the region of this instance may serve a request by the configuration known here; null: every one.
+    std::function<bool(const InboundRequest &)> isRegionAllowed;
     /// Called with each attempt on a service that has a running rollout.
     std::function<void(const AttemptReport &, TicketNumber)> onAttempt;
     /// Returns the versions of a service, or null if none are known. The pointer is not kept.
@@ -82,6 +86,16 @@
     /// refused. When the target no longer accepts requests, waiting ones are refused.
     AnnouncementEffect applyRecord(const std::optional<TargetAnnouncement> &record);
 
+    /// \brief Sets the service of the target, which says how many requests it can process while it is cold.
+    void setService(const Service &service) { m_cold.setService(service); }
+
+    /// \brief Refuses waiting requests that a new configuration does not allow here.
+    void refuseDisallowed();
+
+    /// \brief Sets whether the data centre of this instance is evacuated. If it is, waiting and further requests are
+    /// refused.
+    void setEvacuated(bool isEvacuated);
+
     /// \brief Refuses waiting and all further requests, because this process is shutting down.
     void stop();
 
@@ -108,7 +122,9 @@
     void reportAttempt(const impl::InboundJob &job, const InboundResult &result, Microseconds latency);
     void finish(const InboundJobPtr &job, InboundResult result);
     void runNext();
-    void refuseWaiting();
+    void refuseWaiting(InboundRefusal refusal);
+    void applyColdChange(bool isCold);
+    [[nodiscard]] ColdMonitorDependencies coldDependencies();
     AnnouncementEffect followTarget(AnnouncementEffect effect);
 
     InboundHandlerDependencies m_dependencies;
@@ -123,6 +139,9 @@
     std::uint32_t m_running = 0;        ///< requests that the target is processing
     std::uint32_t m_runningRepeats = 0; ///< repeats among these
     LogRateLimiter m_logLimiter;
+    ColdMonitor m_cold;
+    LoopTimer m_coldTimer; ///< runs waiting requests when the limit for a cold target allows the next one
+    bool m_isEvacuated = false;
     bool m_isStopped = false;
 };
 
--- a/src/proxy/target_balancer.cpp
+++ b/src/proxy/target_balancer.cpp
@@ -3,6 +3,7 @@
 #include <dandeliondock/routing/rendezvous.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace dandeliondock {
 
@@ -46,7 +47,8 @@
                                / std::chrono::duration<double>(fullTargetLinkBacklog);
         cost += backlog * backlog * backlog;
     }
-    if (now - target.servingSince < coldTargetTime)
+    // A target whose proxy paces its requests becomes warm only with traffic, so that its coldness is no cost.
+    if (now - target.servingSince < coldTargetTime && !target.coldPacing.isCold(now))
         cost += coldTargetCost;
     return cost;
 }
@@ -71,6 +73,7 @@
     target->endpoint = endpoint;
     target->tier = localityTier(m_self, endpoint);
     target->servingSince = now;
+    target->isEvacuated = m_evacuated.contains(endpoint.dataCentre);
     m_services[endpoint.service].push_back(std::move(target));
 }
 
@@ -83,6 +86,52 @@
     }
 }
 
+void TargetBalancer::setEvacuated(std::set<DataCentreName> dataCentres, MonotonicTime now)
+{
+    m_evacuated = std::move(dataCentres);
+    for (auto &[service, targets] : m_services) {
+        for (const BalancedTargetPtr &target : targets) {
+            const bool wasEvacuated =
+                    std::exchange(target->isEvacuated, m_evacuated.contains(target->endpoint.dataCentre));
+            // Targets without traffic may have become cold.
+            if (wasEvacuated && !target->isEvacuated)
+                target->servingSince = now;
+        }
+    }
+}
+
+void TargetBalancer::recordReportedEvacuation(const DataCentreName &dataCentre, MonotonicTime now)
+{
+    for (auto &[service, targets] : m_services) {
+        for (const BalancedTargetPtr &target : targets) {
+            if (target->endpoint.dataCentre == dataCentre)
+                target->evacuatedUntil = now + reportedEvacuationTime;
+        }
+    }
+}
+
+bool TargetBalancer::isEligible(const BalancedTarget &target, const BalancerRequest &request, MonotonicTime now)
+{
+    return !target.isLeaving && !target.isEvacuated && now >= target.evacuatedUntil
+           && target.endpoint.version == request.version.version
+           && request.allowedRegions.allows(target.endpoint.region);
+}
+
+Microseconds TargetBalancer::timeToColdTarget(const BalancerRequest &request, MonotonicTime now) const
+{
+    const auto found = m_services.find(request.service);
+    if (found == m_services.end())
+        return Microseconds{0};
+    std::optional<Microseconds> shortest;
+    for (const BalancedTargetPtr &target : found->second) {
+        if (!isEligible(*target, request, now) || !target->ejection.isUsable(now))
+            continue;
+        const Microseconds time = target->coldPacing.timeToSend(now);
+        shortest = std::min(shortest.value_or(time), time);
+    }
+    return shortest.value_or(Microseconds{0});
+}
+
 TargetBalancer::Targets TargetBalancer::targetsInShare(const Targets &targets, const VersionChoice &version)
 {
     Targets share;
@@ -104,7 +153,7 @@
     BalancedTargetPtr best;
     double bestCost = 0;
     for (const BalancedTargetPtr &target : targets) {
-        if (target->isLeaving || target->endpoint.version != request.version.version)
+        if (!isEligible(*target, request, now) || !target->coldPacing.maySend(now))
             continue;
         if (!target->ejection.isUsable(now) || (avoidTried && isTried(request, target->endpoint.target)))
             continue;
@@ -138,6 +187,7 @@
     if (target->tier == LocalityTier::OtherRegion)
         m_congestionWindow.startTransfer(request.responseSize);
     ++target->sentSinceReport;
+    target->coldPacing.recordSent(now);
     return BalancerClaim{std::move(target), isTrial, request.responseSize};
 }
 
@@ -159,6 +209,7 @@
         target.reported = *load;
         target.reportedAt = now;
         target.sentSinceReport = 0;
+        target.coldPacing.record(load->cold, now);
     }
     switch (feedback) {
     case TargetFeedback::Served:
@@ -181,6 +232,10 @@
         target.isLeaving = true;
         target.ejection.abandon(claim.isTrial);
         return;
+    case TargetFeedback::Evacuated:
+        recordReportedEvacuation(target.endpoint.dataCentre, now);
+        target.ejection.abandon(claim.isTrial);
+        return;
     case TargetFeedback::Inconclusive:
         target.ejection.abandon(claim.isTrial);
         return;
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -74,6 +74,10 @@
         batchAttempt({report, rollout});
     };
     dependencies.versions = [this](const ServiceName &service) { return m_forwarder.versions(service); };
+    dependencies.coldBounds = m_settings.cold;
+    dependencies.isRegionAllowed = [this](const InboundRequest &request) {
+        return m_forwarder.isRegionAllowed(request);
+    };
     dependencies.lastDependencyFailure = [this] { return m_forwarder.lastDependencyFailure(); };
     return dependencies;
 }
@@ -129,6 +133,9 @@
     if (auto *config = std::get_if<ProxyConfigPtr>(&update)) {
         m_callerServer.setLimits((*config)->limits);
         m_forwarder.setConfig(std::move(*config));
+        const Service *service = m_forwarder.config()->state->service(m_settings.service);
+        m_inbound.refuseDisallowed();
+        m_inbound.setService(service != nullptr ? *service : Service());
     } else if (auto *versions = std::get_if<ServiceVersions>(&update)) {
         m_forwarder.setVersions(*versions);
     } else if (auto *endpoint = std::get_if<Endpoint>(&update)) {
@@ -141,6 +148,9 @@
         handleTargetRecorded(recorded->record);
     } else if (const auto *confirmed = std::get_if<ConfigConfirmed>(&update)) {
         m_forwarder.confirmConfig(*confirmed);
+    } else if (auto *evacuations = std::get_if<EvacuationsUpdate>(&update)) {
+        m_inbound.setEvacuated(evacuations->dataCentres.contains(m_settings.dataCentre));
+        m_forwarder.setEvacuated(std::move(evacuations->dataCentres));
     } else if (!std::exchange(m_isSynced, true)) {
         LogEvent(LogLevel::Info, "proxy.ready").field("node", m_settings.node).write(m_log);
     }
