Decide the request quotas of client accounts over all proxies

No module applied the quotas of client accounts. The modules contain no sockets, clocks or encoded bytes.

--- /dev/null
+++ b/src/quotas/collector_choice.cpp
@@ -0,0 +1,68 @@
+#include <dandeliondock/quotas/collector_choice.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace dandeliondock {
+
+void CollectorChoice::setPeers(QuotaPeers peers)
+{
+    std::sort(peers.begin(), peers.end());
+    m_peers = std::move(peers);
+}
+
+void CollectorChoice::recordFailure(const Address &address, MonotonicTime now)
+{
+    absl::erase_if(m_failures, [now](const auto &entry) { return now - entry.second > collectorExclusion; });
+    m_failures[address] = now;
+}
+
+bool CollectorChoice::isExcluded(const Address &address, MonotonicTime now) const
+{
+    const auto failure = m_failures.find(address);
+    return failure != m_failures.end() && now - failure->second <= collectorExclusion;
+}
+
+std::optional<Address> CollectorChoice::collectorOf(const DataCentreName &dataCentre, MonotonicTime now) const
+{
+    for (const QuotaPeer &peer : m_peers) {
+        if (peer.dataCentre == dataCentre && !isExcluded(peer.address, now))
+            return peer.address;
+    }
+    return std::nullopt;
+}
+
+bool CollectorChoice::isFirst(const QuotaPeer &self) const
+{
+    const auto first = std::find_if(m_peers.begin(), m_peers.end(),
+                                    [&](const QuotaPeer &peer) { return peer.dataCentre == self.dataCentre; });
+    return first == m_peers.end() || first->address == self.address;
+}
+
+QuotaPeers CollectorChoice::exchangePartners(const QuotaPeer &self) const
+{
+    const bool isSelfFirst = isFirst(self);
+    QuotaPeers partners;
+    for (auto begin = m_peers.begin(); begin != m_peers.end();) {
+        const DataCentreName &dataCentre = begin->dataCentre;
+        const auto end = std::find_if(begin, m_peers.end(),
+                                      [&](const QuotaPeer &peer) { return peer.dataCentre != dataCentre; });
+        if (!isSelfFirst || dataCentre > self.dataCentre) {
+            const auto failures = m_exchangeFailures.find(dataCentre);
+            const std::size_t skipped = failures == m_exchangeFailures.end() ? 0 : failures->second;
+            const auto candidates = std::min(exchangeCandidates, static_cast<std::size_t>(end - begin));
+            const QuotaPeer &partner = *(begin + static_cast<std::ptrdiff_t>(skipped % candidates));
+            if (partner != self)
+                partners.push_back(partner);
+        }
+        begin = end;
+    }
+    return partners;
+}
+
+void CollectorChoice::recordExchangeFailure(const QuotaPeer &partner)
+{
+    ++m_exchangeFailures[partner.dataCentre];
+}
+
+} // namespace dandeliondock
