Apply the request quotas to callers' requests

The forwarder asks the quota before it chooses a target, refuses a request over the quota with 429 and Retry-After, and returns the quota of a request that no target has run. The limiter lives on the traffic duty; the reports and the collector live on the control duty, joined by the existing mailboxes. Nothing is sent while the configuration has no quotas.

--- a/include/dandeliondock/proxy/control_duty.h
+++ b/include/dandeliondock/proxy/control_duty.h
@@ -7,6 +7,7 @@
 #include <dandeliondock/http/event_loop.h>
 #include <dandeliondock/proxy/loop_monitor.h>
 #include <dandeliondock/proxy/operator_documents.h>
+#include <dandeliondock/proxy/quota_exchange.h>
 #include <dandeliondock/proxy/rollout_control.h>
 #include <dandeliondock/proxy/table_relay_client.h>
 #include <dandeliondock/proxy/table_relay_server.h>
@@ -49,7 +50,7 @@
 
 /// \brief Message from the control duty to the traffic duty.
 using ControlUpdate = std::variant<ProxyConfigPtr, ServiceVersions, Endpoint, EndpointRemoved, TargetRecordRead,
-                                   TargetRecorded, InitialSyncDone>;
+                                   TargetRecorded, InitialSyncDone, QuotaGrants>;
 
 /// \brief Name of the table that the proxies share.
 inline constexpr absl::string_view sharedTableName = "dandeliondock";
@@ -72,7 +73,9 @@
     Incarnation incarnation;
     Address inboundAddress;
     RegionName region;
+    DataCentreName dataCentre;
     ServiceName service;
+    QuotaBounds quota;
     /// Sends an update to the traffic duty; called on this duty's thread.
     std::function<void(ControlUpdate)> publish;
 };
@@ -103,6 +106,9 @@
     /// \brief Records the outcome of an attempt on the local target for the rollout that it belongs to.
     void record(const AttemptReport &report, TicketNumber rollout) { m_rolloutControl.record(report, rollout); }
 
+    /// \brief Reports the usage of the accounts at this proxy to the collector of their quotas.
+    void reportUsage(AccountUsages usage) { m_quotaExchange.report(std::move(usage)); }
+
     /// \brief Handles a call of another proxy. \c respond is called with an HTTP status and a body, at once or later.
     void handle(absl::string_view path, absl::string_view body, std::function<void(int, std::string)> respond);
 
@@ -123,6 +129,8 @@
     [[nodiscard]] TableRelayServerDependencies relayServerDependencies();
     [[nodiscard]] TargetRowDependencies targetRowDependencies();
     [[nodiscard]] std::vector<RelayPeer> servingPeers() const;
+    [[nodiscard]] QuotaExchangeDependencies quotaDependencies();
+    [[nodiscard]] QuotaPeers quotaPeers() const;
     void startOperatorWatch();
 
     ControlDutyDependencies m_dependencies;
@@ -133,6 +141,7 @@
     TableWatch m_operatorWatch;
     TableWatch m_sharedWatch;
     RolloutControl m_rolloutControl;
+    QuotaExchange m_quotaExchange;
     TargetRow m_targetRow;
     std::map<Address, Endpoint> m_endpoints; ///< by inbound address
     absl::flat_hash_map<ServiceName, ServiceVersions> m_serviceVersions;
--- a/include/dandeliondock/proxy/forwarder.h
+++ b/include/dandeliondock/proxy/forwarder.h
@@ -16,9 +16,11 @@
 #include <dandeliondock/proxy/service_versions.h>
 #include <dandeliondock/proxy/target_balancer.h>
 #include <dandeliondock/proxy/weighted_choice.h>
+#include <dandeliondock/quotas/quota_decision.h>
 
 #include <absl/container/flat_hash_map.h>
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -50,6 +52,10 @@
     Locality self;             ///< region and data centre of this proxy
     ServiceName callerService; ///< service of the target on this instance
     RetryBudgetLimits retries;
+    /// Decides whether the quota of a client account admits a request.
+    std::function<QuotaDecision(const AccountName &, MonotonicTime now)> admitRequest;
+    /// Called for a request that admitRequest() admitted at \c admittedAt and that no target has run.
+    std::function<void(const AccountName &, MonotonicTime admittedAt)> requestDidNotRun;
 };
 
 /// \brief Forwards the requests of callers on this instance, each to one target at a time.
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -42,7 +42,8 @@
                   applySharedRows(result, isFull);
               },
               [this](bool isCurrent) { m_relayServer.setCurrent(sharedTable(), isCurrent); }),
-      m_rolloutControl(rolloutDependencies()), m_targetRow(targetRowDependencies())
+      m_rolloutControl(rolloutDependencies()), m_quotaExchange(quotaDependencies()),
+      m_targetRow(targetRowDependencies())
 {
 }
 
@@ -85,6 +86,32 @@
     return dependencies;
 }
 
+QuotaExchangeDependencies ControlDuty::quotaDependencies()
+{
+    QuotaExchangeDependencies dependencies;
+    dependencies.loop = m_dependencies.loop;
+    dependencies.client = m_dependencies.client;
+    dependencies.metrics = m_dependencies.metrics;
+    dependencies.log = m_dependencies.log;
+    dependencies.random = m_dependencies.random;
+    dependencies.self = {m_dependencies.dataCentre, m_dependencies.inboundAddress};
+    dependencies.incarnation = m_dependencies.incarnation;
+    dependencies.bounds = m_dependencies.quota;
+    dependencies.peers = [this] { return quotaPeers(); };
+    dependencies.onGrants = [this](const QuotaGrants &grants) { m_dependencies.publish(grants); };
+    return dependencies;
+}
+
+QuotaPeers ControlDuty::quotaPeers() const
+{
+    QuotaPeers peers;
+    for (const auto &[address, endpoint] : m_endpoints) {
+        if (endpoint.stamp.state == EndpointState::Serving)
+            peers.push_back({endpoint.dataCentre, address});
+    }
+    return peers;
+}
+
 std::vector<RelayPeer> ControlDuty::servingPeers() const
 {
     std::vector<RelayPeer> peers;
@@ -97,9 +124,12 @@
 
 void ControlDuty::handle(absl::string_view path, absl::string_view body, std::function<void(int, std::string)> respond)
 {
-    if (path == relayTablePath)
+    if (path == relayTablePath) {
         m_relayServer.handle(body, std::move(respond));
-    else
+    } else if (path == quotaReportPath || path == quotaSumsPath) {
+        PeerResponse response = m_quotaExchange.handle(path, body);
+        respond(response.status, std::move(response.body));
+    } else
         respond(statusOk, m_rolloutControl.handleReport(body));
 }
 
@@ -199,6 +229,7 @@
                     .field("row_version", row.version)
                     .write(m_dependencies.log);
             m_hasConfig = true;
+            m_quotaExchange.setConfig(*config);
             m_dependencies.publish(*config);
         } else if (const auto *order = std::get_if<RolloutOrder>(&*document)) {
             if (order->service == m_dependencies.service)
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -2,6 +2,7 @@
 #include <dandeliondock/core/error.h>
 #include <dandeliondock/proxy/forwarder.h>
 
+#include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_format.h>
 
@@ -17,10 +18,23 @@
 constexpr int notFound = 404;
 constexpr int firstServerError = 500;
 constexpr int badGateway = 502;
+constexpr int tooManyRequests = 429;
 constexpr int unavailable = 503;
 constexpr int gatewayTimeout = 504;
 constexpr Milliseconds noConfigRetryDelay{300};
 
+constexpr absl::string_view bearerPrefix = "Bearer ";
+
+// Name of the account that holds the request's key; empty without one.
+AccountName accountOf(const HttpRequest &request, const HeaderNames &headerNames, const AccountDirectory &accounts)
+{
+    const auto authorization = request.headers.first(headerNames.authorization);
+    if (!authorization || !absl::StartsWith(*authorization, bearerPrefix))
+        return AccountName();
+    const ClientAccount *account = accounts.find(absl::string_view(*authorization).substr(bearerPrefix.size()));
+    return account == nullptr ? AccountName() : account->name;
+}
+
 TargetFeedback feedbackFor(const InboundResult &result)
 {
     switch (result.outcome) {
@@ -53,6 +67,9 @@
 
 private:
     [[nodiscard]] bool readRequest();
+    /// Whether the quota of the account admits the request; responds to it if not.
+    [[nodiscard]] bool admitUnderQuota();
+    void refundQuota();
     void prepareRequest();
     void attempt();
     void sendToPeer(const InboundRequest &request);
@@ -79,6 +96,7 @@
     std::optional<HttpResponse> m_targetFailure; ///< failure response of a target, kept while another target is tried
     InboundJobPtr m_job;
     AsyncHttpCall m_call;
+    std::optional<MonotonicTime> m_quotaAdmittedAt; ///< when the quota admitted the request, until it is refunded
     MonotonicTime m_sentAt; ///< when the attempt was sent to another proxy; epoch for attempts on the local target
     bool m_isTimedOut = false;
     bool m_isDone = false;
@@ -129,6 +147,10 @@
         refuse("stopping", Microseconds{0});
         return false;
     }
+    if (!m_config->accounts.isEmpty() && m_request.account.value().empty())
+        m_request.account = accountOf(request, headerNames, m_config->accounts);
+    if (!admitUnderQuota())
+        return false;
     RetryBudget &retries = m_owner.retriesFor(m_request.service).budget;
     retries.recordRequest(arrived);
     if (m_request.service != m_owner.m_dependencies.callerService)
@@ -143,6 +165,35 @@
     return true;
 }
 
+bool Forwarder::Session::admitUnderQuota()
+{
+    if (m_request.account.value().empty() || !m_owner.m_dependencies.admitRequest)
+        return true;
+    const MonotonicTime now = EventLoop::now();
+    const QuotaDecision decision = m_owner.m_dependencies.admitRequest(m_request.account, now);
+    if (decision.isAdmitted) {
+        m_quotaAdmittedAt = now;
+        return true;
+    }
+    m_isDone = true;
+    metrics().counter("refusals_total", "over_quota").add();
+    logEnd(tooManyRequests, "over_quota");
+    HttpResponse response;
+    response.status = tooManyRequests;
+    response.headers.add("Retry-After",
+                         absl::StrFormat("%.3f", std::chrono::duration<double>(decision.retryAfter).count()));
+    m_context->respond(std::move(response));
+    return false;
+}
+
+void Forwarder::Session::refundQuota()
+{
+    if (!m_quotaAdmittedAt || !m_owner.m_dependencies.requestDidNotRun)
+        return;
+    metrics().counter("quota_refunds_total").add();
+    m_owner.m_dependencies.requestDidNotRun(m_request.account, *std::exchange(m_quotaAdmittedAt, std::nullopt));
+}
+
 void Forwarder::Session::prepareRequest()
 {
     m_request.request = std::move(m_context->request());
@@ -318,6 +369,7 @@
 void Forwarder::Session::refuse(absl::string_view reason, Microseconds retryHint)
 {
     m_isDone = true;
+    refundQuota();
     m_owner.recordFailure(m_request.service);
     const Milliseconds wait = m_owner.retryAfter(retryHint);
     metrics().counter("refusals_total", reason).add();
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -85,7 +85,9 @@
                 std::chrono::duration_cast<Milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count()));
         dependencies.inboundAddress = m_settings.inbound;
         dependencies.region = m_settings.region;
+        dependencies.dataCentre = m_settings.dataCentre;
         dependencies.service = m_settings.service;
+        dependencies.quota = m_settings.quota;
         dependencies.publish = [this](ControlUpdate update) { m_controlUpdates.push(std::move(update)); };
         return dependencies;
     }
@@ -97,6 +99,8 @@
         else if (const auto *attempts = std::get_if<RolloutAttempts>(&update))
             std::for_each(attempts->begin(), attempts->end(),
                           [this](const RolloutAttempt &attempt) { m_control.record(attempt.report, attempt.rollout); });
+        else if (auto *usage = std::get_if<AccountUsages>(&update))
+            m_control.reportUsage(std::move(*usage));
         else if (auto *call = std::get_if<PeerCall>(&update))
             m_control.handle(call->path, call->body, std::move(call->respond));
     }
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -37,7 +37,7 @@
                          MetricsRegistry &metrics, LogSink log, std::function<void(TrafficUpdate)> publish)
     : m_loop(loop), m_settings(settings), m_adapter(adapter), m_metrics(metrics), m_log(std::move(log)),
       m_publish(std::move(publish)), m_client(loop, clientLimits()), m_pacer(loop, settings.responseRate),
-      m_inbound(inboundDependencies()), m_forwarder(forwarderDependencies()),
+      m_inbound(inboundDependencies()), m_quotas(settings.quota, systemRandom()), m_forwarder(forwarderDependencies()),
       m_callerServer(loop, [this](const HttpRequestContextPtr &context) { m_forwarder.handle(context); }),
       m_inboundServer(loop, [this](const HttpRequestContextPtr &context) { handleInbound(context); }),
       m_healthServer(loop, [this](const HttpRequestContextPtr &context) { handleHealth(context); }),
@@ -79,6 +79,12 @@
     dependencies.self = {m_settings.region, m_settings.dataCentre};
     dependencies.callerService = m_settings.service;
     dependencies.retries = m_settings.retries;
+    dependencies.admitRequest = [this](const AccountName &account, MonotonicTime now) {
+        return m_quotas.admit(account, now);
+    };
+    dependencies.requestDidNotRun = [this](const AccountName &account, MonotonicTime admittedAt) {
+        m_quotas.refund(account, admittedAt, EventLoop::now());
+    };
     return dependencies;
 }
 
@@ -109,6 +115,7 @@
     if (auto *config = std::get_if<ProxyConfigPtr>(&update)) {
         m_callerServer.setLimits((*config)->limits);
         m_forwarder.setConfig(std::move(*config));
+        setQuotas();
     } else if (auto *versions = std::get_if<ServiceVersions>(&update)) {
         m_forwarder.setVersions(*versions);
     } else if (auto *endpoint = std::get_if<Endpoint>(&update)) {
@@ -119,6 +126,8 @@
         applyTargetRecord(read->record);
     } else if (const auto *recorded = std::get_if<TargetRecorded>(&update)) {
         handleTargetRecorded(recorded->record);
+    } else if (const auto *grants = std::get_if<QuotaGrants>(&update)) {
+        m_quotas.apply(*grants, EventLoop::now());
     } else if (!std::exchange(m_isSynced, true)) {
         LogEvent(LogLevel::Info, "proxy.ready").field("node", m_settings.node).write(m_log);
     }
@@ -264,7 +273,7 @@
 void TrafficDuty::handleInbound(const HttpRequestContextPtr &context)
 {
     const std::string &path = context->request().target;
-    if (path == outcomesPath || path == relayTablePath) {
+    if (path == outcomesPath || path == relayTablePath || path == quotaReportPath || path == quotaSumsPath) {
         m_publish(PeerCall{path, std::move(context->request().body), [this, context](int status, std::string body) {
                                m_loop.post([context, status, body = std::move(body)]() mutable {
                                    HttpResponse response;
@@ -297,6 +306,28 @@
         m_batchedAttempts.push_back(std::move(attempt));
 }
 
+void TrafficDuty::setQuotas()
+{
+    const bool wasEmpty = m_quotas.isEmpty();
+    m_quotas.setQuotas(m_forwarder.config()->accounts.accounts());
+    if (wasEmpty && !m_quotas.isEmpty())
+        scheduleUsageReport();
+}
+
+void TrafficDuty::scheduleUsageReport()
+{
+    m_usageTimer = m_loop.after(m_quotas.reportInterval(), [this] { reportUsage(); });
+}
+
+void TrafficDuty::reportUsage()
+{
+    if (m_quotas.isEmpty())
+        return;
+    if (auto usage = m_quotas.report(EventLoop::now()))
+        m_publish(*std::move(usage));
+    scheduleUsageReport();
+}
+
 void TrafficDuty::addLoadFields(LogEvent &event)
 {
     event.field("requests", m_metrics.counter("requests_total").value())
--- a/src/proxy/traffic_duty.h
+++ b/src/proxy/traffic_duty.h
@@ -8,6 +8,7 @@
 #include <dandeliondock/proxy/link_pacer.h>
 #include <dandeliondock/proxy/loop_monitor.h>
 #include <dandeliondock/proxy/proxy.h>
+#include <dandeliondock/quotas/quota_limiter.h>
 
 #include <functional>
 #include <list>
@@ -41,7 +42,7 @@
 };
 
 /// \brief Message from the traffic duty to the control duty.
-using TrafficUpdate = std::variant<Endpoint, RolloutAttempts, PeerCall>;
+using TrafficUpdate = std::variant<Endpoint, RolloutAttempts, PeerCall, AccountUsages>;
 
 /// \brief Time in which the departure of the target must be recorded for it to be acknowledged; the target gives up on
 /// a message after a second.
@@ -101,6 +102,9 @@
     [[nodiscard]] bool isIdle() const;
     void checkDrained();
     void batchAttempt(RolloutAttempt attempt);
+    void setQuotas();
+    void scheduleUsageReport();
+    void reportUsage();
     void addLoadFields(LogEvent &event);
     [[nodiscard]] InboundHandlerDependencies inboundDependencies();
     [[nodiscard]] ForwarderDependencies forwarderDependencies();
@@ -115,6 +119,7 @@
     AsyncHttpClient m_client;
     LinkPacer m_pacer;
     InboundHandler m_inbound;
+    QuotaLimiter m_quotas;
     Forwarder m_forwarder;
     AsyncHttpServer m_callerServer;
     AsyncHttpServer m_inboundServer;
@@ -124,6 +129,7 @@
     LoopMonitor m_loopMonitor;
     RolloutAttempts m_batchedAttempts;
     LoopTimer m_batchTimer;
+    LoopTimer m_usageTimer; ///< runs while the configuration has quotas
     LoopTimer m_drainTimer;
     std::list<UnrecordedDeparture> m_unrecordedDepartures;
     std::optional<Endpoint> m_recorded; ///< record in the row of the target, as last read or written
