--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -48,7 +48,7 @@
       m_account(std::make_shared<ReceiveAccount>(loop, receiveLimitsFor(settings.memoryLimit, settings.descriptorLimit),
                                                  [this](const ShedHolder &holder) { recordShed(holder); })),
       m_client(loop, clientLimits()), m_pacer(loop, settings.responseRate), m_inbound(inboundDependencies()),
-      m_forwarder(forwarderDependencies()),
+      m_quotas(settings.quota, systemRandom()), m_forwarder(forwarderDependencies()),
       m_callerServer(loop, [this](const HttpRequestContextPtr &context) { m_forwarder.handle(context); }),
       m_inboundServer(loop, [this](const HttpRequestContextPtr &context) { handleInbound(context); }),
       m_healthServer(loop, [this](const HttpRequestContextPtr &context) { handleHealth(context); }),
@@ -97,6 +97,12 @@
     dependencies.callerService = m_settings.service;
     dependencies.retries = m_settings.retries;
     dependencies.keyWithdrawalBound = m_settings.keyWithdrawalBound;
+    dependencies.admitRequest = [this](const AccountName &account, MonotonicTime now) {
+        return m_quotas.admit(account, now);
+    };
+    dependencies.requestDidNotRun = [this](const AccountName &account, MonotonicTime admittedAt) {
+        m_quotas.refund(account, admittedAt, EventLoop::now());
+    };
     return dependencies;
 }
 
@@ -136,6 +142,7 @@
         const Service *service = m_forwarder.config()->state->service(m_settings.service);
         m_inbound.refuseDisallowed();
         m_inbound.setService(service != nullptr ? *service : Service());
+        setQuotas();
     } else if (auto *versions = std::get_if<ServiceVersions>(&update)) {
         m_forwarder.setVersions(*versions);
     } else if (auto *endpoint = std::get_if<Endpoint>(&update)) {
@@ -151,6 +158,8 @@
     } else if (auto *evacuations = std::get_if<EvacuationsUpdate>(&update)) {
         m_inbound.setEvacuated(evacuations->dataCentres.contains(m_settings.dataCentre));
         m_forwarder.setEvacuated(std::move(evacuations->dataCentres));
+    } else if (const auto *grants = std::get_if<QuotaGrants>(&update)) {
+        m_quotas.apply(*grants, EventLoop::now());
     } else if (!std::exchange(m_isSynced, true)) {
         LogEvent(LogLevel::Info, "proxy.ready").field("node", m_settings.node).write(m_log);
     }
@@ -296,7 +305,7 @@
 void TrafficDuty::handleInbound(const HttpRequestContextPtr &context)
 {
     const std::string &path = context->request().target;
-    if (path == outcomesPath || path == relayTablePath) {
+    if (path == outcomesPath || path == relayTablePath || path == quotaReportPath || path == quotaSumsPath) {
         m_publish(PeerCall{path, std::move(context->request().body), [this, context](int status, std::string body) {
                                m_loop.post([context, status, body = std::move(body)]() mutable {
                                    HttpResponse response;
@@ -329,6 +338,28 @@
         m_batchedAttempts.push_back(std::move(attempt));
 }
 
+void TrafficDuty::setQuotas()
+{
+    const bool wasEmpty = m_quotas.isEmpty();
+    m_quotas.setQuotas(m_forwarder.config()->accounts.accounts());
+    if (wasEmpty && !m_quotas.isEmpty())
+        scheduleUsageReport();
+}
+
+void TrafficDuty::scheduleUsageReport()
+{
+    m_usageTimer = m_loop.after(m_quotas.reportInterval(), [this] { reportUsage(); });
+}
+
+void TrafficDuty::reportUsage()
+{
+    if (m_quotas.isEmpty())
+        return;
+    if (auto usage = m_quotas.report(EventLoop::now()))
+        m_publish(*std::move(usage));
+    scheduleUsageReport();
+}
+
 void TrafficDuty::addLoadFields(LogEvent &event)
 {
     event.field("requests", m_metrics.counter("requests_total").value())
--- a/src/proxy/traffic_duty.h
+++ b/src/proxy/traffic_duty.h
@@ -9,6 +9,7 @@
 #include <dandeliondock/proxy/link_pacer.h>
 #include <dandeliondock/proxy/loop_monitor.h>
 #include <dandeliondock/proxy/proxy.h>
+#include <dandeliondock/quotas/quota_limiter.h>
 
 #include <functional>
 #include <list>
@@ -42,7 +43,7 @@
 };
 
 /// \brief Message from the traffic duty to the control duty.
-using TrafficUpdate = std::variant<Endpoint, RolloutAttempts, PeerCall>;
+using TrafficUpdate = std::variant<Endpoint, RolloutAttempts, PeerCall, AccountUsages>;
 
 /// \brief Time in which the departure of the target must be recorded for it to be acknowledged; the target gives up on
 /// a message after a second.
@@ -105,6 +106,9 @@
     [[nodiscard]] bool isIdle() const;
     void checkDrained();
     void batchAttempt(RolloutAttempt attempt);
+    void setQuotas();
+    void scheduleUsageReport();
+    void reportUsage();
     void addLoadFields(LogEvent &event);
     void recordShed(const ShedHolder &holder);
     [[nodiscard]] InboundHandlerDependencies inboundDependencies();
@@ -121,6 +125,7 @@
     AsyncHttpClient m_client;
     LinkPacer m_pacer;
     InboundHandler m_inbound;
+    QuotaLimiter m_quotas;
     Forwarder m_forwarder;
     AsyncHttpServer m_callerServer;
     AsyncHttpServer m_inboundServer;
@@ -134,6 +139,7 @@
     LogRateLimiter m_shedLogLimiter;
     RolloutAttempts m_batchedAttempts;
     LoopTimer m_batchTimer;
+    LoopTimer m_usageTimer; ///< runs while the configuration has quotas
     LoopTimer m_drainTimer;
     std::list<UnrecordedDeparture> m_unrecordedDepartures;
     std::optional<Endpoint> m_recorded; ///< record in the row of the target, as last read or written
