Report a target's work time and its own load figure to callers' proxies

Callers' proxies knew how many requests a target had, but not how long it takes for one, so that targets of 0.5 and 1.7 times the usual work time looked alike. The inbound handler reads X-Dandeliondock-Server-Load from responses (a text that cannot be parsed counts as absent), and sends the mean work time of the request's route and the current work time in percent in Dock-Work. Dock-Load is unchanged, so that proxies of the previous version read it. Nothing uses the figures yet.

--- a/include/dandeliondock/proxy/inbound_handler.h
+++ b/include/dandeliondock/proxy/inbound_handler.h
@@ -10,6 +10,7 @@
 #include <dandeliondock/proxy/link_schedule.h>
 #include <dandeliondock/proxy/local_target.h>
 #include <dandeliondock/proxy/response_sizes.h>
+#include <dandeliondock/proxy/server_load.h>
 #include <dandeliondock/proxy/service_versions.h>
 #include <dandeliondock/routing/routing_hooks.h>
 
@@ -94,7 +95,8 @@
 
 private:
     [[nodiscard]] InboundRefusal refusalFor(const InboundRequest &request, MonotonicTime now) const;
-    [[nodiscard]] TargetLoad load() const;
+    [[nodiscard]] TargetLoad load(const RouteName &route) const;
+    void recordServerLoad(const HttpResponse &response);
     void enqueue(const InboundJobPtr &job, MonotonicTime now);
     void reserveLink(impl::InboundJob &job, ByteCount response);
     void releaseLink(impl::InboundJob &job);
@@ -115,6 +117,8 @@
     LocalTarget m_target;
     InboundQueue m_queue;
     ResponseSizes m_responseSizes;
+    std::optional<ServerLoad> m_serverLoad; ///< as the target last reported it
+    MonotonicTime m_serverLoadAt;
     absl::flat_hash_map<WaiterId, InboundJobPtr> m_waiting;
     std::uint64_t m_lastWaiterId = 0;
     std::size_t m_openJobs = 0;
--- a/include/dandeliondock/proxy/inbound_queue.h
+++ b/include/dandeliondock/proxy/inbound_queue.h
@@ -71,6 +71,9 @@
     /// \brief Returns the number of running and waiting requests and of slots.
     [[nodiscard]] TargetLoad load() const noexcept;
 
+    /// \brief Returns the mean work time of a route; 0 when it is unknown.
+    [[nodiscard]] Microseconds workTime(const RouteName &route) const;
+
 private:
     struct WorkTime
     {
--- a/include/dandeliondock/proxy/target_load.h
+++ b/include/dandeliondock/proxy/target_load.h
@@ -16,6 +16,9 @@
     /// Time that the link of the target's instance needs for the responses that are queued or expected.
     Microseconds linkBacklog{0};
 
+    Microseconds workTime{0};      ///< mean work time of the request's route on this target; 0 when it is unknown
+    std::uint32_t workPercent = 0; ///< work time that the target reports for the moment, 100 is usual; 0 when unknown
+
     bool operator==(const TargetLoad &) const = default;
 };
 
--- a/src/proxy/inbound_handler.cpp
+++ b/src/proxy/inbound_handler.cpp
@@ -120,13 +120,27 @@
     m_dependencies.link->release(std::exchange(job.reservedBytes, ByteCount{}));
 }
 
-TargetLoad InboundHandler::load() const
+TargetLoad InboundHandler::load(const RouteName &route) const
 {
+    const MonotonicTime now = EventLoop::now();
     TargetLoad load = m_queue.load();
-    load.linkBacklog = m_dependencies.link->backlog(EventLoop::now());
+    load.linkBacklog = m_dependencies.link->backlog(now);
+    load.workTime = m_queue.workTime(route);
+    if (m_serverLoad && now - m_serverLoadAt < serverWorkPercentTtl)
+        load.workPercent = m_serverLoad->workPercent;
     return load;
 }
 
+void InboundHandler::recordServerLoad(const HttpResponse &response)
+{
+    const auto header = response.headers.first(m_dependencies.headerNames.load);
+    const auto reported = header ? parseServerLoad(*header) : std::nullopt;
+    if (!reported)
+        return;
+    m_serverLoad = reported;
+    m_serverLoadAt = EventLoop::now();
+}
+
 void InboundHandler::refuse(const InboundJobPtr &job, InboundRefusal refusal, Microseconds retryAfter)
 {
     m_dependencies.metrics->counter("door_refusals_total", inboundRefusalName(refusal)).add();
@@ -178,6 +192,8 @@
 {
     setRunning(*job, false);
     const Microseconds latency = EventLoop::now() - job->startedAt;
+    if (callResult.status.ok())
+        recordServerLoad(callResult.response);
     InboundResult result = resultFor(*job, std::move(callResult));
     if (result.outcome == ForwardOutcome::Failed && hasDependencyFailed(*job))
         result.outcome = ForwardOutcome::CallFailed;
@@ -280,7 +296,7 @@
         return;
     --m_openJobs;
     releaseLink(*job);
-    result.load = load();
+    result.load = load(job->request.route);
     result.inboundTime = EventLoop::now() - job->arrivedAt;
     if (!hasResponse(result.outcome) && m_logLimiter.allow(EventLoop::now(), m_dependencies.log)) {
         LogEvent(LogLevel::Info, "door.not_answered")
--- a/src/proxy/inbound_queue.cpp
+++ b/src/proxy/inbound_queue.cpp
@@ -68,4 +68,10 @@
     return {m_running, static_cast<std::uint32_t>(m_queue.size()), m_slots};
 }
 
+Microseconds InboundQueue::workTime(const RouteName &route) const
+{
+    const auto known = m_routeWorkTimes.find(route);
+    return known == m_routeWorkTimes.end() ? Microseconds{0} : known->second.mean;
+}
+
 } // namespace dandeliondock
--- a/src/proxy/inbound_request.cpp
+++ b/src/proxy/inbound_request.cpp
@@ -1,6 +1,7 @@
 #include <dandeliondock/core/checked_number.h>
 #include <dandeliondock/core/error.h>
 #include <dandeliondock/proxy/inbound_request.h>
+#include <dandeliondock/proxy/server_load.h>
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
@@ -31,6 +32,7 @@
 constexpr absl::string_view refusalHeader = "Dock-Refusal";
 constexpr absl::string_view loadHeader = "Dock-Load";    // running, waiting, slots
 constexpr absl::string_view linkHeader = "Dock-Link-Ms"; // backlog of the link; absent if there is none
+constexpr absl::string_view workHeader = "Dock-Work";    // work time of the route in ms, current work time in percent
 constexpr absl::string_view timeHeader = "Dock-Time-Ms";
 constexpr absl::string_view retryHeader = "Dock-Retry-Ms";
 constexpr absl::string_view detailHeader = "Dock-Detail";
@@ -91,6 +93,16 @@
     return static_cast<std::size_t>(found - names.begin());
 }
 
+// Applies the numbers of the work header; numbers out of range count as absent.
+void decodeWork(const std::vector<std::int64_t> &numbers, TargetLoad &load)
+{
+    if (numbers.empty())
+        return;
+    load.workTime = std::max(checkedDuration(numbers[0]).value_or(Milliseconds{0}), Milliseconds{0});
+    if (numbers[1] >= 0 && numbers[1] <= maxWorkPercent)
+        load.workPercent = static_cast<std::uint32_t>(numbers[1]);
+}
+
 std::int64_t remainingMilliseconds(MonotonicTime deadline, MonotonicTime now)
 {
     return std::chrono::duration_cast<Milliseconds>(deadline - now).count();
@@ -186,6 +198,9 @@
         const auto backlog = std::chrono::duration_cast<Milliseconds>(result.load->linkBacklog);
         if (backlog.count() > 0)
             message.headers.add(linkHeader, absl::StrCat(backlog.count()));
+        const auto workTime = std::chrono::duration_cast<Milliseconds>(result.load->workTime);
+        if (workTime.count() > 0 || result.load->workPercent > 0)
+            message.headers.add(workHeader, absl::StrCat(workTime.count(), ",", result.load->workPercent));
     }
     message.headers.add(timeHeader, absl::StrCat(std::chrono::duration_cast<Milliseconds>(result.inboundTime).count()));
     if (result.retryAfter.count() > 0) {
@@ -218,8 +233,11 @@
             result.load = TargetLoad{*running, *waiting, *slots};
     }
     const Milliseconds backlog = takeDuration(response.headers, linkHeader);
-    if (result.load)
+    const std::vector<std::int64_t> work = takeNumbers(response.headers, workHeader, 2);
+    if (result.load) {
         result.load->linkBacklog = backlog;
+        decodeWork(work, *result.load);
+    }
     result.inboundTime = takeDuration(response.headers, timeHeader);
     result.retryAfter = takeDuration(response.headers, retryHeader);
     result.detail = takeHeader(response.headers, detailHeader);
--- a/tests/proxy/inbound_request_test.cpp
+++ b/tests/proxy/inbound_request_test.cpp
@@ -124,6 +124,25 @@
     CHECK_FALSE(encodeInboundResult(sent).headers.first("Dock-Link-Ms").has_value());
 }
 
+// Guards against callers' proxies that take every target for equally fast, and against proxies of the previous version
+// that cannot read the load because of further numbers in its header.
+TEST_CASE("the work time is reported beside the load in a header of its own", "[proxy]")
+{
+    InboundResult sent;
+    sent.load = TargetLoad{3, 0, 16, Milliseconds(0), Milliseconds(275), 170};
+    HttpResponse message = encodeInboundResult(sent);
+    CHECK(message.headers.first("Dock-Load") == "3,0,16");
+    const auto received = decodeInboundResult(message);
+    REQUIRE(received.ok());
+    CHECK(received->load == sent.load);
+    message.headers.set("Dock-Work", "-275,99999999");
+    const auto invalid = decodeInboundResult(message);
+    REQUIRE(invalid.ok());
+    CHECK(invalid->load == TargetLoad{3, 0, 16});
+    sent.load = TargetLoad{3, 0, 16};
+    CHECK_FALSE(encodeInboundResult(sent).headers.first("Dock-Work").has_value());
+}
+
 // Guards against numbers of another process that overflow a clock or a counter.
 TEST_CASE("numbers out of range in the headers between proxies are refused or ignored", "[proxy]")
 {
