Assume the usual load for a target whose last report is old

A proxy hears from one of many targets every one to two seconds. A report older than 1 s was replaced by the proxy's own count, mostly 0, so that each target looked idle to many proxies at once whatever its load, and requests waited at busy targets while others were free. The weight of a report now decreases from 200 ms to 1 s, and the load per slot that targets of the service usually report takes its place; without any report the own count still does.

--- a/include/dandeliondock/proxy/target_balancer.h
+++ b/include/dandeliondock/proxy/target_balancer.h
@@ -21,6 +21,8 @@
 
 /// \brief Age at which the reported load of a target is ignored.
 inline constexpr Milliseconds targetLoadTtl{1'000};
+/// \brief Age up to which a reported load counts in full; then its weight decreases linearly until targetLoadTtl.
+inline constexpr Milliseconds steadyTargetLoadAge{200};
 /// \brief Cost of a target in another data centre or region; it represents the round trip and the metered bytes of the
 /// link. It is added to the cube of the load per slot, by which a half-loaded target costs little and a full one 1.
 inline constexpr double otherDataCentreCost = 0.10;
@@ -66,6 +68,15 @@
     VersionChoice version;
     std::vector<TargetId> tried{}; ///< targets of earlier attempts; selected again only when no other target is usable
     ByteCount responseSize{};      ///< mean response size of the route
+    RouteName route{};
+    Microseconds timeLeft{0}; ///< until the soft deadline; 0 or less when the request cannot be in time any more
+};
+
+/// \brief What the cost of a target depends on besides the target.
+struct TargetCostTerms
+{
+    ByteCount responseSize{};
+    double usualLoad = 0; ///< load per slot that is assumed for a target without a recent report
 };
 
 /// \brief Reservation of a target for one request; ended by TargetBalancer::finish().
@@ -74,6 +85,7 @@
     BalancedTargetPtr target;
     bool isTrial = false;     ///< the single request that tests an ejected target
     ByteCount responseSize{}; ///< expected response size
+    RouteName route{};
 };
 
 /// \brief What an attempt showed about its target.
@@ -119,21 +131,30 @@
     [[nodiscard]] std::size_t servingCount(const ServiceName &service, const VersionName &version) const;
 
     /// \brief Returns the cost of sending one more request to a target; lower is better. For tests and the status page.
-    [[nodiscard]] static double cost(const BalancedTarget &target, ByteCount responseSize, MonotonicTime now);
+    [[nodiscard]] static double cost(const BalancedTarget &target, const TargetCostTerms &terms, MonotonicTime now);
 
 private:
     using Targets = std::vector<BalancedTargetPtr>;
 
+    /// What the reports of all targets of a service say.
+    struct ServiceReports
+    {
+        double usualLoad = 0; ///< load per slot, smoothed
+    };
+
     /// Returns the targets of a version that its target share allows.
     [[nodiscard]] static Targets targetsInShare(const Targets &targets, const VersionChoice &version);
     [[nodiscard]] BalancedTargetPtr cheapest(const Targets &targets, const BalancerRequest &request, bool avoidTried,
                                              MonotonicTime now);
+    [[nodiscard]] TargetCostTerms costTerms(const BalancerRequest &request) const;
+    void recordReport(const BalancerClaim &claim, const TargetLoad &load, MonotonicTime now);
     void tryEject(BalancedTarget &target, MonotonicTime now);
 
     Locality m_self;
     CongestionWindow m_congestionWindow; ///< for the link to other regions
     RandomSource m_random;
     absl::flat_hash_map<ServiceName, Targets> m_services;
+    absl::flat_hash_map<ServiceName, ServiceReports> m_reports;
 };
 
 } // namespace dandeliondock
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -139,6 +139,7 @@
     m_balancerRequest.service = m_request.service;
     m_balancerRequest.version = m_owner.chooseVersionFor(m_request.service);
     m_balancerRequest.responseSize = m_owner.m_responseSizes.mean(route.name);
+    m_balancerRequest.route = route.name;
     prepareRequest();
     return true;
 }
@@ -156,6 +157,7 @@
 void Forwarder::Session::attempt()
 {
     const MonotonicTime now = EventLoop::now();
+    m_balancerRequest.timeLeft = m_request.softDeadline - now;
     m_claim = m_owner.m_balancer.choose(m_balancerRequest, now);
     if (!m_claim && m_balancerRequest.version.isNew) {
         // After a rollback the targets of the new version refuse requests, possibly before this proxy learns of it.
--- a/src/proxy/target_balancer.cpp
+++ b/src/proxy/target_balancer.cpp
@@ -14,6 +14,7 @@
 constexpr double linearLoadCost = 0.1; // orders targets with little load, where the cube is close to 0
 constexpr double tieBreakNoise = 0.02; // keeps proxies with the same load data from choosing the same target
 constexpr std::uint64_t noiseSteps = 1'000;
+constexpr double usualLoadSmoothing = 0.05;
 
 double distanceCost(LocalityTier tier, ByteCount responseSize)
 {
@@ -23,6 +24,20 @@
     return baseCost + distanceCostPerTenKilobytes * static_cast<double>(responseSize.value()) / tenKilobytes;
 }
 
+// Requests at a target: as reported and sent since, and with the age of the report more and more as many as targets of
+// the service usually have. A target whose report is old must not look idle: all proxies would send to it at once.
+double outstandingRequests(const BalancedTarget &target, std::uint32_t slots, double usualLoad, MonotonicTime now)
+{
+    const double assumed = std::max<double>(target.inFlight, usualLoad * slots);
+    if (target.reported.slots == 0)
+        return assumed;
+    const std::chrono::duration<double> age = now - target.reportedAt - steadyTargetLoadAge;
+    const std::chrono::duration<double> decayTime = targetLoadTtl - steadyTargetLoadAge;
+    const double weight = std::clamp(1 - age / decayTime, 0.0, 1.0);
+    const double reported = target.reported.running + target.reported.waiting + target.sentSinceReport;
+    return weight * reported + (1 - weight) * assumed;
+}
+
 bool isTried(const BalancerRequest &request, const TargetId &target)
 {
     return std::find(request.tried.begin(), request.tried.end(), target) != request.tried.end();
@@ -30,18 +45,16 @@
 
 } // namespace
 
-double TargetBalancer::cost(const BalancedTarget &target, ByteCount responseSize, MonotonicTime now)
+double TargetBalancer::cost(const BalancedTarget &target, const TargetCostTerms &terms, MonotonicTime now)
 {
     const bool isFresh = now - target.reportedAt < targetLoadTtl && target.reported.slots > 0;
     const std::uint32_t announcedSlots = target.endpoint.slots.value();
     const std::uint32_t slots = std::max<std::uint32_t>(1, isFresh ? target.reported.slots : announcedSlots);
-    const std::uint32_t outstanding =
-            isFresh ? target.reported.running + target.reported.waiting + target.sentSinceReport : target.inFlight;
-    const double load = static_cast<double>(outstanding + 1) / slots;
+    const double load = (outstandingRequests(target, slots, terms.usualLoad, now) + 1) / slots;
     double cost = load * load * load + linearLoadCost * load;
-    cost += distanceCost(target.tier, responseSize) + failureCost * target.failureRate;
+    cost += distanceCost(target.tier, terms.responseSize) + failureCost * target.failureRate;
     cost += std::chrono::duration<double>(target.roundTrip) / std::chrono::duration<double>(fullTargetRoundTrip);
-    if (isFresh && responseSize > maxShortResponse) {
+    if (isFresh && terms.responseSize > maxShortResponse) {
         const double backlog = std::chrono::duration<double>(target.reported.linkBacklog)
                                / std::chrono::duration<double>(fullTargetLinkBacklog);
         cost += backlog * backlog * backlog;
@@ -51,6 +64,17 @@
     return cost;
 }
 
+TargetCostTerms TargetBalancer::costTerms(const BalancerRequest &request) const
+{
+    TargetCostTerms terms;
+    terms.responseSize = request.responseSize;
+    const auto reports = m_reports.find(request.service);
+    if (reports == m_reports.end())
+        return terms;
+    terms.usualLoad = reports->second.usualLoad;
+    return terms;
+}
+
 void TargetBalancer::apply(const Endpoint &endpoint, MonotonicTime now)
 {
     Targets &targets = m_services[endpoint.service];
@@ -103,6 +127,7 @@
 {
     BalancedTargetPtr best;
     double bestCost = 0;
+    const TargetCostTerms terms = costTerms(request);
     for (const BalancedTargetPtr &target : targets) {
         if (target->isLeaving || target->endpoint.version != request.version.version)
             continue;
@@ -111,7 +136,7 @@
         if (target->tier == LocalityTier::OtherRegion && !m_congestionWindow.hasRoom(request.responseSize, now))
             continue;
         const double noise = tieBreakNoise * static_cast<double>(uniformBelow(m_random, noiseSteps)) / noiseSteps;
-        const double targetCost = cost(*target, request.responseSize, now) + noise;
+        const double targetCost = cost(*target, terms, now) + noise;
         if (!best || targetCost < bestCost) {
             best = target;
             bestCost = targetCost;
@@ -138,7 +163,7 @@
     if (target->tier == LocalityTier::OtherRegion)
         m_congestionWindow.startTransfer(request.responseSize);
     ++target->sentSinceReport;
-    return BalancerClaim{std::move(target), isTrial, request.responseSize};
+    return BalancerClaim{std::move(target), isTrial, request.responseSize, request.route};
 }
 
 void TargetBalancer::recordRoundTrip(const BalancerClaim &claim, Microseconds roundTrip, MonotonicTime now)
@@ -155,11 +180,8 @@
     --target.inFlight;
     if (target.tier == LocalityTier::OtherRegion)
         m_congestionWindow.endTransfer(claim.responseSize);
-    if (load) {
-        target.reported = *load;
-        target.reportedAt = now;
-        target.sentSinceReport = 0;
-    }
+    if (load)
+        recordReport(claim, *load, now);
     switch (feedback) {
     case TargetFeedback::Served:
         target.failureRate *= 1 - failureSmoothing;
@@ -187,6 +209,19 @@
     }
 }
 
+void TargetBalancer::recordReport(const BalancerClaim &claim, const TargetLoad &load, MonotonicTime now)
+{
+    BalancedTarget &target = *claim.target;
+    target.reported = load;
+    target.reportedAt = now;
+    target.sentSinceReport = 0;
+    ServiceReports &reports = m_reports[target.endpoint.service];
+    if (load.slots > 0) {
+        const double loadPerSlot = static_cast<double>(load.running + load.waiting) / load.slots;
+        reports.usualLoad += usualLoadSmoothing * (loadPerSlot - reports.usualLoad);
+    }
+}
+
 void TargetBalancer::tryEject(BalancedTarget &target, MonotonicTime now)
 {
     const Targets &targets = m_services[target.endpoint.service];
--- a/tests/proxy/target_balancer_test.cpp
+++ b/tests/proxy/target_balancer_test.cpp
@@ -187,8 +187,8 @@
     BalancedTarget idleLink = target;
     idleLink.reported.linkBacklog = Milliseconds(0);
     const auto costDifference = [&](std::uint64_t size) {
-        return TargetBalancer::cost(target, ByteCount(size), at(10))
-               - TargetBalancer::cost(idleLink, ByteCount(size), at(10));
+        return TargetBalancer::cost(target, {ByteCount(size)}, at(10))
+               - TargetBalancer::cost(idleLink, {ByteCount(size)}, at(10));
     };
     CHECK(costDifference(500) == Approx(0));
     CHECK(costDifference(90'000) == Approx(1));
