Count the speed of targets and the time left when one is chosen

Targets were compared by requests per slot alone. A target of 1.6 times the usual work time cannot serve a route in time whose work nearly fills its target latency, and its queue takes longer. The load now counts with the expected work factor, and a target on which the work would take more than 0.6 of the time to the soft deadline costs up to 0.6 more.

--- a/include/dandeliondock/proxy/target_balancer.h
+++ b/include/dandeliondock/proxy/target_balancer.h
@@ -8,6 +8,7 @@
 #include <dandeliondock/proxy/target_load.h>
 #include <dandeliondock/routing/locality.h>
 #include <dandeliondock/routing/outlier_ejection.h>
+#include <dandeliondock/routing/target_speed.h>
 #include <dandeliondock/routing/version_chooser.h>
 
 #include <absl/container/flat_hash_map.h>
@@ -43,6 +44,12 @@
 /// \brief Weight of the recent failure rate in the cost of a target.
 inline constexpr double failureCost = 1.5;
 
+/// \brief Cost of a target on which the request is expected to end after its soft deadline. Work on a slow target can
+/// take longer than the target latency of a route although the target has free slots.
+inline constexpr double lateCost = 0.6;
+/// \brief Part of the time left that the expected work may take without a cost.
+inline constexpr double onTimeWorkShare = 0.6;
+
 /// \brief A target with the statistics that the balancer keeps about it and its proxy.
 struct BalancedTarget
 {
@@ -55,6 +62,7 @@
     std::uint32_t inFlight = 0;
     double failureRate = 0;    ///< smoothed over recent attempts
     Microseconds roundTrip{0}; ///< smoothed network round trip, without the time at the target's proxy
+    TargetSpeed speed;
     MonotonicTime servingSince;
     bool isLeaving = false; ///< reported by the target's proxy before the endpoint record changed
 };
@@ -76,7 +84,9 @@
 struct TargetCostTerms
 {
     ByteCount responseSize{};
-    double usualLoad = 0; ///< load per slot that is assumed for a target without a recent report
+    double usualLoad = 0;     ///< load per slot that is assumed for a target without a recent report
+    Microseconds workTime{0}; ///< usual work time of the route; 0 when it is unknown
+    Microseconds timeLeft{0}; ///< until the soft deadline; 0 or less when it does not matter
 };
 
 /// \brief Reservation of a target for one request; ended by TargetBalancer::finish().
@@ -140,6 +150,7 @@
     struct ServiceReports
     {
         double usualLoad = 0; ///< load per slot, smoothed
+        UsualWorkTimes workTimes;
     };
 
     /// Returns the targets of a version that its target share allows.
--- a/src/proxy/target_balancer.cpp
+++ b/src/proxy/target_balancer.cpp
@@ -15,6 +15,7 @@
 constexpr double tieBreakNoise = 0.02; // keeps proxies with the same load data from choosing the same target
 constexpr std::uint64_t noiseSteps = 1'000;
 constexpr double usualLoadSmoothing = 0.05;
+constexpr double fullPercent = 100;
 
 double distanceCost(LocalityTier tier, ByteCount responseSize)
 {
@@ -38,6 +39,12 @@
     return weight * reported + (1 - weight) * assumed;
 }
 
+// Cost of a request whose work is expected to take this part of the time left.
+double latenessCost(double workShare)
+{
+    return lateCost * std::clamp((workShare - onTimeWorkShare) / (1 - onTimeWorkShare), 0.0, 1.0);
+}
+
 bool isTried(const BalancerRequest &request, const TargetId &target)
 {
     return std::find(request.tried.begin(), request.tried.end(), target) != request.tried.end();
@@ -51,9 +58,13 @@
     const std::uint32_t announcedSlots = target.endpoint.slots.value();
     const std::uint32_t slots = std::max<std::uint32_t>(1, isFresh ? target.reported.slots : announcedSlots);
     const double load = (outstandingRequests(target, slots, terms.usualLoad, now) + 1) / slots;
-    double cost = load * load * load + linearLoadCost * load;
+    const double workFactor = target.speed.expected(now).value();
+    double cost = (load * load * load + linearLoadCost * load) * workFactor;
     cost += distanceCost(target.tier, terms.responseSize) + failureCost * target.failureRate;
     cost += std::chrono::duration<double>(target.roundTrip) / std::chrono::duration<double>(fullTargetRoundTrip);
+    if (terms.timeLeft.count() > 0)
+        cost += latenessCost(std::chrono::duration<double>(terms.workTime) * workFactor * std::max(1.0, load)
+                             / std::chrono::duration<double>(terms.timeLeft));
     if (isFresh && terms.responseSize > maxShortResponse) {
         const double backlog = std::chrono::duration<double>(target.reported.linkBacklog)
                                / std::chrono::duration<double>(fullTargetLinkBacklog);
@@ -68,10 +79,12 @@
 {
     TargetCostTerms terms;
     terms.responseSize = request.responseSize;
+    terms.timeLeft = request.timeLeft;
     const auto reports = m_reports.find(request.service);
     if (reports == m_reports.end())
         return terms;
     terms.usualLoad = reports->second.usualLoad;
+    terms.workTime = reports->second.workTimes.of(request.route);
     return terms;
 }
 
@@ -220,6 +233,12 @@
         const double loadPerSlot = static_cast<double>(load.running + load.waiting) / load.slots;
         reports.usualLoad += usualLoadSmoothing * (loadPerSlot - reports.usualLoad);
     }
+    if (load.workTime.count() > 0) {
+        const WorkFactor speed = target.speed.learnt(now);
+        target.speed.record(reports.workTimes.record(claim.route, load.workTime, speed), now);
+    }
+    if (load.workPercent > 0)
+        target.speed.recordCurrent(WorkFactor(load.workPercent / fullPercent), now);
 }
 
 void TargetBalancer::tryEject(BalancedTarget &target, MonotonicTime now)
--- a/tests/proxy/uneven_targets_test.cpp
+++ b/tests/proxy/uneven_targets_test.cpp
@@ -29,6 +29,18 @@
     return fleet;
 }
 
+/// A third of the targets needs 1.6 times the usual time, in which lookups cannot end within their target latency.
+ReplayFleet fleetWithSlowThird()
+{
+    ReplayFleet fleet;
+    fleet.proxies = 80;
+    fleet.targets = 30;
+    fleet.slots = 9;
+    fleet.workFactors = {0.7, 0.7, 1.6};
+    fleet.routes = {{"lookup", 500, Milliseconds(300), Milliseconds(500), Milliseconds(4'000)}};
+    return fleet;
+}
+
 ReplayFleet smallEvenFleet()
 {
     ReplayFleet fleet;
@@ -70,6 +82,22 @@
     }
 }
 
+// Guards against late responses from targets that other work on their machine slows down for fractions of a second: 361
+// of 6,336 lookups were late.
+TEST_CASE("short slow periods of targets delay few requests", "[proxy]")
+{
+    const ReplayCounts lookups = FleetReplay(noisyFleet()).run().front();
+    CHECK(lookups.late + lookups.refused < lookups.requests * 3 / 100);
+}
+
+// Guards against targets that are chosen by their number of requests alone: 286 of 3,076 lookups were late although the
+// fast targets had free slots.
+TEST_CASE("requests with little time go to targets that are fast enough", "[proxy]")
+{
+    const ReplayCounts lookups = FleetReplay(fleetWithSlowThird()).run().front();
+    CHECK(lookups.inTimeShare() > 0.96);
+}
+
 // Guards against a loss in deployments whose targets are alike.
 TEST_CASE("equal targets serve at least as many requests in time, with less traffic between data centres", "[proxy]")
 {
@@ -89,6 +117,7 @@
     print("uneven", unevenFleet());
     print("uneven, load 1.45", unevenFleet(1.45));
     print("noisy", noisyFleet());
+    print("slow third", fleetWithSlowThird());
     print("small, even", smallEvenFleet());
 }
 
