Treat a shed request or a reset by a full target as load, not as a failure

Five sheds in a row ejected a target, and a target that resets connections when it is full did not differ from one that fails. Its load then went to the others. The inbound handler marks a result when the target says that it did not run the request (421 excepted: that target is another one) or when it closes the connection while all of its slots are in use; Dock-Cause carries it as 'full'. The balancer still counts it in the cost, but no longer towards ejection.

--- a/include/dandeliondock/proxy/inbound_handler.h
+++ b/include/dandeliondock/proxy/inbound_handler.h
@@ -96,6 +96,7 @@
 private:
     [[nodiscard]] InboundRefusal refusalFor(const InboundRequest &request, MonotonicTime now) const;
     [[nodiscard]] TargetLoad load(const RouteName &route) const;
+    [[nodiscard]] bool isTargetFull() const;
     void recordServerLoad(const HttpResponse &response);
     void enqueue(const InboundJobPtr &job, MonotonicTime now);
     void reserveLink(impl::InboundJob &job, ByteCount response);
--- a/include/dandeliondock/proxy/inbound_request.h
+++ b/include/dandeliondock/proxy/inbound_request.h
@@ -54,6 +54,8 @@
     InboundRefusal refusal = InboundRefusal::None; ///< for Refused and NotSent
     HttpResponse response;                         ///< for Responded, Failed and CallFailed: the target's response
     std::optional<TargetLoad> load;
+    /// For NotSent, NotRun and MayHaveRun: the target had no room for the request, which does not show a fault.
+    bool isTargetFull = false;
     Microseconds inboundTime{0}; ///< from the arrival at the inbound handler to this result
     Microseconds retryAfter{0};  ///< for Refused: time until a slot is likely to be free; 0 when unknown
     std::string detail;          ///< for the log
--- a/include/dandeliondock/proxy/target_balancer.h
+++ b/include/dandeliondock/proxy/target_balancer.h
@@ -103,6 +103,7 @@
     Served,       ///< the target responded without a failure
     Failed,       ///< the target responded with a failure, did not run the request or did not respond
     Refused,      ///< the target's proxy refused the request
+    Full,         ///< the target had no room: it shed the request or reset its connection
     Leaving,      ///< the target accepts no new requests
     Unreachable,  ///< no connection could be opened
     Inconclusive, ///< the attempt says nothing about the target, because the caller disconnected or a call of the
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -23,6 +23,8 @@
 
 TargetFeedback feedbackFor(const InboundResult &result)
 {
+    if (result.isTargetFull)
+        return TargetFeedback::Full;
     switch (result.outcome) {
     case ForwardOutcome::Responded:
         return TargetFeedback::Served;
--- a/src/proxy/inbound_handler.cpp
+++ b/src/proxy/inbound_handler.cpp
@@ -131,6 +131,16 @@
     return load;
 }
 
+// Whether all slots are in use, by the requests that run or by the last report; the target may still process requests
+// whose callers have left.
+bool InboundHandler::isTargetFull() const
+{
+    const TargetLoad load = m_queue.load();
+    const bool isReportedFull =
+            m_serverLoad && m_serverLoad->isFull() && EventLoop::now() - m_serverLoadAt < serverWorkPercentTtl;
+    return load.running >= load.slots || isReportedFull;
+}
+
 void InboundHandler::recordServerLoad(const HttpResponse &response)
 {
     const auto header = response.headers.first(m_dependencies.headerNames.load);
@@ -194,7 +204,11 @@
     const Microseconds latency = EventLoop::now() - job->startedAt;
     if (callResult.status.ok())
         recordServerLoad(callResult.response);
+    const bool wasFull = isTargetFull();
+    const bool isConnectionLost = errorKind(callResult.status) == ErrorKind::MayHaveRun;
     InboundResult result = resultFor(*job, std::move(callResult));
+    if (isConnectionLost && result.outcome == ForwardOutcome::MayHaveRun)
+        result.isTargetFull = wasFull;
     if (result.outcome == ForwardOutcome::Failed && hasDependencyFailed(*job))
         result.outcome = ForwardOutcome::CallFailed;
     m_queue.recordFinished(job->request.route, hasResponse(result.outcome) ? std::optional(latency) : std::nullopt);
@@ -237,6 +251,7 @@
     InboundResult result;
     if (response.headers.first(m_dependencies.headerNames.notExecuted) || response.status == misdirectedRequest) {
         result.outcome = ForwardOutcome::NotRun;
+        result.isTargetFull = response.status != misdirectedRequest;
         result.detail = absl::StrCat("status ", response.status);
         return result;
     }
--- a/src/proxy/inbound_request.cpp
+++ b/src/proxy/inbound_request.cpp
@@ -29,6 +29,7 @@
 constexpr absl::string_view outcomeHeader = "Dock-Outcome";
 constexpr absl::string_view causeHeader = "Dock-Cause"; // cause of a failure that is not the target's own
 constexpr absl::string_view callCause = "call";
+constexpr absl::string_view fullCause = "full";
 constexpr absl::string_view refusalHeader = "Dock-Refusal";
 constexpr absl::string_view loadHeader = "Dock-Load";    // running, waiting, slots
 constexpr absl::string_view linkHeader = "Dock-Link-Ms"; // backlog of the link; absent if there is none
@@ -190,6 +191,8 @@
     message.headers.add(outcomeHeader, forwardOutcomeName(isCallFailure ? ForwardOutcome::Failed : result.outcome));
     if (isCallFailure)
         message.headers.add(causeHeader, callCause);
+    else if (result.isTargetFull)
+        message.headers.add(causeHeader, fullCause);
     if (result.refusal != InboundRefusal::None)
         message.headers.add(refusalHeader, inboundRefusalName(result.refusal));
     if (result.load) {
@@ -222,6 +225,7 @@
     const std::string cause = takeHeader(response.headers, causeHeader);
     if (result.outcome == ForwardOutcome::Failed && cause == callCause)
         result.outcome = ForwardOutcome::CallFailed;
+    result.isTargetFull = cause == fullCause;
     const auto refusal = indexOf(refusalNames, takeHeader(response.headers, refusalHeader));
     result.refusal = refusal ? static_cast<InboundRefusal>(*refusal) : InboundRefusal::None;
     const std::vector<std::int64_t> load = takeNumbers(response.headers, loadHeader, 3);
--- a/src/proxy/target_balancer.cpp
+++ b/src/proxy/target_balancer.cpp
@@ -203,6 +203,12 @@
     case TargetFeedback::Refused:
         target.ejection.recordSuccess(claim.isTrial);
         return;
+    // A full target is avoided by its cost. Ejecting it would move its load to the others, and five sheds in a row are
+    // usual at a service that has too little capacity.
+    case TargetFeedback::Full:
+        target.failureRate += failureSmoothing * (1 - target.failureRate);
+        target.ejection.abandon(claim.isTrial);
+        return;
     case TargetFeedback::Failed:
         target.failureRate += failureSmoothing * (1 - target.failureRate);
         if (target.ejection.recordFailure(false, claim.isTrial, now))
--- a/tests/proxy/inbound_handler_test.cpp
+++ b/tests/proxy/inbound_handler_test.cpp
@@ -178,4 +178,62 @@
     thread.stop();
 }
 
+// Guards against a full target that is taken for a faulty one because it resets the connection, and against the
+// reverse.
+TEST_CASE("a lost connection shows a full target only if its slots are in use", "[proxy]")
+{
+    RawListener target([](const RawConnection &connection, int) {
+        CHECK(connection.readUntil(endOfHead).find(endOfHead) != std::string::npos);
+    });
+    LoopThread thread;
+    MetricsRegistry metrics;
+    LinkSchedule link{DataRate()};
+    for (const std::uint32_t slots : {1U, 2U}) {
+        std::unique_ptr<AsyncHttpClient> client;
+        std::unique_ptr<InboundHandler> handler;
+        std::promise<InboundResult> finished;
+        thread.run([&] {
+            client = std::make_unique<AsyncHttpClient>(thread.loop());
+            InboundHandlerDependencies dependencies;
+            dependencies.loop = &thread.loop();
+            dependencies.client = client.get();
+            dependencies.link = &link;
+            dependencies.metrics = &metrics;
+            dependencies.headerNames = headerNames();
+            dependencies.target = target.address();
+            dependencies.versions = [](const ServiceName &) -> const ServiceVersions * { return nullptr; };
+            dependencies.lastDependencyFailure = [] { return MonotonicTime(); };
+            handler = std::make_unique<InboundHandler>(dependencies);
+            handler->applyRecord(std::nullopt);
+            handler->announce({targetId,
+                               Incarnation(1),
+                               SequenceNumber(1),
+                               EndpointState::Serving,
+                               target.address(),
+                               service,
+                               VersionName("v1"),
+                               SlotCount(slots),
+                               {}});
+            InboundRequest request;
+            request.id = RequestId("id-1");
+            request.request = {"GET", "/a", {}, {}};
+            request.request.headers.add("Host", "h");
+            request.target = targetId;
+            request.service = service;
+            request.route = RouteName("r");
+            request.deadline = EventLoop::now() + Seconds(5);
+            request.softDeadline = request.deadline;
+            handler->handle(request, [&finished](InboundResult result) { finished.set_value(std::move(result)); });
+        });
+        const InboundResult result = finished.get_future().get();
+        CHECK(result.outcome == ForwardOutcome::MayHaveRun);
+        CHECK(result.isTargetFull == (slots == 1));
+        thread.run([&] {
+            handler.reset();
+            client.reset();
+        });
+    }
+    thread.stop();
+}
+
 } // namespace dandeliondock::testing
--- a/tests/proxy/inbound_request_test.cpp
+++ b/tests/proxy/inbound_request_test.cpp
@@ -143,6 +143,20 @@
     CHECK_FALSE(encodeInboundResult(sent).headers.first("Dock-Work").has_value());
 }
 
+// Guards against a full target that its callers' proxies take for a faulty one.
+TEST_CASE("a result says whether the target was full", "[proxy]")
+{
+    InboundResult sent;
+    sent.outcome = ForwardOutcome::MayHaveRun;
+    for (const bool isFull : {true, false}) {
+        sent.isTargetFull = isFull;
+        const auto received = decodeInboundResult(encodeInboundResult(sent));
+        REQUIRE(received.ok());
+        CHECK(received->outcome == ForwardOutcome::MayHaveRun);
+        CHECK(received->isTargetFull == isFull);
+    }
+}
+
 // Guards against numbers of another process that overflow a clock or a counter.
 TEST_CASE("numbers out of range in the headers between proxies are refused or ignored", "[proxy]")
 {
--- a/tests/proxy/target_balancer_test.cpp
+++ b/tests/proxy/target_balancer_test.cpp
@@ -160,6 +160,25 @@
     CHECK(counts.count("old") == 0);
 }
 
+// Guards against targets that are left out because a service has too little capacity: the others then get their load.
+TEST_CASE("a full target is not ejected", "[proxy]")
+{
+    TargetBalancer balancer = balancerWith({endpoint("a", "east", "a"), endpoint("b", "east", "a")});
+    for (int index = 0; index < 40; ++index) {
+        const auto claim = balancer.choose(request(), at(index));
+        REQUIRE(claim);
+        balancer.finish(*claim, TargetFeedback::Full, TargetLoad{slots, 0, slots}, at(index));
+        CHECK_FALSE(claim->target->ejection.isEjected());
+    }
+    for (int index = 0; index < 40; ++index) {
+        const auto claim = balancer.choose(request(), at(100 + index));
+        balancer.finish(*claim, TargetFeedback::Failed, TargetLoad{slots, 0, slots}, at(100 + index));
+        if (claim->target->ejection.isEjected())
+            return;
+    }
+    FAIL("a failing target was not ejected");
+}
+
 // Guards against a target that gets many requests because it fails them quickly.
 TEST_CASE("a target that fails part of its requests gets fewer requests", "[proxy]")
 {
