--- a/include/dandeliondock/proxy/target_balancer.h
+++ b/include/dandeliondock/proxy/target_balancer.h
@@ -10,6 +10,7 @@
 #include <dandeliondock/proxy/target_load.h>
 #include <dandeliondock/routing/locality.h>
 #include <dandeliondock/routing/outlier_ejection.h>
+#include <dandeliondock/routing/target_speed.h>
 #include <dandeliondock/routing/version_chooser.h>
 
 #include <absl/container/flat_hash_map.h>
@@ -24,6 +25,8 @@
 
 /// \brief Age at which the reported load of a target is ignored.
 inline constexpr Milliseconds targetLoadTtl{1'000};
+/// \brief Age up to which a reported load counts in full; then its weight decreases linearly until targetLoadTtl.
+inline constexpr Milliseconds steadyTargetLoadAge{200};
 /// \brief Cost of a target in another data centre or region; it represents the round trip and the metered bytes of the
 /// link. It is added to the cube of the load per slot, by which a half-loaded target costs little and a full one 1.
 inline constexpr double otherDataCentreCost = 0.10;
@@ -47,6 +50,11 @@
 /// \brief Time for which the targets of a data centre are not used after the proxy of one of them reported its
 /// evacuation. The record of the evacuation reaches this proxy within that time.
 inline constexpr Milliseconds reportedEvacuationTime{1'000};
+/// \brief Cost of a target on which the request is expected to end after its soft deadline. Work on a slow target can
+/// take longer than the target latency of a route although the target has free slots.
+inline constexpr double lateCost = 0.6;
+/// \brief Part of the time left that the expected work may take without a cost.
+inline constexpr double onTimeWorkShare = 0.6;
 
 /// \brief A target with the statistics that the balancer keeps about it and its proxy.
 struct BalancedTarget
@@ -60,6 +68,7 @@
     std::uint32_t inFlight = 0;
     double failureRate = 0;    ///< smoothed over recent attempts
     Microseconds roundTrip{0}; ///< smoothed network round trip, without the time at the target's proxy
+    TargetSpeed speed;
     MonotonicTime servingSince;
     bool isLeaving = false; ///< reported by the target's proxy before the endpoint record changed
     bool isEvacuated = false;
@@ -77,6 +86,17 @@
     std::vector<TargetId> tried{}; ///< targets of earlier attempts; selected again only when no other target is usable
     ByteCount responseSize{};      ///< mean response size of the route
     AllowedRegions allowedRegions{};
+    RouteName route{};
+    Microseconds timeLeft{0}; ///< until the soft deadline; 0 or less when the request cannot be in time any more
+};
+
+/// \brief What the cost of a target depends on besides the target.
+struct TargetCostTerms
+{
+    ByteCount responseSize{};
+    double usualLoad = 0;     ///< load per slot that is assumed for a target without a recent report
+    Microseconds workTime{0}; ///< usual work time of the route; 0 when it is unknown
+    Microseconds timeLeft{0}; ///< until the soft deadline; 0 or less when it does not matter
 };
 
 /// \brief Reservation of a target for one request; ended by TargetBalancer::finish().
@@ -85,6 +105,7 @@
     BalancedTargetPtr target;
     bool isTrial = false;     ///< the single request that tests an ejected target
     ByteCount responseSize{}; ///< expected response size
+    RouteName route{};
 };
 
 /// \brief What an attempt showed about its target.
@@ -92,6 +113,7 @@
     Served,       ///< the target responded without a failure
     Failed,       ///< the target responded with a failure, did not run the request or did not respond
     Refused,      ///< the target's proxy refused the request
+    Full,         ///< the target had no room: it shed the request or reset its connection
     Leaving,      ///< the target accepts no new requests
     Evacuated,    ///< the target's proxy refused the request, because its data centre is evacuated
     Unreachable,  ///< no connection could be opened
@@ -138,11 +160,18 @@
     [[nodiscard]] std::size_t servingCount(const ServiceName &service, const VersionName &version) const;
 
     /// \brief Returns the cost of sending one more request to a target; lower is better. For tests and the status page.
-    [[nodiscard]] static double cost(const BalancedTarget &target, ByteCount responseSize, MonotonicTime now);
+    [[nodiscard]] static double cost(const BalancedTarget &target, const TargetCostTerms &terms, MonotonicTime now);
 
 private:
     using Targets = std::vector<BalancedTargetPtr>;
 
+    /// What the reports of all targets of a service say.
+    struct ServiceReports
+    {
+        double usualLoad = 0; ///< load per slot, smoothed
+        UsualWorkTimes workTimes;
+    };
+
     /// Returns the targets of a version that its target share allows.
     [[nodiscard]] static Targets targetsInShare(const Targets &targets, const VersionChoice &version);
     /// Whether a target may serve the request, regardless of its load and its failures.
@@ -151,6 +180,8 @@
     void recordReportedEvacuation(const DataCentreName &dataCentre, MonotonicTime now);
     [[nodiscard]] BalancedTargetPtr cheapest(const Targets &targets, const BalancerRequest &request, bool avoidTried,
                                              MonotonicTime now);
+    [[nodiscard]] TargetCostTerms costTerms(const BalancerRequest &request) const;
+    void recordReport(const BalancerClaim &claim, const TargetLoad &load, MonotonicTime now);
     void tryEject(BalancedTarget &target, MonotonicTime now);
 
     Locality m_self;
@@ -158,6 +189,7 @@
     RandomSource m_random;
     absl::flat_hash_map<ServiceName, Targets> m_services;
     std::set<DataCentreName> m_evacuated;
+    absl::flat_hash_map<ServiceName, ServiceReports> m_reports;
 };
 
 } // namespace dandeliondock
--- a/include/dandeliondock/proxy/target_load.h
+++ b/include/dandeliondock/proxy/target_load.h
@@ -17,6 +17,8 @@
     /// Time that the link of the target's instance needs for the responses that are queued or expected.
     Microseconds linkBacklog{0};
 
+    Microseconds workTime{0};      ///< mean work time of the request's route on this target; 0 when it is unknown
+    std::uint32_t workPercent = 0; ///< work time that the target reports for the moment, 100 is usual; 0 when unknown
     ColdReport cold{}; ///< limit on the rate of the target, if it is cold
 
     bool operator==(const TargetLoad &) const = default;
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -27,10 +27,10 @@
 // The table is polled again within about half a second when a read of it has failed.
 constexpr Milliseconds keysUnconfirmedRetryDelay{400};
 
-constexpr absl::string_view bearerPrefix = "Bearer ";
-
 TargetFeedback feedbackFor(const InboundResult &result)
 {
+    if (result.isTargetFull)
+        return TargetFeedback::Full;
     switch (result.outcome) {
     case ForwardOutcome::Responded:
         return TargetFeedback::Served;
@@ -178,6 +178,7 @@
     m_balancerRequest.service = m_request.service;
     m_balancerRequest.version = m_owner.chooseVersionFor(m_request.service);
     m_balancerRequest.responseSize = m_owner.m_responseSizes.mean(route.name);
+    m_balancerRequest.route = route.name;
     prepareRequest();
     return true;
 }
@@ -227,6 +228,7 @@
     const MonotonicTime now = EventLoop::now();
     // A configuration that arrived since the first attempt can restrict the regions further.
     m_balancerRequest.allowedRegions.restrictTo(m_owner.m_regionRules.allowedFor(m_request.route, m_request.account));
+    m_balancerRequest.timeLeft = m_request.softDeadline - now;
     m_claim = m_owner.m_balancer.choose(m_balancerRequest, now);
     if (!m_claim && m_balancerRequest.version.isNew) {
         // After a rollback the targets of the new version refuse requests, possibly before this proxy learns of it.
--- a/src/proxy/inbound_handler.cpp
+++ b/src/proxy/inbound_handler.cpp
@@ -141,13 +141,37 @@
     m_dependencies.link->release(std::exchange(job.reservedBytes, ByteCount{}));
 }
 
-TargetLoad InboundHandler::load() const
+TargetLoad InboundHandler::load(const RouteName &route) const
 {
+    const MonotonicTime now = EventLoop::now();
     TargetLoad load = m_queue.load();
-    load.linkBacklog = m_dependencies.link->backlog(EventLoop::now());
+    load.linkBacklog = m_dependencies.link->backlog(now);
+    load.workTime = m_queue.workTime(route);
+    if (m_serverLoad && now - m_serverLoadAt < serverWorkPercentTtl)
+        load.workPercent = m_serverLoad->workPercent;
     return load;
 }
 
+// Whether all slots are in use, by the requests that run or by the last report; the target may still process requests
+// whose callers have left.
+bool InboundHandler::isTargetFull() const
+{
+    const TargetLoad load = m_queue.load();
+    const bool isReportedFull =
+            m_serverLoad && m_serverLoad->isFull() && EventLoop::now() - m_serverLoadAt < serverWorkPercentTtl;
+    return load.running >= load.slots || isReportedFull;
+}
+
+void InboundHandler::recordServerLoad(const HttpResponse &response)
+{
+    const auto header = response.headers.first(m_dependencies.headerNames.load);
+    const auto reported = header ? parseServerLoad(*header) : std::nullopt;
+    if (!reported)
+        return;
+    m_serverLoad = reported;
+    m_serverLoadAt = EventLoop::now();
+}
+
 void InboundHandler::refuse(const InboundJobPtr &job, InboundRefusal refusal, Microseconds retryAfter)
 {
     m_dependencies.metrics->counter("door_refusals_total", inboundRefusalName(refusal)).add();
@@ -204,7 +228,13 @@
     // The process of the target may have been replaced, or the target may have stopped responding.
     if (!callResult.status.ok() || callResult.response.status == misdirectedRequest)
         m_cold.suspect();
+    if (callResult.status.ok())
+        recordServerLoad(callResult.response);
+    const bool wasFull = isTargetFull();
+    const bool isConnectionLost = errorKind(callResult.status) == ErrorKind::MayHaveRun;
     InboundResult result = resultFor(*job, std::move(callResult));
+    if (isConnectionLost && result.outcome == ForwardOutcome::MayHaveRun)
+        result.isTargetFull = wasFull;
     if (result.outcome == ForwardOutcome::Failed && hasDependencyFailed(*job))
         result.outcome = ForwardOutcome::CallFailed;
     m_queue.recordFinished(job->request.route, hasResponse(result.outcome) ? std::optional(latency) : std::nullopt);
@@ -247,6 +277,7 @@
     InboundResult result;
     if (response.headers.first(m_dependencies.headerNames.notExecuted) || response.status == misdirectedRequest) {
         result.outcome = ForwardOutcome::NotRun;
+        result.isTargetFull = response.status != misdirectedRequest;
         result.detail = absl::StrCat("status ", response.status);
         return result;
     }
@@ -306,7 +337,7 @@
         return;
     --m_openJobs;
     releaseLink(*job);
-    result.load = load();
+    result.load = load(job->request.route);
     result.load->cold = m_cold.report(result.refusal == InboundRefusal::Cold);
     result.inboundTime = EventLoop::now() - job->arrivedAt;
     if (!hasResponse(result.outcome) && m_logLimiter.allow(EventLoop::now(), m_dependencies.log)) {
--- a/src/proxy/inbound_request.cpp
+++ b/src/proxy/inbound_request.cpp
@@ -1,6 +1,7 @@
 #include <dandeliondock/core/checked_number.h>
 #include <dandeliondock/core/error.h>
 #include <dandeliondock/proxy/inbound_request.h>
+#include <dandeliondock/proxy/server_load.h>
 
 #include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
@@ -28,12 +29,14 @@
 constexpr absl::string_view outcomeHeader = "Dock-Outcome";
 constexpr absl::string_view causeHeader = "Dock-Cause"; // cause of a failure that is not the target's own
 constexpr absl::string_view callCause = "call";
+constexpr absl::string_view fullCause = "full";
 constexpr absl::string_view refusalHeader = "Dock-Refusal";
 constexpr absl::string_view loadHeader = "Dock-Load";    // running, waiting, slots
 constexpr absl::string_view linkHeader = "Dock-Link-Ms"; // backlog of the link; absent if there is none
 // Milliseconds for which the target stays cold, until the sender's next request, and between two requests at the rate
 // of the target; absent if it is warm.
 constexpr absl::string_view coldHeader = "Dock-Cold";
+constexpr absl::string_view workHeader = "Dock-Work"; // work time of the route in ms, current work time in percent
 constexpr absl::string_view timeHeader = "Dock-Time-Ms";
 constexpr absl::string_view retryHeader = "Dock-Retry-Ms";
 constexpr absl::string_view detailHeader = "Dock-Detail";
@@ -109,6 +112,16 @@
     return static_cast<std::size_t>(found - names.begin());
 }
 
+// Applies the numbers of the work header; numbers out of range count as absent.
+void decodeWork(const std::vector<std::int64_t> &numbers, TargetLoad &load)
+{
+    if (numbers.empty())
+        return;
+    load.workTime = std::max(checkedDuration(numbers[0]).value_or(Milliseconds{0}), Milliseconds{0});
+    if (numbers[1] >= 0 && numbers[1] <= maxWorkPercent)
+        load.workPercent = static_cast<std::uint32_t>(numbers[1]);
+}
+
 std::int64_t remainingMilliseconds(MonotonicTime deadline, MonotonicTime now)
 {
     return std::chrono::duration_cast<Milliseconds>(deadline - now).count();
@@ -196,6 +209,8 @@
     message.headers.add(outcomeHeader, forwardOutcomeName(isCallFailure ? ForwardOutcome::Failed : result.outcome));
     if (isCallFailure)
         message.headers.add(causeHeader, callCause);
+    else if (result.isTargetFull)
+        message.headers.add(causeHeader, fullCause);
     if (result.refusal != InboundRefusal::None)
         message.headers.add(refusalHeader, inboundRefusalName(result.refusal));
     if (result.load) {
@@ -209,6 +224,9 @@
             message.headers.add(coldHeader, absl::StrCat(cold.remaining.count(), ",", cold.wait.count(), ",",
                                                          cold.interval.count()));
         }
+        const auto workTime = std::chrono::duration_cast<Milliseconds>(result.load->workTime);
+        if (workTime.count() > 0 || result.load->workPercent > 0)
+            message.headers.add(workHeader, absl::StrCat(workTime.count(), ",", result.load->workPercent));
     }
     message.headers.add(timeHeader, absl::StrCat(std::chrono::duration_cast<Milliseconds>(result.inboundTime).count()));
     if (result.retryAfter.count() > 0) {
@@ -232,6 +250,7 @@
     const std::string cause = takeHeader(response.headers, causeHeader);
     if (result.outcome == ForwardOutcome::Failed && cause == callCause)
         result.outcome = ForwardOutcome::CallFailed;
+    result.isTargetFull = cause == fullCause;
     const auto refusal = indexOf(refusalNames, takeHeader(response.headers, refusalHeader));
     result.refusal = refusal ? static_cast<InboundRefusal>(*refusal) : InboundRefusal::None;
     const std::vector<std::int64_t> load = takeNumbers(response.headers, loadHeader, 3);
@@ -244,9 +263,11 @@
     }
     const Milliseconds backlog = takeDuration(response.headers, linkHeader);
     const ColdReport cold = takeColdReport(response.headers);
+    const std::vector<std::int64_t> work = takeNumbers(response.headers, workHeader, 2);
     if (result.load) {
         result.load->linkBacklog = backlog;
         result.load->cold = cold;
+        decodeWork(work, *result.load);
     }
     result.inboundTime = takeDuration(response.headers, timeHeader);
     result.retryAfter = takeDuration(response.headers, retryHeader);
--- a/src/proxy/target_balancer.cpp
+++ b/src/proxy/target_balancer.cpp
@@ -15,6 +15,8 @@
 constexpr double linearLoadCost = 0.1; // orders targets with little load, where the cube is close to 0
 constexpr double tieBreakNoise = 0.02; // keeps proxies with the same load data from choosing the same target
 constexpr std::uint64_t noiseSteps = 1'000;
+constexpr double usualLoadSmoothing = 0.05;
+constexpr double fullPercent = 100;
 
 double distanceCost(LocalityTier tier, ByteCount responseSize)
 {
@@ -24,6 +26,26 @@
     return baseCost + distanceCostPerTenKilobytes * static_cast<double>(responseSize.value()) / tenKilobytes;
 }
 
+// Requests at a target: as reported and sent since, and with the age of the report more and more as many as targets of
+// the service usually have. A target whose report is old must not look idle: all proxies would send to it at once.
+double outstandingRequests(const BalancedTarget &target, std::uint32_t slots, double usualLoad, MonotonicTime now)
+{
+    const double assumed = std::max<double>(target.inFlight, usualLoad * slots);
+    if (target.reported.slots == 0)
+        return assumed;
+    const std::chrono::duration<double> age = now - target.reportedAt - steadyTargetLoadAge;
+    const std::chrono::duration<double> decayTime = targetLoadTtl - steadyTargetLoadAge;
+    const double weight = std::clamp(1 - age / decayTime, 0.0, 1.0);
+    const double reported = target.reported.running + target.reported.waiting + target.sentSinceReport;
+    return weight * reported + (1 - weight) * assumed;
+}
+
+// Cost of a request whose work is expected to take this part of the time left.
+double latenessCost(double workShare)
+{
+    return lateCost * std::clamp((workShare - onTimeWorkShare) / (1 - onTimeWorkShare), 0.0, 1.0);
+}
+
 bool isTried(const BalancerRequest &request, const TargetId &target)
 {
     return std::find(request.tried.begin(), request.tried.end(), target) != request.tried.end();
@@ -31,18 +53,20 @@
 
 } // namespace
 
-double TargetBalancer::cost(const BalancedTarget &target, ByteCount responseSize, MonotonicTime now)
+double TargetBalancer::cost(const BalancedTarget &target, const TargetCostTerms &terms, MonotonicTime now)
 {
     const bool isFresh = now - target.reportedAt < targetLoadTtl && target.reported.slots > 0;
     const std::uint32_t announcedSlots = target.endpoint.slots.value();
     const std::uint32_t slots = std::max<std::uint32_t>(1, isFresh ? target.reported.slots : announcedSlots);
-    const std::uint32_t outstanding =
-            isFresh ? target.reported.running + target.reported.waiting + target.sentSinceReport : target.inFlight;
-    const double load = static_cast<double>(outstanding + 1) / slots;
-    double cost = load * load * load + linearLoadCost * load;
-    cost += distanceCost(target.tier, responseSize) + failureCost * target.failureRate;
+    const double load = (outstandingRequests(target, slots, terms.usualLoad, now) + 1) / slots;
+    const double workFactor = target.speed.expected(now).value();
+    double cost = (load * load * load + linearLoadCost * load) * workFactor;
+    cost += distanceCost(target.tier, terms.responseSize) + failureCost * target.failureRate;
     cost += std::chrono::duration<double>(target.roundTrip) / std::chrono::duration<double>(fullTargetRoundTrip);
-    if (isFresh && responseSize > maxShortResponse) {
+    if (terms.timeLeft.count() > 0)
+        cost += latenessCost(std::chrono::duration<double>(terms.workTime) * workFactor * std::max(1.0, load)
+                             / std::chrono::duration<double>(terms.timeLeft));
+    if (isFresh && terms.responseSize > maxShortResponse) {
         const double backlog = std::chrono::duration<double>(target.reported.linkBacklog)
                                / std::chrono::duration<double>(fullTargetLinkBacklog);
         cost += backlog * backlog * backlog;
@@ -53,6 +77,19 @@
     return cost;
 }
 
+TargetCostTerms TargetBalancer::costTerms(const BalancerRequest &request) const
+{
+    TargetCostTerms terms;
+    terms.responseSize = request.responseSize;
+    terms.timeLeft = request.timeLeft;
+    const auto reports = m_reports.find(request.service);
+    if (reports == m_reports.end())
+        return terms;
+    terms.usualLoad = reports->second.usualLoad;
+    terms.workTime = reports->second.workTimes.of(request.route);
+    return terms;
+}
+
 void TargetBalancer::apply(const Endpoint &endpoint, MonotonicTime now)
 {
     Targets &targets = m_services[endpoint.service];
@@ -152,6 +189,7 @@
 {
     BalancedTargetPtr best;
     double bestCost = 0;
+    const TargetCostTerms terms = costTerms(request);
     for (const BalancedTargetPtr &target : targets) {
         if (!isEligible(*target, request, now) || !target->coldPacing.maySend(now))
             continue;
@@ -160,7 +198,7 @@
         if (target->tier == LocalityTier::OtherRegion && !m_congestionWindow.hasRoom(request.responseSize, now))
             continue;
         const double noise = tieBreakNoise * static_cast<double>(uniformBelow(m_random, noiseSteps)) / noiseSteps;
-        const double targetCost = cost(*target, request.responseSize, now) + noise;
+        const double targetCost = cost(*target, terms, now) + noise;
         if (!best || targetCost < bestCost) {
             best = target;
             bestCost = targetCost;
@@ -188,7 +226,7 @@
         m_congestionWindow.startTransfer(request.responseSize);
     ++target->sentSinceReport;
     target->coldPacing.recordSent(now);
-    return BalancerClaim{std::move(target), isTrial, request.responseSize};
+    return BalancerClaim{std::move(target), isTrial, request.responseSize, request.route};
 }
 
 void TargetBalancer::recordRoundTrip(const BalancerClaim &claim, Microseconds roundTrip, MonotonicTime now)
@@ -206,10 +244,8 @@
     if (target.tier == LocalityTier::OtherRegion)
         m_congestionWindow.endTransfer(claim.responseSize);
     if (load) {
-        target.reported = *load;
-        target.reportedAt = now;
-        target.sentSinceReport = 0;
         target.coldPacing.record(load->cold, now);
+        recordReport(claim, *load, now);
     }
     switch (feedback) {
     case TargetFeedback::Served:
@@ -219,6 +255,12 @@
     case TargetFeedback::Refused:
         target.ejection.recordSuccess(claim.isTrial);
         return;
+    // A full target is avoided by its cost. Ejecting it would move its load to the others, and five sheds in a row are
+    // usual at a service that has too little capacity.
+    case TargetFeedback::Full:
+        target.failureRate += failureSmoothing * (1 - target.failureRate);
+        target.ejection.abandon(claim.isTrial);
+        return;
     case TargetFeedback::Failed:
         target.failureRate += failureSmoothing * (1 - target.failureRate);
         if (target.ejection.recordFailure(false, claim.isTrial, now))
@@ -242,6 +284,25 @@
     }
 }
 
+void TargetBalancer::recordReport(const BalancerClaim &claim, const TargetLoad &load, MonotonicTime now)
+{
+    BalancedTarget &target = *claim.target;
+    target.reported = load;
+    target.reportedAt = now;
+    target.sentSinceReport = 0;
+    ServiceReports &reports = m_reports[target.endpoint.service];
+    if (load.slots > 0) {
+        const double loadPerSlot = static_cast<double>(load.running + load.waiting) / load.slots;
+        reports.usualLoad += usualLoadSmoothing * (loadPerSlot - reports.usualLoad);
+    }
+    if (load.workTime.count() > 0) {
+        const WorkFactor speed = target.speed.learnt(now);
+        target.speed.record(reports.workTimes.record(claim.route, load.workTime, speed), now);
+    }
+    if (load.workPercent > 0)
+        target.speed.recordCurrent(WorkFactor(load.workPercent / fullPercent), now);
+}
+
 void TargetBalancer::tryEject(BalancedTarget &target, MonotonicTime now)
 {
     const Targets &targets = m_services[target.endpoint.service];
