--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -289,10 +289,15 @@
     }
 }
 
+ServerSession::Requests::iterator ServerSession::find(const SessionRequest *request)
+{
+    return std::find_if(m_requests.begin(), m_requests.end(),
+                        [request](const auto &candidate) { return candidate.get() == request; });
+}
+
 void ServerSession::respond(const SessionRequest *request, HttpResponse response)
 {
-    const auto found = std::find_if(m_requests.begin(), m_requests.end(),
-                                    [request](const auto &candidate) { return candidate.get() == request; });
+    const auto found = find(request);
     if (m_isClosed || found == m_requests.end())
         return;
     if (!isFinalStatus(response.status))
@@ -379,8 +384,7 @@
 
 void ServerSession::abort(const SessionRequest *request)
 {
-    const auto found = std::find_if(m_requests.begin(), m_requests.end(),
-                                    [request](const auto &candidate) { return candidate.get() == request; });
+    const auto found = find(request);
     if (m_isClosed || found == m_requests.end())
         return;
     cancelRequestsFrom(static_cast<std::size_t>(found - m_requests.begin()));
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -82,6 +82,7 @@
     void resumeReading();
     void discardInput();
     void reject(http::status status);
+    [[nodiscard]] Requests::iterator find(const SessionRequest *request);
     void limitReadyResponses();
     [[nodiscard]] Requests takeRequestsFrom(std::size_t index);
     void cancelRequestsFrom(std::size_t index);
