--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -86,6 +86,7 @@
     void resumeReading();
     void discardInput();
     void reject(http::status status, absl::string_view retryAfter = {});
+    [[nodiscard]] Requests::iterator find(const SessionRequest *request);
     void limitReadyResponses();
     [[nodiscard]] Requests takeRequestsFrom(std::size_t index);
     void cancelRequestsFrom(std::size_t index);
