--- a/src/http/receive_account.cpp
+++ b/src/http/receive_account.cpp
@@ -7,7 +7,7 @@
 std::shared_ptr<ReceiveEntry> ReceiveAccount::open(std::function<void()> shed)
 {
     const HolderId id = m_budget.add(EventLoop::now());
-    const auto entry = std::make_shared<ReceiveEntry>(shared_from_this(), id, std::move(shed));
+    auto entry = std::make_shared<ReceiveEntry>(shared_from_this(), id, std::move(shed));
     if (m_entries.size() <= id.value())
         m_entries.resize(id.value() + 1);
     m_entries[id.value()] = entry;
--- a/src/node/control_listener.cpp
+++ b/src/node/control_listener.cpp
@@ -72,7 +72,8 @@
 
 HttpResponse ControlListener::servePoll(const HttpRequest &request)
 {
-    const absl::StatusOr<PollRequest> poll = decodePollRequest(request.body.text(), m_coordinator->identity().deployment);
+    const absl::StatusOr<PollRequest> poll =
+            decodePollRequest(request.body.text(), m_coordinator->identity().deployment);
     if (errorKind(poll.status()) == ErrorKind::WrongDeployment) {
         // Sent as a poll response with status 200, so that the child skips this address for the rest of the round.
         HttpResponse response = refuse(poll.status());
