--- a/include/dandeliondock/http/receive_budget.h
+++ b/include/dandeliondock/http/receive_budget.h
@@ -24,8 +24,8 @@
 inline constexpr Milliseconds rateJudgedAfter{1'000};
 inline constexpr DataRate slowRate{65'536};
 /// \brief Bytes of chunk framing that a body may have regardless of its length. Beyond them, the framing may be as long
-/// as the body: chunks of one byte have five bytes of framing and cost a hundred times the processor time of large
-/// chunks.
+/// as the body. Chunks of one byte have five bytes of framing, and each is parsed on its own: 48 such bodies took 2.6
+/// CPU seconds within 4 s.
 inline constexpr ByteCount freeFraming{131'072};
 
 /// \brief Limits on what all connections of a process hold together.
--- a/tests/http/async_server_test.cpp
+++ b/tests/http/async_server_test.cpp
@@ -428,7 +428,7 @@
     CHECK(connections <= 5);
 }
 
-// Guards against chunks of one byte, which cost a hundred times the processor time of large ones.
+// Guards against chunks of one byte, whose framing takes more processor time than their contents.
 TEST_CASE("a body in very small chunks is refused, a short one is not", "[http]")
 {
     TestServer server([](const HttpRequestContextPtr &request) {
