Count the probes for a confirmation and start them later

A confirmation is up to 1.7 s old after a change while the store responds, so that probes from 0.3 of a bound of 5 s on would be sent in regular operation. They start at 0.4 of the bound, which still leaves 1 s before an interruption of 0.6 of the bound ends.

--- a/include/dandeliondock/accounts/key_lease.h
+++ b/include/dandeliondock/accounts/key_lease.h
@@ -18,8 +18,8 @@
 [[nodiscard]] Milliseconds keyLeaseDuration(Milliseconds bound) noexcept;
 
 /// \brief Age of a confirmation from which a new one is sought at once, in tenths of the bound. It is more than the age
-/// that confirmations reach while a table is polled with a hold of 0.7 s, for a bound of 5 s.
-inline constexpr int oldConfirmationTenths = 3;
+/// of 1.7 s that confirmations reach after a change while a table is polled with a hold of 0.7 s, for a bound of 5 s.
+inline constexpr int oldConfirmationTenths = 4;
 
 /// \brief Whether a new confirmation should be sought without waiting for the next regular read. Thread-safe.
 [[nodiscard]] bool isConfirmationOld(std::optional<BootTime> confirmedAt, Milliseconds bound, BootTime now) noexcept;
--- a/include/dandeliondock/proxy/confirmation_probe.h
+++ b/include/dandeliondock/proxy/confirmation_probe.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <dandeliondock/core/boot_clock.h>
+#include <dandeliondock/core/metrics.h>
 #include <dandeliondock/http/event_loop.h>
-#include <dandeliondock/store/async_table.h>
 
 #include <cstddef>
 #include <functional>
@@ -23,6 +23,7 @@
 struct ConfirmationProbeDependencies
 {
     EventLoop *loop = nullptr;
+    MetricsRegistry *metrics = nullptr;
     std::optional<Milliseconds> bound; ///< KeyLease's bound; empty: no probes
     /// Whether confirmations are needed at present.
     std::function<bool()> isNeeded;
--- a/src/proxy/confirmation_probe.cpp
+++ b/src/proxy/confirmation_probe.cpp
@@ -34,6 +34,7 @@
         || m_openProbes >= maxOpenConfirmationProbes)
         return;
     ++m_openProbes;
+    m_dependencies.metrics->counter("key_confirmation_probes_total").add();
     m_dependencies.poll([this] { --m_openProbes; });
 }
 
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -90,6 +90,7 @@
 {
     ConfirmationProbeDependencies dependencies;
     dependencies.loop = m_dependencies.loop;
+    dependencies.metrics = m_dependencies.metrics;
     dependencies.bound = m_dependencies.keyWithdrawalBound;
     dependencies.isNeeded = [this] { return m_config && !m_config->accounts.isEmpty(); };
     dependencies.fleetSize = [this] { return servingPeers().size(); };
--- a/tests/platform/accounts_test.cpp
+++ b/tests/platform/accounts_test.cpp
@@ -363,6 +363,8 @@
     AccountsDeployment deployment;
     deployment.startServing();
     std::this_thread::sleep_for(Milliseconds(1'500)); // the confirmation of a change is older than that of an idle poll
+    // While the store responds, the regular polls confirm the configuration.
+    CHECK_THAT(deployment.metricsPage(), !Catch::Contains("key_confirmation_probes_total"));
     FakeStoreFaults faults;
     faults.isUnresponsive = true;
     deployment.store.setFaults(faults);
@@ -380,6 +382,7 @@
     }
     INFO(requests << " requests");
     CHECK(refused == 0);
+    CHECK_THAT(deployment.metricsPage(), Catch::Contains("key_confirmation_probes_total"));
 }
 
 // Guards against a deployment that sets no bound and refuses keys when the store is out of reach.
