Shed the requests with the least value for their work at the inbound queue

The queue admitted by the number of waiters ahead times the mean work and served by deadline. Under overload requests with long work kept several short ones from a slot, and waiters that later arrivals had pushed back stayed until their deadline or ran and ended late. The module admission decides now: the wait is the sum of the expected work ahead; where requests of a class cannot all be in time, the one with the least value for its work leaves at once; a request of a higher class is never displaced for one of a lower class. A request still runs at once when a slot is free, and the limits of the queue are unchanged.

--- a/include/dandeliondock/proxy/inbound_handler.h
+++ b/include/dandeliondock/proxy/inbound_handler.h
@@ -19,6 +19,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <vector>
 
 namespace dandeliondock {
 
@@ -99,6 +100,7 @@
     [[nodiscard]] bool isTargetFull() const;
     void recordServerLoad(const HttpResponse &response);
     void enqueue(const InboundJobPtr &job, MonotonicTime now);
+    void refuseDisplaced(const std::vector<WaiterId> &displaced);
     void reserveLink(impl::InboundJob &job, ByteCount response);
     void releaseLink(impl::InboundJob &job);
     void refuse(const InboundJobPtr &job, InboundRefusal refusal, Microseconds retryAfter);
--- a/include/dandeliondock/proxy/inbound_queue.h
+++ b/include/dandeliondock/proxy/inbound_queue.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliondock/admission/admission_queue.h>
 #include <dandeliondock/config/resources.h>
 #include <dandeliondock/core/units.h>
 #include <dandeliondock/proxy/target_load.h>
@@ -9,6 +10,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <vector>
 
 namespace dandeliondock {
 
@@ -26,8 +28,8 @@
 struct InboundAdmission
 {
     InboundVerdict verdict = InboundVerdict::Run;
-    std::optional<WaiterId> displaced; ///< waiter of a lower work class that is refused in its place
-    Microseconds retryAfter{0};        ///< for Refuse: time until a slot is likely to be free
+    std::vector<WaiterId> displaced; ///< waiters that are worth less and are refused in its place
+    Microseconds retryAfter{0};      ///< for Refuse: time until a slot is likely to be free
 };
 
 /// \brief Number of deviations above the mean within which nearly every request of a route finishes. A request admitted
@@ -81,11 +83,11 @@
         Microseconds deviation{0}; ///< mean absolute deviation
     };
 
-    [[nodiscard]] DrainEstimate drainEstimate(const RouteName &route) const;
+    [[nodiscard]] WorkTime expectedWork(const RouteName &route) const;
 
     std::uint32_t m_slots = 1;
     std::uint32_t m_running = 0;
-    WorkClassQueue m_queue{minQueueCapacity};
+    AdmissionQueue m_queue{minQueueCapacity};
     Microseconds m_meanWorkTime = assumedWorkTime;
     absl::flat_hash_map<RouteName, WorkTime> m_routeWorkTimes;
 };
--- a/src/proxy/inbound_handler.cpp
+++ b/src/proxy/inbound_handler.cpp
@@ -83,6 +83,7 @@
     const MonotonicTime queueDeadline = softDeadline - m_dependencies.link->transferTime(response);
     const InboundAdmission admission =
             m_queue.admit(job->waiter, {request.route, request.workClass}, queueDeadline, now);
+    refuseDisplaced(admission.displaced);
     if (admission.verdict == InboundVerdict::Refuse) {
         refuse(job, InboundRefusal::Busy, admission.retryAfter);
         return;
@@ -99,13 +100,17 @@
             refuse(waiting, InboundRefusal::Late, Microseconds{0});
         }
     });
-    if (!admission.displaced)
-        return;
-    const auto displaced = m_waiting.find(*admission.displaced);
-    if (displaced != m_waiting.end()) {
-        const InboundJobPtr displacedJob = displaced->second;
-        m_waiting.erase(displaced);
-        refuse(displacedJob, InboundRefusal::Displaced, Microseconds{0});
+}
+
+void InboundHandler::refuseDisplaced(const std::vector<WaiterId> &displaced)
+{
+    for (const WaiterId id : displaced) {
+        const auto waiting = m_waiting.find(id);
+        if (waiting == m_waiting.end())
+            continue;
+        const InboundJobPtr job = waiting->second;
+        m_waiting.erase(waiting);
+        refuse(job, InboundRefusal::Displaced, Microseconds{0});
     }
 }
 
--- a/src/proxy/inbound_queue.cpp
+++ b/src/proxy/inbound_queue.cpp
@@ -1,6 +1,7 @@
 #include <dandeliondock/proxy/inbound_queue.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace dandeliondock {
 
@@ -17,13 +18,10 @@
     m_queue.setCapacity(std::max(minQueueCapacity, m_slots * queueCapacityPerSlot));
 }
 
-DrainEstimate InboundQueue::drainEstimate(const RouteName &route) const
+InboundQueue::WorkTime InboundQueue::expectedWork(const RouteName &route) const
 {
     const auto known = m_routeWorkTimes.find(route);
-    const Microseconds work = known == m_routeWorkTimes.end()
-                                      ? m_meanWorkTime
-                                      : known->second.mean + known->second.deviation * workDeviations;
-    return {m_meanWorkTime / m_slots, work};
+    return known == m_routeWorkTimes.end() ? WorkTime{m_meanWorkTime, {}} : known->second;
 }
 
 InboundAdmission InboundQueue::admit(WaiterId id, const InboundWork &work, MonotonicTime deadline, MonotonicTime now)
@@ -32,11 +30,12 @@
         ++m_running;
         return {};
     }
-    const Admission admission = m_queue.admit(id, work.workClass, deadline, now, drainEstimate(work.route));
-    if (admission.verdict == AdmissionVerdict::Queued)
-        return {InboundVerdict::Wait, admission.displaced, {}};
-    const auto position = static_cast<std::int64_t>(m_queue.size()) + 1;
-    return {InboundVerdict::Refuse, std::nullopt, drainEstimate(work.route).dequeueInterval * position};
+    const WorkTime time = expectedWork(work.route);
+    const DrainRate rate{m_slots, m_meanWorkTime, time.deviation * workDeviations};
+    QueueDecision decision = m_queue.admit(id, {work.workClass, deadline, deadline, time.mean}, rate, now);
+    if (decision.isQueued)
+        return {InboundVerdict::Wait, std::move(decision.displaced), {}};
+    return {InboundVerdict::Refuse, std::move(decision.displaced), m_queue.expectedWait(work.workClass, rate)};
 }
 
 void InboundQueue::recordFinished(const RouteName &route, std::optional<Microseconds> workTime)
--- a/tests/proxy/fleet_replay_model.cpp
+++ b/tests/proxy/fleet_replay_model.cpp
@@ -185,9 +185,9 @@
     const ReplayRoute &route = m_fleet.routes[request->route];
     const InboundAdmission admission =
             target.queue.admit(request->waiter, {RouteName(route.name), route.workClass}, request->softDeadline, m_now);
-    if (admission.displaced) {
-        const RequestPtr displaced = target.waiting.at(*admission.displaced);
-        target.waiting.erase(*admission.displaced);
+    for (const WaiterId id : admission.displaced) {
+        const RequestPtr displaced = target.waiting.at(id);
+        target.waiting.erase(id);
         refuse(displaced, index);
     }
     if (admission.verdict == InboundVerdict::Run) {
--- a/tests/proxy/inbound_queue_test.cpp
+++ b/tests/proxy/inbound_queue_test.cpp
@@ -86,8 +86,8 @@
                 const InboundWork work{order.route, static_cast<WorkClass>(step)};
                 const WaiterId id(++last);
                 const InboundAdmission admission = queue.admit(id, work, at(100'000), at(0));
-                if (admission.displaced)
-                    RC_ASSERT(waiting.erase(*admission.displaced) == 1U);
+                for (const WaiterId displaced : admission.displaced)
+                    RC_ASSERT(waiting.erase(displaced) == 1U);
                 if (admission.verdict == InboundVerdict::Run)
                     ++running;
                 else if (admission.verdict == InboundVerdict::Wait)
