Hold a class back while a more urgent one is served less often

Requests of a less urgent class can wait longer and took the slots that became free between two urgent ones: in the replay of three classes at 2.2 times the load 28 in 100 reports were served and 17 in 100 confirmations. A request still runs at once when a slot is free.

--- a/include/dandeliondock/admission/admission_queue.h
+++ b/include/dandeliondock/admission/admission_queue.h
@@ -22,6 +22,13 @@
     Microseconds workMargin{0}; ///< added to the expected work of an arriving request, for the scatter of work times
 };
 
+/// \brief A request that leaves the queue to be served.
+struct QueuedRequest
+{
+    WaiterId id;
+    WorkClass workClass = WorkClass::Interactive;
+};
+
 /// \brief Result of offering a request to the queue.
 struct QueueDecision
 {
@@ -52,7 +59,7 @@
     [[nodiscard]] QueueDecision admit(WaiterId id, const RequestTerms &terms, const DrainRate &rate, MonotonicTime now);
 
     /// \brief Removes and returns the request to serve next; empty when the queue is empty.
-    [[nodiscard]] std::optional<WaiterId> takeFirst();
+    [[nodiscard]] std::optional<QueuedRequest> takeFirst();
 
     /// \brief Removes a request; has no effect when it is not in the queue.
     void withdraw(WaiterId id);
--- a/include/dandeliondock/proxy/inbound_queue.h
+++ b/include/dandeliondock/proxy/inbound_queue.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliondock/admission/admission_queue.h>
+#include <dandeliondock/admission/class_shares.h>
 #include <dandeliondock/config/resources.h>
 #include <dandeliondock/core/units.h>
 #include <dandeliondock/proxy/target_load.h>
@@ -88,6 +89,7 @@
     std::uint32_t m_slots = 1;
     std::uint32_t m_running = 0;
     AdmissionQueue m_queue{minQueueCapacity};
+    ClassShares m_classShares;
     Microseconds m_meanWorkTime = assumedWorkTime;
     absl::flat_hash_map<RouteName, WorkTime> m_routeWorkTimes;
 };
--- a/src/admission/admission_queue.cpp
+++ b/src/admission/admission_queue.cpp
@@ -109,12 +109,12 @@
     return displaced;
 }
 
-std::optional<WaiterId> AdmissionQueue::takeFirst()
+std::optional<QueuedRequest> AdmissionQueue::takeFirst()
 {
     for (Waiters &waiters : m_waiters) {
         if (waiters.empty())
             continue;
-        const WaiterId first = waiters.front().id;
+        const QueuedRequest first{waiters.front().id, waiters.front().terms.workClass};
         waiters.erase(waiters.begin());
         return first;
     }
--- a/src/proxy/inbound_queue.cpp
+++ b/src/proxy/inbound_queue.cpp
@@ -26,12 +26,16 @@
 
 InboundAdmission InboundQueue::admit(WaiterId id, const InboundWork &work, MonotonicTime deadline, MonotonicTime now)
 {
+    m_classShares.recordOffered(work.workClass, now);
     if (m_running < m_slots) {
         ++m_running;
+        m_classShares.recordServed(work.workClass);
         return {};
     }
     const WorkTime time = expectedWork(work.route);
     const DrainRate rate{m_slots, m_meanWorkTime, time.deviation * workDeviations};
+    if (m_classShares.isServedBeforeUrgent(work.workClass))
+        return {InboundVerdict::Refuse, {}, m_queue.expectedWait(work.workClass, rate)};
     QueueDecision decision = m_queue.admit(id, {work.workClass, deadline, deadline, time.mean}, rate, now);
     if (decision.isQueued)
         return {InboundVerdict::Wait, std::move(decision.displaced), {}};
@@ -56,10 +60,12 @@
 {
     if (m_running >= m_slots)
         return std::nullopt;
-    const std::optional<WaiterId> id = m_queue.takeFirst();
-    if (id)
-        ++m_running;
-    return id;
+    const std::optional<QueuedRequest> first = m_queue.takeFirst();
+    if (!first)
+        return std::nullopt;
+    ++m_running;
+    m_classShares.recordServed(first->workClass);
+    return first->id;
 }
 
 TargetLoad InboundQueue::load() const noexcept
--- a/tests/admission/admission_queue_test.cpp
+++ b/tests/admission/admission_queue_test.cpp
@@ -72,10 +72,11 @@
             RC_ASSERT(queue.size() == waiting.size());
         }
         WorkClass previous = WorkClass::Critical;
-        while (const auto id = queue.takeFirst()) {
-            RC_ASSERT(waiting[*id] >= previous);
-            previous = waiting[*id];
-            waiting.erase(*id);
+        while (const auto first = queue.takeFirst()) {
+            RC_ASSERT(waiting[first->id] == first->workClass);
+            RC_ASSERT(first->workClass >= previous);
+            previous = first->workClass;
+            waiting.erase(first->id);
         }
         RC_ASSERT(waiting.empty());
     });
--- a/tests/proxy/overload_replay_test.cpp
+++ b/tests/proxy/overload_replay_test.cpp
@@ -70,6 +70,18 @@
     CHECK(results[3].inTimeShare() > 0.99);
 }
 
+// Guards against reports that take the slots of confirmations because they can wait for longer: 28 in 100 of them were
+// served and 17 in 100 confirmations.
+TEST_CASE("under overload a class is not served less often than a less urgent one", "[proxy]")
+{
+    for (const double load : {1.4, 2.2}) {
+        const std::vector<ReplayCounts> results = FleetReplay(overloadedFleet(load)).run();
+        CHECK(results[0].servedShare() + 0.05 > results[1].servedShare());
+        CHECK(results[1].servedShare() + 0.05 > results[2].servedShare());
+        CHECK(results[3].inTimeShare() > 0.95);
+    }
+}
+
 // Prints the figures of docs/design/overload.md.
 TEST_CASE("figures of the replays with overload", "[.figures]")
 {
