Withhold further attempts of a route that is mostly refused

A refused attempt in another data centre costs about as many bytes as a served one, and under overload each request made up to four of them. The forwarder counts accepted and refused attempts of each route over about a second; beyond two attempts for each accepted one (four for critical requests) a further attempt is withheld with the probability of the excess, and the caller gets the refusal at once (reason 'withheld') with a Retry-After from the waits that refusals named. First attempts are always sent.

--- a/include/dandeliondock/proxy/forwarder.h
+++ b/include/dandeliondock/proxy/forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliondock/admission/attempt_gate.h>
 #include <dandeliondock/attempts/attempt_plan.h>
 #include <dandeliondock/attempts/retry_budget.h>
 #include <dandeliondock/core/log_event.h>
@@ -105,11 +106,13 @@
     void recordFailure(const ServiceName &service);
     void logBudgetSpent(const ServiceName &service, MonotonicTime now);
     [[nodiscard]] Milliseconds retryAfter(Microseconds hint);
+    void recordAdmission(const RouteName &route, const InboundResult &result, MonotonicTime now);
 
     ForwarderDependencies m_dependencies;
     ForwarderCounters m_counters;
     ProxyConfigPtr m_config;
     TargetBalancer m_balancer;
+    AttemptGate m_attemptGate;
     WeightedChoice m_weightedChoice;
     ResponseSizes m_responseSizes;
     LogRateLimiter m_attemptLogLimiter;
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -43,6 +43,12 @@
     return TargetFeedback::Failed;
 }
 
+bool isRefusedForLoad(InboundRefusal refusal)
+{
+    return refusal == InboundRefusal::Busy || refusal == InboundRefusal::Late || refusal == InboundRefusal::Displaced
+           || refusal == InboundRefusal::LinkFull;
+}
+
 } // namespace
 
 /// \brief One caller's request; keeps itself alive until the response is sent or the caller disconnects.
@@ -56,6 +62,7 @@
 private:
     [[nodiscard]] bool readRequest();
     void prepareRequest();
+    [[nodiscard]] std::optional<Microseconds> withheldFor(MonotonicTime now);
     void attempt();
     void sendToPeer(const InboundRequest &request);
     void handleResponse(AsyncCallResult callResult);
@@ -156,9 +163,24 @@
     m_request.request.headers.remove(m_owner.m_dependencies.headerNames.expectTarget);
 }
 
+// Only further attempts are withheld: the first one tells whether there is room. A request that reached a target is not
+// refused here, because its work there would be lost.
+std::optional<Microseconds> Forwarder::Session::withheldFor(MonotonicTime now)
+{
+    if (m_balancerRequest.tried.empty() || m_plan->hasReachedTarget() || m_plan->giveUp() != ForwardStep::Refuse)
+        return std::nullopt;
+    const double random =
+            static_cast<double>(uniformBelow(m_owner.m_dependencies.random, fullShare.value())) / fullShare.value();
+    return m_owner.m_attemptGate.withhold(m_request.route, m_request.workClass, random, now);
+}
+
 void Forwarder::Session::attempt()
 {
     const MonotonicTime now = EventLoop::now();
+    if (const auto wait = withheldFor(now)) {
+        refuse("withheld", *wait);
+        return;
+    }
     m_balancerRequest.timeLeft = m_request.softDeadline - now;
     m_claim = m_owner.m_balancer.choose(m_balancerRequest, now);
     if (!m_claim && m_balancerRequest.version.isNew) {
@@ -242,6 +264,7 @@
         return;
     const MonotonicTime now = EventLoop::now();
     m_owner.m_balancer.finish(*m_claim, feedbackFor(result), result.load, now);
+    m_owner.recordAdmission(m_request.route, result, now);
     m_claim.reset();
     m_job.reset();
     m_isTimedOut = m_isTimedOut || result.outcome == ForwardOutcome::TimedOut;
@@ -455,6 +478,14 @@
             .write(m_dependencies.log);
 }
 
+void Forwarder::recordAdmission(const RouteName &route, const InboundResult &result, MonotonicTime now)
+{
+    if (hasResponse(result.outcome))
+        m_attemptGate.recordAccepted(route, now);
+    else if (result.outcome == ForwardOutcome::Refused && isRefusedForLoad(result.refusal))
+        m_attemptGate.recordRefused(route, result.retryAfter, now);
+}
+
 Milliseconds Forwarder::retryAfter(Microseconds hint)
 {
     const auto base = std::clamp(std::chrono::duration_cast<Milliseconds>(hint), shortestRetryAfter, longestRetryAfter);
--- a/tests/proxy/fleet_replay_model.cpp
+++ b/tests/proxy/fleet_replay_model.cpp
@@ -1,5 +1,7 @@
 #include "proxy/fleet_replay.h"
 
+#include <dandeliondock/admission/attempt_gate.h>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -37,6 +39,7 @@
 
     TargetBalancer balancer;
     RetryBudget budget;
+    AttemptGate gate;
 };
 
 struct FleetReplay::Target
@@ -158,6 +161,15 @@
 
 void FleetReplay::attempt(const RequestPtr &request)
 {
+    const bool isRetry = !request->criteria.tried.empty();
+    const RouteName route(m_fleet.routes[request->route].name);
+    if (isRetry
+        && m_proxies[request->proxy]->gate.withhold(route, m_fleet.routes[request->route].workClass, uniform(),
+                                                    m_now)) {
+        if (request->isCounted)
+            ++m_counts[request->route].refused;
+        return;
+    }
     request->criteria.timeLeft = request->softDeadline - m_now;
     request->claim = m_proxies[request->proxy]->balancer.choose(request->criteria, m_now);
     if (!request->claim) {
@@ -274,6 +286,12 @@
     balancer.finish(*request->claim,
                     outcome == ForwardOutcome::Refused ? TargetFeedback::Refused : TargetFeedback::Served, load, m_now);
     request->claim.reset();
+    AttemptGate &gate = m_proxies[request->proxy]->gate;
+    const RouteName route(m_fleet.routes[request->route].name);
+    if (outcome == ForwardOutcome::Refused)
+        gate.recordRefused(route, Microseconds(0), m_now);
+    else
+        gate.recordAccepted(route, m_now);
     const ForwardStep step = request->plan->conclude(outcome, m_now);
     if (step == ForwardStep::Send) {
         attempt(request);
--- a/tests/proxy/overload_replay_test.cpp
+++ b/tests/proxy/overload_replay_test.cpp
@@ -82,6 +82,16 @@
     }
 }
 
+// Guards against attempts that cost bytes between data centres although the last ones were refused: 2,589 confirmations
+// made 8,495 attempts, of which 5,832 in other data centres.
+TEST_CASE("under overload few further attempts are sent for requests that are mostly refused", "[proxy]")
+{
+    const std::vector<ReplayCounts> results = FleetReplay(overloadedFleet(2.2)).run();
+    const ReplayCounts &confirmations = results[1];
+    CHECK(confirmations.attempts < confirmations.requests * 2);
+    CHECK(confirmations.distantAttempts < confirmations.requests * 3 / 2);
+}
+
 // Prints the figures of docs/design/overload.md.
 TEST_CASE("figures of the replays with overload", "[.figures]")
 {
