--- a/include/dandeliondock/proxy/forwarder.h
+++ b/include/dandeliondock/proxy/forwarder.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliondock/admission/attempt_gate.h>
 #include <dandeliondock/attempts/attempt_plan.h>
 #include <dandeliondock/attempts/retry_budget.h>
 #include <dandeliondock/core/log_event.h>
@@ -122,6 +123,7 @@
     void recordFailure(const ServiceName &service);
     void logBudgetSpent(const ServiceName &service, MonotonicTime now);
     [[nodiscard]] Milliseconds retryAfter(Microseconds hint);
+    void recordAdmission(const RouteName &route, const InboundResult &result, MonotonicTime now);
 
     ForwarderDependencies m_dependencies;
     ForwarderCounters m_counters;
@@ -129,6 +131,7 @@
     KeyCheck m_keyCheck;
     RegionRules m_regionRules; ///< of m_config
     TargetBalancer m_balancer;
+    AttemptGate m_attemptGate;
     WeightedChoice m_weightedChoice;
     ResponseSizes m_responseSizes;
     LogRateLimiter m_attemptLogLimiter;
--- a/include/dandeliondock/proxy/inbound_queue.h
+++ b/include/dandeliondock/proxy/inbound_queue.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <dandeliondock/admission/admission_queue.h>
+#include <dandeliondock/admission/class_shares.h>
 #include <dandeliondock/config/resources.h>
 #include <dandeliondock/core/units.h>
 #include <dandeliondock/proxy/target_load.h>
@@ -9,6 +11,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <vector>
 
 namespace dandeliondock {
 
@@ -26,8 +29,8 @@
 struct InboundAdmission
 {
     InboundVerdict verdict = InboundVerdict::Run;
-    std::optional<WaiterId> displaced; ///< waiter of a lower work class that is refused in its place
-    Microseconds retryAfter{0};        ///< for Refuse: time until a slot is likely to be free
+    std::vector<WaiterId> displaced; ///< waiters that are worth less and are refused in its place
+    Microseconds retryAfter{0};      ///< for Refuse: time until a slot is likely to be free
 };
 
 /// \brief Number of deviations above the mean within which nearly every request of a route finishes. A request admitted
@@ -39,6 +42,7 @@
 {
     RouteName route; ///< requests of one route have similar processing times
     WorkClass workClass = WorkClass::Interactive;
+    Microseconds maxWait{0}; ///< a request that would wait for longer is refused; 0 for no limit
 };
 
 /// \brief Decides which requests the target processes, which wait and which are refused at once.
@@ -81,11 +85,12 @@
         Microseconds deviation{0}; ///< mean absolute deviation
     };
 
-    [[nodiscard]] DrainEstimate drainEstimate(const RouteName &route) const;
+    [[nodiscard]] WorkTime expectedWork(const RouteName &route) const;
 
     std::uint32_t m_slots = 1;
     std::uint32_t m_running = 0;
-    WorkClassQueue m_queue{minQueueCapacity};
+    AdmissionQueue m_queue{minQueueCapacity};
+    ClassShares m_classShares;
     Microseconds m_meanWorkTime = assumedWorkTime;
     absl::flat_hash_map<RouteName, WorkTime> m_routeWorkTimes;
 };
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -63,6 +63,12 @@
     return rules;
 }
 
+bool isRefusedForLoad(InboundRefusal refusal)
+{
+    return refusal == InboundRefusal::Busy || refusal == InboundRefusal::Late || refusal == InboundRefusal::Displaced
+           || refusal == InboundRefusal::LinkFull;
+}
+
 } // namespace
 
 /// \brief One caller's request; keeps itself alive until the response is sent or the caller disconnects.
@@ -79,6 +85,7 @@
     [[nodiscard]] bool admitUnderQuota();
     void refundQuota();
     void prepareRequest();
+    [[nodiscard]] std::optional<Microseconds> withheldFor(MonotonicTime now);
     void attempt();
     void sendToPeer(const InboundRequest &request);
     void handleResponse(AsyncCallResult callResult);
@@ -223,11 +230,26 @@
     m_owner.m_keyCheck.rewriteHeaders(m_authentication, m_request.request.headers);
 }
 
+// Only further attempts are withheld: the first one tells whether there is room. A request that reached a target is not
+// refused here, because its work there would be lost.
+std::optional<Microseconds> Forwarder::Session::withheldFor(MonotonicTime now)
+{
+    if (m_balancerRequest.tried.empty() || m_plan->hasReachedTarget() || m_plan->giveUp() != ForwardStep::Refuse)
+        return std::nullopt;
+    const double random =
+            static_cast<double>(uniformBelow(m_owner.m_dependencies.random, fullShare.value())) / fullShare.value();
+    return m_owner.m_attemptGate.withhold(m_request.route, m_request.workClass, random, now);
+}
+
 void Forwarder::Session::attempt()
 {
     const MonotonicTime now = EventLoop::now();
     // A configuration that arrived since the first attempt can restrict the regions further.
     m_balancerRequest.allowedRegions.restrictTo(m_owner.m_regionRules.allowedFor(m_request.route, m_request.account));
+    if (const auto wait = withheldFor(now)) {
+        refuse("withheld", *wait);
+        return;
+    }
     m_balancerRequest.timeLeft = m_request.softDeadline - now;
     m_claim = m_owner.m_balancer.choose(m_balancerRequest, now);
     if (!m_claim && m_balancerRequest.version.isNew) {
@@ -247,6 +269,10 @@
     m_request.target = endpoint.target;
     m_balancerRequest.tried.push_back(endpoint.target);
     m_request.isRepeat = m_plan->hasReachedTarget();
+    const bool isFirst = m_balancerRequest.tried.size() == 1; // further attempts wait, or requests would move for ever
+    m_request.maxWait = isFirst && m_owner.m_balancer.hasRoomElsewhere(m_balancerRequest, *m_claim, now)
+                                ? m_match.route->targetLatency / maxWaitDivisor
+                                : Milliseconds{0};
     m_plan->startAttempt();
     m_sentAt = MonotonicTime();
     if (endpoint.controlAddress == m_owner.m_dependencies.inboundAddress) {
@@ -312,6 +338,7 @@
         return;
     const MonotonicTime now = EventLoop::now();
     m_owner.m_balancer.finish(*m_claim, feedbackFor(result), result.load, now);
+    m_owner.recordAdmission(m_request.route, result, now);
     m_claim.reset();
     m_job.reset();
     m_isTimedOut = m_isTimedOut || result.outcome == ForwardOutcome::TimedOut;
@@ -564,6 +591,14 @@
             .write(m_dependencies.log);
 }
 
+void Forwarder::recordAdmission(const RouteName &route, const InboundResult &result, MonotonicTime now)
+{
+    if (hasResponse(result.outcome))
+        m_attemptGate.recordAccepted(route, now);
+    else if (result.outcome == ForwardOutcome::Refused && isRefusedForLoad(result.refusal))
+        m_attemptGate.recordRefused(route, result.retryAfter, now);
+}
+
 Milliseconds Forwarder::retryAfter(Microseconds hint)
 {
     const auto base = std::clamp(std::chrono::duration_cast<Milliseconds>(hint), shortestRetryAfter, longestRetryAfter);
--- a/src/proxy/inbound_handler.cpp
+++ b/src/proxy/inbound_handler.cpp
@@ -103,7 +103,8 @@
     job->waiter = WaiterId(++m_lastWaiterId);
     const MonotonicTime queueDeadline = softDeadline - m_dependencies.link->transferTime(response);
     const InboundAdmission admission =
-            m_queue.admit(job->waiter, {request.route, request.workClass}, queueDeadline, now);
+            m_queue.admit(job->waiter, {request.route, request.workClass, request.maxWait}, queueDeadline, now);
+    refuseDisplaced(admission.displaced);
     if (admission.verdict == InboundVerdict::Refuse) {
         refuse(job, InboundRefusal::Busy, admission.retryAfter);
         return;
@@ -114,19 +115,25 @@
         return;
     }
     m_waiting[job->waiter] = job;
-    job->queueTimer = m_dependencies.loop->after(queueDeadline - now, [this, weak = std::weak_ptr(job)] {
+    const MonotonicTime waitsUntil =
+            request.maxWait.count() > 0 ? std::min(queueDeadline, now + request.maxWait) : queueDeadline;
+    job->queueTimer = m_dependencies.loop->after(waitsUntil - now, [this, weak = std::weak_ptr(job)] {
         if (const auto waiting = weak.lock(); waiting && m_waiting.erase(waiting->waiter) > 0) {
             m_queue.withdraw(waiting->waiter);
             refuse(waiting, InboundRefusal::Late, Microseconds{0});
         }
     });
-    if (!admission.displaced)
-        return;
-    const auto displaced = m_waiting.find(*admission.displaced);
-    if (displaced != m_waiting.end()) {
-        const InboundJobPtr displacedJob = displaced->second;
-        m_waiting.erase(displaced);
-        refuse(displacedJob, InboundRefusal::Displaced, Microseconds{0});
+}
+
+void InboundHandler::refuseDisplaced(const std::vector<WaiterId> &displaced)
+{
+    for (const WaiterId id : displaced) {
+        const auto waiting = m_waiting.find(id);
+        if (waiting == m_waiting.end())
+            continue;
+        const InboundJobPtr job = waiting->second;
+        m_waiting.erase(waiting);
+        refuse(job, InboundRefusal::Displaced, Microseconds{0});
     }
 }
 
--- a/src/proxy/inbound_queue.cpp
+++ b/src/proxy/inbound_queue.cpp
@@ -1,6 +1,7 @@
 #include <dandeliondock/proxy/inbound_queue.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace dandeliondock {
 
@@ -17,26 +18,30 @@
     m_queue.setCapacity(std::max(minQueueCapacity, m_slots * queueCapacityPerSlot));
 }
 
-DrainEstimate InboundQueue::drainEstimate(const RouteName &route) const
+InboundQueue::WorkTime InboundQueue::expectedWork(const RouteName &route) const
 {
     const auto known = m_routeWorkTimes.find(route);
-    const Microseconds work = known == m_routeWorkTimes.end()
-                                      ? m_meanWorkTime
-                                      : known->second.mean + known->second.deviation * workDeviations;
-    return {m_meanWorkTime / m_slots, work};
+    return known == m_routeWorkTimes.end() ? WorkTime{m_meanWorkTime, {}} : known->second;
 }
 
 InboundAdmission InboundQueue::admit(WaiterId id, const InboundWork &work, MonotonicTime deadline, MonotonicTime now)
 {
+    m_classShares.recordOffered(work.workClass, now);
     if (m_running < m_slots) {
         ++m_running;
+        m_classShares.recordServed(work.workClass);
         return {};
     }
-    const Admission admission = m_queue.admit(id, work.workClass, deadline, now, drainEstimate(work.route));
-    if (admission.verdict == AdmissionVerdict::Queued)
-        return {InboundVerdict::Wait, admission.displaced, {}};
-    const auto position = static_cast<std::int64_t>(m_queue.size()) + 1;
-    return {InboundVerdict::Refuse, std::nullopt, drainEstimate(work.route).dequeueInterval * position};
+    const WorkTime time = expectedWork(work.route);
+    const DrainRate rate{m_slots, m_meanWorkTime, time.deviation * workDeviations};
+    const Microseconds expectedWait = m_queue.expectedWait(work.workClass, rate);
+    const bool isTooLong = work.maxWait.count() > 0 && expectedWait > work.maxWait;
+    if (isTooLong || m_classShares.isServedBeforeUrgent(work.workClass))
+        return {InboundVerdict::Refuse, {}, expectedWait};
+    QueueDecision decision = m_queue.admit(id, {work.workClass, deadline, deadline, time.mean}, rate, now);
+    if (decision.isQueued)
+        return {InboundVerdict::Wait, std::move(decision.displaced), {}};
+    return {InboundVerdict::Refuse, std::move(decision.displaced), m_queue.expectedWait(work.workClass, rate)};
 }
 
 void InboundQueue::recordFinished(const RouteName &route, std::optional<Microseconds> workTime)
@@ -57,10 +62,12 @@
 {
     if (m_running >= m_slots)
         return std::nullopt;
-    const std::optional<WaiterId> id = m_queue.takeFirst();
-    if (id)
-        ++m_running;
-    return id;
+    const std::optional<QueuedRequest> first = m_queue.takeFirst();
+    if (!first)
+        return std::nullopt;
+    ++m_running;
+    m_classShares.recordServed(first->workClass);
+    return first->id;
 }
 
 TargetLoad InboundQueue::load() const noexcept
--- a/tests/proxy/fleet_replay_model.cpp
+++ b/tests/proxy/fleet_replay_model.cpp
@@ -1,5 +1,7 @@
 #include "proxy/fleet_replay.h"
 
+#include <dandeliondock/admission/attempt_gate.h>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -37,6 +39,7 @@
 
     TargetBalancer balancer;
     RetryBudget budget;
+    AttemptGate gate;
 };
 
 struct FleetReplay::Target
@@ -59,6 +62,7 @@
     std::optional<ForwardPlan> plan;
     std::optional<BalancerClaim> claim;
     MonotonicTime sentAt;
+    Microseconds maxWait{0};
     MonotonicTime queuedAt;
     WaiterId waiter;
     bool isCounted = false;
@@ -158,6 +162,15 @@
 
 void FleetReplay::attempt(const RequestPtr &request)
 {
+    const bool isRetry = !request->criteria.tried.empty();
+    const RouteName route(m_fleet.routes[request->route].name);
+    if (isRetry
+        && m_proxies[request->proxy]->gate.withhold(route, m_fleet.routes[request->route].workClass, uniform(),
+                                                    m_now)) {
+        if (request->isCounted)
+            ++m_counts[request->route].refused;
+        return;
+    }
     request->criteria.timeLeft = request->softDeadline - m_now;
     request->claim = m_proxies[request->proxy]->balancer.choose(request->criteria, m_now);
     if (!request->claim) {
@@ -171,6 +184,10 @@
             ++m_counts[request->route].distantAttempts;
     }
     request->criteria.tried.push_back(request->claim->target->endpoint.target);
+    request->maxWait =
+            !isRetry && m_proxies[request->proxy]->balancer.hasRoomElsewhere(request->criteria, *request->claim, m_now)
+                    ? Microseconds(m_fleet.routes[request->route].targetLatency) / maxWaitDivisor
+                    : Microseconds(0);
     request->plan->startAttempt();
     request->sentAt = m_now;
     const std::size_t target = std::stoul(request->claim->target->endpoint.address.value());
@@ -183,11 +200,11 @@
     request->waiter = WaiterId(++m_lastId);
     request->queuedAt = m_now;
     const ReplayRoute &route = m_fleet.routes[request->route];
-    const InboundAdmission admission =
-            target.queue.admit(request->waiter, {RouteName(route.name), route.workClass}, request->softDeadline, m_now);
-    if (admission.displaced) {
-        const RequestPtr displaced = target.waiting.at(*admission.displaced);
-        target.waiting.erase(*admission.displaced);
+    const InboundAdmission admission = target.queue.admit(
+            request->waiter, {RouteName(route.name), route.workClass, request->maxWait}, request->softDeadline, m_now);
+    for (const WaiterId id : admission.displaced) {
+        const RequestPtr displaced = target.waiting.at(id);
+        target.waiting.erase(id);
         refuse(displaced, index);
     }
     if (admission.verdict == InboundVerdict::Run) {
@@ -196,7 +213,10 @@
         refuse(request, index);
     } else {
         target.waiting[request->waiter] = request;
-        schedule(request->softDeadline, [this, request, index, waiter = request->waiter] {
+        const MonotonicTime waitsUntil = request->maxWait.count() > 0
+                                                 ? std::min(request->softDeadline, m_now + request->maxWait)
+                                                 : request->softDeadline;
+        schedule(waitsUntil, [this, request, index, waiter = request->waiter] {
             Target &current = *m_targets[index];
             if (current.waiting.erase(waiter) > 0) {
                 current.queue.withdraw(waiter);
@@ -274,6 +294,12 @@
     balancer.finish(*request->claim,
                     outcome == ForwardOutcome::Refused ? TargetFeedback::Refused : TargetFeedback::Served, load, m_now);
     request->claim.reset();
+    AttemptGate &gate = m_proxies[request->proxy]->gate;
+    const RouteName route(m_fleet.routes[request->route].name);
+    if (outcome == ForwardOutcome::Refused)
+        gate.recordRefused(route, Microseconds(0), m_now);
+    else
+        gate.recordAccepted(route, m_now);
     const ForwardStep step = request->plan->conclude(outcome, m_now);
     if (step == ForwardStep::Send) {
         attempt(request);
--- a/tests/proxy/inbound_queue_test.cpp
+++ b/tests/proxy/inbound_queue_test.cpp
@@ -86,8 +86,8 @@
                 const InboundWork work{order.route, static_cast<WorkClass>(step)};
                 const WaiterId id(++last);
                 const InboundAdmission admission = queue.admit(id, work, at(100'000), at(0));
-                if (admission.displaced)
-                    RC_ASSERT(waiting.erase(*admission.displaced) == 1U);
+                for (const WaiterId displaced : admission.displaced)
+                    RC_ASSERT(waiting.erase(displaced) == 1U);
                 if (admission.verdict == InboundVerdict::Run)
                     ++running;
                 else if (admission.verdict == InboundVerdict::Wait)
@@ -102,6 +102,19 @@
     });
 }
 
+// Guards against requests that wait for as long as their target latency allows while other targets have room.
+TEST_CASE("a request that would wait for longer than it may is refused, and runs where a slot is free", "[proxy]")
+{
+    InboundQueue queue = busyQueue();
+    const InboundWork patient{lookup.route, lookup.workClass, Milliseconds(500)};
+    const InboundWork impatient{lookup.route, lookup.workClass, Milliseconds(20)};
+    CHECK(queue.admit(WaiterId(2), impatient, at(1'000), at(0)).verdict == InboundVerdict::Refuse);
+    CHECK(queue.admit(WaiterId(3), patient, at(1'000), at(0)).verdict == InboundVerdict::Wait);
+    queue.withdraw(WaiterId(3));
+    queue.recordFinished(order.route, std::nullopt);
+    CHECK(queue.admit(WaiterId(4), impatient, at(1'000), at(0)).verdict == InboundVerdict::Run);
+}
+
 // Guards against callers that are told to retry at once although the queue is full.
 TEST_CASE("a refusal contains the time until a slot is likely to be free", "[proxy]")
 {
