Do not take a late response for a sign of a restart

A call that timed out counted as a sign that the target may be cold. An overloaded warm target would then have got only the rate of a cold one until it responded to a probe. Calls that cannot connect or break remain signs.

--- a/src/proxy/inbound_handler.cpp
+++ b/src/proxy/inbound_handler.cpp
@@ -31,6 +31,15 @@
 constexpr int firstServerError = 500;
 constexpr int misdirectedRequest = 421;
 
+// Whether the process of the target may have been replaced. A response that is late on an open connection does not show
+// this: an overloaded target would get only the rate of a cold one.
+bool mayHaveRestarted(const AsyncCallResult &result)
+{
+    if (result.status.ok())
+        return result.response.status == misdirectedRequest;
+    return !result.maybeSent || errorKind(result.status) != ErrorKind::DeadlineExceeded;
+}
+
 } // namespace
 
 InboundHandler::InboundHandler(InboundHandlerDependencies dependencies)
@@ -200,8 +209,7 @@
 {
     setRunning(*job, false);
     const Microseconds latency = EventLoop::now() - job->startedAt;
-    // The process of the target may have been replaced, or the target may have stopped responding.
-    if (!callResult.status.ok() || callResult.response.status == misdirectedRequest)
+    if (mayHaveRestarted(callResult))
         m_cold.suspect();
     InboundResult result = resultFor(*job, std::move(callResult));
     if (result.outcome == ForwardOutcome::Failed && hasDependencyFailed(*job))
--- a/tests/proxy/placement_test.cpp
+++ b/tests/proxy/placement_test.cpp
@@ -1,4 +1,5 @@
 #include "support/loop_thread.h"
+#include "support/raw_socket.h"
 
 #include <dandeliondock/proxy/control_duty.h>
 #include <dandeliondock/proxy/inbound_handler.h>
@@ -69,7 +70,7 @@
     return claim->target->endpoint.target.value();
 }
 
-/// An inbound handler whose target does not run.
+/// An inbound handler; without an address of the target in its dependencies, the target does not run.
 class Handler
 {
 public:
@@ -81,7 +82,8 @@
             dependencies.client = m_client.get();
             dependencies.link = &m_link;
             dependencies.metrics = &m_metrics;
-            dependencies.target = Address("127.0.0.1:1");
+            if (dependencies.target.value().empty())
+                dependencies.target = Address("127.0.0.1:1");
             dependencies.versions = [](const ServiceName &) -> const ServiceVersions * { return nullptr; };
             dependencies.lastDependencyFailure = [] { return MonotonicTime(); };
             m_handler = std::make_unique<InboundHandler>(dependencies);
@@ -116,7 +118,7 @@
     }
 
     /// Passes requests to the handler. Their results are in results(), each after its request has ended.
-    void handle(int count)
+    void handle(int count, Milliseconds timeLeft = Seconds(5))
     {
         run([&](InboundHandler &handler) {
             for (int index = 0; index < count; ++index) {
@@ -125,7 +127,7 @@
                 item.service = service;
                 item.route = route;
                 item.request = {"GET", "/a", {}, {}};
-                item.deadline = EventLoop::now() + Seconds(5);
+                item.deadline = EventLoop::now() + timeLeft;
                 item.softDeadline = item.deadline;
                 handler.handle(item, [this](InboundResult result) { m_results.push_back(std::move(result)); });
             }
@@ -283,6 +285,32 @@
     }
 }
 
+// Guards against a restarted target that is flooded, and against an overloaded one that gets the rate of a cold one
+// only because its responses are late.
+TEST_CASE("a call that cannot connect limits the target, and one that is late does not", "[proxy]")
+{
+    const RawListener silent([](const RawConnection &connection, int) {
+        static_cast<void>(connection.readUntil("never sent by the client"));
+    });
+    for (const bool isRunning : {true, false}) {
+        CAPTURE(isRunning);
+        InboundHandlerDependencies dependencies;
+        if (isRunning)
+            dependencies.target = silent.address();
+        Handler handler(dependencies);
+        handler.run([](InboundHandler &item) { item.setService(coldService()); });
+        std::this_thread::sleep_for(announcementDelay * 2);
+        handler.announce(2, Milliseconds(0));
+        handler.handle(1, Milliseconds(50));
+        for (int attempt = 0; attempt < 300 && handler.results().empty(); ++attempt)
+            std::this_thread::sleep_for(Milliseconds(10));
+        const auto results = handler.results();
+        REQUIRE(results.size() == 1);
+        CHECK(results[0].outcome == (isRunning ? ForwardOutcome::TimedOut : ForwardOutcome::NotSent));
+        CHECK((results[0].load->cold == ColdReport()) == isRunning);
+    }
+}
+
 // Guards against a proxy that never learns of an evacuation or of its end, or serves requests before it has.
 TEST_CASE("evacuations are published as a whole and before the proxy is ready", "[proxy]")
 {
