Test the quota on the path of a request

60 requests that no target can serve return their quota and get 503; after that the account with 0.1 requests per second is served at most 22 times and gets 429 with Retry-After, and nothing more reaches its target. The test adds the account behind the decoder of the configuration: the strict JSON reader does not read lists of strings (api_keys) at present.

--- a/tests/platform/proxy_test.cpp
+++ b/tests/platform/proxy_test.cpp
@@ -147,7 +147,7 @@
 
     void start()
     {
-        auto started = Proxy::start(settings, platform::adapter(), nullptr);
+        auto started = Proxy::start(settings, adapter, nullptr);
         REQUIRE(started.ok());
         proxy = *std::move(started);
     }
@@ -160,6 +160,7 @@
 
     Target target;
     ProxySettings settings;
+    PlatformAdapter adapter = platform::adapter();
     std::unique_ptr<Proxy> proxy;
 };
 
@@ -571,4 +572,56 @@
     CHECK(stopped.wait_for(testTimeout) == std::future_status::ready);
 }
 
+namespace {
+
+using ReadDocument = std::function<absl::StatusOr<OperatorDocument>(const TableRow &)>;
+
+/// Adds the account "mill", with a quota of 0.1 requests per second, to the configurations that \c read returns.
+ReadDocument withAccount(ReadDocument read)
+{
+    return [read = std::move(read)](const TableRow &row) {
+        auto document = read(row);
+        if (!document.ok() || !std::holds_alternative<ProxyConfigPtr>(*document))
+            return document;
+        const ProxyConfigPtr &config = std::get<ProxyConfigPtr>(*document);
+        ClientAccount account;
+        account.name = AccountName("mill");
+        account.keys.emplace_back("key");
+        account.quota = {RequestRate(0.1), RequestAmount(2)};
+        auto accounts = AccountDirectory::create({account});
+        REQUIRE(accounts.ok());
+        document = std::make_shared<const ProxyConfig>(config->state, config->limits, *std::move(accounts));
+        return document;
+    };
+}
+
+} // namespace
+
+// Guards against requests over the quota that reach a target, and against refused requests that use up the quota.
+TEST_CASE("a caller over its quota gets 429 with Retry-After, and requests that were not run return their quota",
+          "[platform]")
+{
+    Deployment deployment;
+    deployment.first.adapter.documents.read = withAccount(deployment.first.adapter.documents.read);
+    deployment.first.restart();
+    HttpHeaders headers;
+    headers.add("Authorization", "Bearer key");
+    REQUIRE(Deployment::eventually([&] { return deployment.isReady(deployment.first); }));
+    const auto status = [&] { return deployment.callProxy(deployment.first, "/a/1", "GET", headers).status; };
+    // No target has announced itself: the requests are refused with 503 and return their quota, far more often than
+    // the quota and its slack allow.
+    for (int request = 0; request < 60; ++request)
+        REQUIRE(status() == 503);
+    REQUIRE(deployment.announce(deployment.first, "ready", 1) == 200);
+    REQUIRE(Deployment::eventually([&] { return status() == 200; }));
+    REQUIRE(Deployment::eventually([&] { return status() == 429; }));
+    const int runs = deployment.first.target.runs;
+    // (0.1 x 5 s + 2) x 1.1 + 20
+    CHECK(runs <= 22);
+    const HttpResponse refused = deployment.callProxy(deployment.first, "/a/1", "GET", headers);
+    CHECK(refused.status == 429);
+    CHECK(refused.headers.first("Retry-After").has_value());
+    CHECK(deployment.first.target.runs == runs);
+}
+
 } // namespace dandeliondock::testing
