Test the log for keys in a second whose lines are not used up

The requests that wait for the start of the test proxies may use up the 25 log lines of a second, so that the lines in which the test looks for keys are left out. It failed for that reason in one of two runs of all tests of the platform.

--- a/tests/platform/accounts_test.cpp
+++ b/tests/platform/accounts_test.cpp
@@ -251,6 +251,7 @@
 {
     AccountsDeployment deployment;
     deployment.startServing();
+    std::this_thread::sleep_for(Milliseconds(1'100)); // the requests before have used up the log lines of their second
     std::string responses;
     CHECK(deployment.callWithKey(millKey + "x").status == 401);
     for (const std::string &value : {"Bearer " + millKey, "Basic " + millKey, millKey}) {
