Keep a target that becomes cold again within its bound

Two causes: one failed probe long ago removed the limit on unconfirmed requests, and requests of a cold time that had ended less than a second ago did not count when the target became cold again.

Ten failed probes in a row are now needed, and for a second after a cold time all requests count.

--- a/include/dandeliondock/places/cold_admission.h
+++ b/include/dandeliondock/places/cold_admission.h
@@ -27,10 +27,12 @@
 inline constexpr double usedSlackShare = 0.5;
 /// \brief Parts of the bound that may be sent to a warm target in a second after it last confirmed that it is warm: at
 /// the first one its state is requested, at the second one it counts as cold until it responds. The second one does not
-/// apply while probes have failed for minSuspicion: the health path of the service is not usable then, and a warm
+/// apply after maxFailedProbes: the health path of the service is not usable then, and a warm
 /// target would get the rate of a cold one.
 inline constexpr double probeShare = 0.5;
 inline constexpr double unconfirmedShare = 0.75;
+/// \brief Number of failed probes in a row, about a second of them, from which the health path counts as not usable.
+inline constexpr int maxFailedProbes = 10;
 /// \brief Time within which an announcement may have been written before the sign that the target is cold was seen.
 inline constexpr Milliseconds announcementDelay{200};
 /// \brief Shortest time for which the limit applies after a sign, if the target does not respond to probes.
@@ -108,11 +110,12 @@
     [[nodiscard]] double burst() const;
     [[nodiscard]] double fillRate() const;
     [[nodiscard]] double tokens(MonotonicTime now) const;
+    [[nodiscard]] double sentSince(MonotonicTime start) const;
     [[nodiscard]] double unconfirmed(MonotonicTime now) const;
-    [[nodiscard]] bool hasUsableProbes(MonotonicTime now) const;
+    [[nodiscard]] bool hasUsableProbes() const noexcept { return m_failedProbes < maxFailedProbes; }
     [[nodiscard]] bool needsProbe(MonotonicTime now) const;
     void setCold(Milliseconds remaining, MonotonicTime now);
-    void setWarm() { m_state = State::Warm; }
+    void setWarm(MonotonicTime now);
 
     static constexpr std::int64_t countedSlots = 21; // one more than a second, because the current one is incomplete
     static constexpr Microseconds slotTime{50'000};
@@ -127,10 +130,11 @@
     MonotonicTime m_tokensAt;
     std::array<std::uint32_t, countedSlots> m_sent{}; ///< requests sent in each slot of the last second
     std::int64_t m_latestSlot = 0;                    ///< number of the slot of the latest request
+    MonotonicTime m_warmAt;                           ///< when the target was found warm after it was cold
     MonotonicTime m_confirmedAt;                      ///< start of the latest probe that found the target warm
     MonotonicTime m_probeStartedAt;
     MonotonicTime m_nextProbeAt;
-    std::optional<MonotonicTime> m_failingSince; ///< first of the probes that failed since the last usable response
+    int m_failedProbes = 0; ///< probes that failed since the last usable response
     bool m_isProbing = false;
     bool m_isConfigured = false; ///< setColdStart() was called
     MonotonicTime m_nextTurn;    ///< next time that is given to a sender
--- a/src/places/cold_admission.cpp
+++ b/src/places/cold_admission.cpp
@@ -38,9 +38,14 @@
 // the bound.
 double ColdAdmission::unconfirmed(MonotonicTime now) const
 {
-    const MonotonicTime since = std::max(m_confirmedAt, now - Seconds(1));
+    return sentSince(std::max(m_confirmedAt, now - Seconds(1)));
+}
+
+// Number of requests sent since a time in the last second, up to 50 ms before it included.
+double ColdAdmission::sentSince(MonotonicTime start) const
+{
     const std::int64_t first =
-            std::max<std::int64_t>(since.time_since_epoch() / slotTime, m_latestSlot - countedSlots + 1);
+            std::max<std::int64_t>(start.time_since_epoch() / slotTime, m_latestSlot - countedSlots + 1);
     std::uint64_t sent = 0;
     for (std::int64_t slot = first; slot <= m_latestSlot; ++slot)
         sent += m_sent.at(static_cast<std::size_t>(slot % countedSlots));
@@ -55,7 +60,7 @@
     const bool hadRate = hasRate();
     m_coldStart = coldStart;
     if (!hasRate()) {
-        setWarm();
+        setWarm(now);
         return;
     }
     if (hadRate)
@@ -76,6 +81,13 @@
     m_limitedUntil = m_coldUntil + std::max(minSuspicion, m_coldStart.duration);
 }
 
+void ColdAdmission::setWarm(MonotonicTime now)
+{
+    if (m_state == State::Cold)
+        m_warmAt = now;
+    m_state = State::Warm;
+}
+
 void ColdAdmission::recordAnnouncement(Milliseconds remaining, MonotonicTime now)
 {
     if (!m_isConfigured)
@@ -85,7 +97,7 @@
     if (remaining.count() > 0) {
         setCold(remaining, now);
     } else if (now - m_signAt >= announcementDelay) {
-        setWarm();
+        setWarm(now);
         m_confirmedAt = std::max(m_confirmedAt, now - announcementDelay);
     }
 }
@@ -101,11 +113,6 @@
     m_limitedUntil = now + std::max(minSuspicion, m_coldStart.duration);
 }
 
-bool ColdAdmission::hasUsableProbes(MonotonicTime now) const
-{
-    return !m_failingSince || now - *m_failingSince < minSuspicion;
-}
-
 bool ColdAdmission::needsProbe(MonotonicTime now) const
 {
     if (!hasRate())
@@ -142,10 +149,10 @@
     m_isProbing = false;
     m_nextProbeAt = now + (remaining ? coldProbeInterval : coldProbeRetryDelay);
     if (!remaining) {
-        m_failingSince = m_failingSince.value_or(now);
+        m_failedProbes = std::min(m_failedProbes + 1, maxFailedProbes);
         return;
     }
-    m_failingSince.reset();
+    m_failedProbes = 0;
     if (!hasRate())
         return;
     if (remaining->count() > 0) {
@@ -156,7 +163,7 @@
     // The response may have been written before a sign that was seen after the probe started.
     if (m_state != State::Warm && m_signAt > m_probeStartedAt)
         return;
-    setWarm();
+    setWarm(now);
     m_confirmedAt = m_probeStartedAt;
 }
 
@@ -168,7 +175,10 @@
         return false;
     if (m_state != State::Warm && now < m_limitedUntil)
         return true;
-    return hasUsableProbes(now) && unconfirmed(now) >= std::max(1.0, unconfirmedShare * bound());
+    // A target that becomes cold again at once has its requests of the earlier cold time in the same second.
+    const bool wasCold = now - m_warmAt < Seconds(1);
+    const double sent = wasCold ? sentSince(now - Seconds(1)) : unconfirmed(now);
+    return hasUsableProbes() && sent >= std::max(1.0, unconfirmedShare * bound());
 }
 
 bool ColdAdmission::maySend(std::size_t waiting, MonotonicTime now) const
--- a/tests/places/cold_admission_test.cpp
+++ b/tests/places/cold_admission_test.cpp
@@ -251,6 +251,18 @@
     CHECK(refused < 60); // of 400 requests
 }
 
+// Guards against a target that is flooded because one probe failed some time ago.
+TEST_CASE("a single failed probe does not remove the limit later", "[places]")
+{
+    ColdAdmission admission = admissionWithRate();
+    admission.startProbe(at(0));
+    admission.finishProbe(std::nullopt, at(0));
+    int sent = 0;
+    for (int time = 5'000; time < 5'100 && admission.maySend(0, at(time)); ++time, ++sent)
+        admission.recordSent(at(time));
+    CHECK(sent <= static_cast<int>(boundPerSecond));
+}
+
 // Guards against a flood at the time at which the target was expected to be warm: it becomes warm only with traffic.
 TEST_CASE("the limit lasts beyond the announced time until the target reports that it is warm", "[places]")
 {
