Find lost collectors sooner

Reports now wait 300 ms for a response instead of 400, a proxy without one keeps to its share after 350 ms instead of 450, and a substitute calls two proxies of each data centre. The failure of the second one does not change which is called first.

The quotas tests and the proxy tests [quotas] pass.

--- a/include/dandeliondock/dandeliondock.h
+++ b/include/dandeliondock/dandeliondock.h
@@ -12,6 +12,7 @@
 #include <dandeliondock/codec/control_codec.h>
 #include <dandeliondock/codec/protobuf_codec.h>
 #include <dandeliondock/codec/proxy_codec.h>
+#include <dandeliondock/codec/quota_codec.h>
 #include <dandeliondock/codec/record_codec.h>
 #include <dandeliondock/codec/row_codec.h>
 #include <dandeliondock/codec/snapshot_cache.h>
@@ -93,6 +94,7 @@
 #include <dandeliondock/proxy/proxy.h>
 #include <dandeliondock/proxy/proxy_config.h>
 #include <dandeliondock/proxy/proxy_settings.h>
+#include <dandeliondock/proxy/quota_exchange.h>
 #include <dandeliondock/proxy/relay_parent.h>
 #include <dandeliondock/proxy/rollout_control.h>
 #include <dandeliondock/proxy/service_versions.h>
@@ -103,6 +105,18 @@
 #include <dandeliondock/proxy/target_load.h>
 #include <dandeliondock/proxy/target_messages.h>
 #include <dandeliondock/proxy/weighted_choice.h>
+#include <dandeliondock/quotas/account_usage.h>
+#include <dandeliondock/quotas/admitted_share.h>
+#include <dandeliondock/quotas/collector_choice.h>
+#include <dandeliondock/quotas/quota_bounds.h>
+#include <dandeliondock/quotas/quota_collector.h>
+#include <dandeliondock/quotas/quota_decision.h>
+#include <dandeliondock/quotas/quota_intervals.h>
+#include <dandeliondock/quotas/quota_limiter.h>
+#include <dandeliondock/quotas/quota_messages.h>
+#include <dandeliondock/quotas/quota_peer.h>
+#include <dandeliondock/quotas/token_bucket.h>
+#include <dandeliondock/quotas/usage_window.h>
 #include <dandeliondock/rollout/local_guard.h>
 #include <dandeliondock/rollout/outcome_aggregator.h>
 #include <dandeliondock/rollout/outcomes.h>
--- a/include/dandeliondock/proxy/quota_exchange.h
+++ b/include/dandeliondock/proxy/quota_exchange.h
@@ -26,7 +26,7 @@
 inline constexpr absl::string_view quotaSumsPath = "/dock/quota-sums";
 /// \brief Time in which a collector must respond. Within a data centre a response takes about 1 ms, and up to 0.2 s
 /// when both event loops are late.
-inline constexpr Milliseconds quotaCallTimeout{400};
+inline constexpr Milliseconds quotaCallTimeout{300};
 
 /// \brief Response to a message of another proxy.
 struct PeerResponse
--- a/include/dandeliondock/quotas/collector_choice.h
+++ b/include/dandeliondock/quotas/collector_choice.h
@@ -40,14 +40,17 @@
     /// \brief Returns the collectors with which the proxy \c self, which acts as a collector, exchanges its sums.
     ///
     /// The first proxy of a data centre calls the data centres whose names follow and is called by the others. A proxy
-    /// that collects in place of the first one calls all of them, its own included.
+    /// that collects in place of the first one calls all of them, its own included, and two proxies of each: several
+    /// first proxies may be lost at once.
     [[nodiscard]] QuotaPeers exchangePartners(const QuotaPeer &self) const;
 
-    /// \brief Records that \c partner did not respond to sums or collects nothing; the next of the first
-    /// exchangeCandidates proxies of its data centre is called instead.
+    /// \brief Records that \c partner did not respond to sums or collects nothing. If it is the proxy that is called
+    /// first, the next of the first exchangeCandidates proxies of its data centre is called instead.
     void recordExchangeFailure(const QuotaPeer &partner);
 
 private:
+    /// Proxy of a data centre that is called first for offset 0, second for 1; null when there are fewer.
+    [[nodiscard]] const QuotaPeer *candidate(const DataCentreName &dataCentre, std::size_t offset) const;
     [[nodiscard]] bool isExcluded(const Address &address, MonotonicTime now) const;
 
     QuotaPeers m_peers; ///< sorted
--- a/include/dandeliondock/quotas/quota_limiter.h
+++ b/include/dandeliondock/quotas/quota_limiter.h
@@ -19,7 +19,7 @@
 namespace dandeliondock {
 
 /// \brief Time without a response to a report after which a proxy keeps to the share that it had last.
-inline constexpr Milliseconds quotaGrantLifetime{450};
+inline constexpr Milliseconds quotaGrantLifetime{350};
 /// \brief Time without a response after which a proxy keeps to an equal share of the quota, because the others use what
 /// it had before.
 inline constexpr Milliseconds lastShareLifetime{10'000};
--- a/src/quotas/collector_choice.cpp
+++ b/src/quotas/collector_choice.cpp
@@ -39,30 +39,45 @@
     return first == m_peers.end() || first->address == self.address;
 }
 
+const QuotaPeer *CollectorChoice::candidate(const DataCentreName &dataCentre, std::size_t offset) const
+{
+    const auto isIn = [&](const QuotaPeer &peer) { return peer.dataCentre == dataCentre; };
+    const auto begin = std::find_if(m_peers.begin(), m_peers.end(), isIn);
+    const auto end = std::find_if_not(begin, m_peers.end(), isIn);
+    const auto candidates = std::min(exchangeCandidates, static_cast<std::size_t>(end - begin));
+    if (offset >= candidates)
+        return nullptr;
+    const auto failures = m_exchangeFailures.find(dataCentre);
+    const std::size_t skipped = failures == m_exchangeFailures.end() ? 0 : failures->second;
+    return &*(begin + static_cast<std::ptrdiff_t>((skipped + offset) % candidates));
+}
+
 QuotaPeers CollectorChoice::exchangePartners(const QuotaPeer &self) const
 {
     const bool isSelfFirst = isFirst(self);
+    const std::size_t called = isSelfFirst ? 1 : 2;
     QuotaPeers partners;
-    for (auto begin = m_peers.begin(); begin != m_peers.end();) {
-        const DataCentreName &dataCentre = begin->dataCentre;
-        const auto end = std::find_if(begin, m_peers.end(),
-                                      [&](const QuotaPeer &peer) { return peer.dataCentre != dataCentre; });
-        if (!isSelfFirst || dataCentre > self.dataCentre) {
-            const auto failures = m_exchangeFailures.find(dataCentre);
-            const std::size_t skipped = failures == m_exchangeFailures.end() ? 0 : failures->second;
-            const auto candidates = std::min(exchangeCandidates, static_cast<std::size_t>(end - begin));
-            const QuotaPeer &partner = *(begin + static_cast<std::ptrdiff_t>(skipped % candidates));
-            if (partner != self)
-                partners.push_back(partner);
+    const DataCentreName *previous = nullptr;
+    for (const QuotaPeer &peer : m_peers) {
+        if (previous && *previous == peer.dataCentre)
+            continue;
+        previous = &peer.dataCentre;
+        if (isSelfFirst && peer.dataCentre <= self.dataCentre)
+            continue;
+        for (std::size_t offset = 0; offset < called; ++offset) {
+            const QuotaPeer *partner = candidate(peer.dataCentre, offset);
+            if (partner && *partner != self)
+                partners.push_back(*partner);
         }
-        begin = end;
     }
     return partners;
 }
 
 void CollectorChoice::recordExchangeFailure(const QuotaPeer &partner)
 {
-    ++m_exchangeFailures[partner.dataCentre];
+    const QuotaPeer *first = candidate(partner.dataCentre, 0);
+    if (first && *first == partner)
+        ++m_exchangeFailures[partner.dataCentre];
 }
 
 } // namespace dandeliondock
--- a/tests/quotas/collector_choice_test.cpp
+++ b/tests/quotas/collector_choice_test.cpp
@@ -45,8 +45,8 @@
     CollectorChoice choice = choiceOf();
     CHECK(choice.exchangePartners(a1) == QuotaPeers{b1});
     CHECK(choice.exchangePartners(b1).empty());
-    CHECK(choice.exchangePartners(a2) == QuotaPeers{a1, b1});
-    CHECK(choice.exchangePartners(b2) == QuotaPeers{a1, b1});
+    CHECK(choice.exchangePartners(a2) == QuotaPeers{a1, b1, b2});
+    CHECK(choice.exchangePartners(b2) == QuotaPeers{a1, a2, b1});
 }
 
 // Guards against a data centre that stays unknown because its first proxy is lost.
@@ -55,6 +55,10 @@
     CollectorChoice choice = choiceOf();
     choice.recordExchangeFailure(b1);
     CHECK(choice.exchangePartners(a1) == QuotaPeers{b2});
+    // A substitute calls both; the failure of the second one changes nothing.
+    CHECK(choice.exchangePartners(a2) == QuotaPeers{a1, b2, b1});
+    choice.recordExchangeFailure(b1);
+    CHECK(choice.exchangePartners(a1) == QuotaPeers{b2});
     choice.recordExchangeFailure(b2);
     CHECK(choice.exchangePartners(a1) == QuotaPeers{b1});
 }
--- a/tests/quotas/quota_replay_model.cpp
+++ b/tests/quotas/quota_replay_model.cpp
@@ -14,7 +14,7 @@
 
 constexpr double sizeExponent = 1.2;
 constexpr double largestDemand = 7.5;
-constexpr ReplaySeconds reportTimeout = 0.4;
+constexpr ReplaySeconds reportTimeout = 0.3;
 constexpr ReplaySeconds windowLength = 5;
 
 AccountName nameOf(std::size_t account)
