--- a/include/dandeliondock/proxy/rollout_control.h
+++ b/include/dandeliondock/proxy/rollout_control.h
@@ -23,8 +23,8 @@
 inline constexpr Milliseconds driverTimeout{1'600};
 /// \brief Extra delay per rank before a proxy claims a rollout, so that the proxies of a service try one after another.
 inline constexpr Milliseconds driverStagger{300};
-/// \brief Number of proxies that try one after another; the others try almost at once, because several that do not claim
-/// are lost, and a claim that comes second only fails.
+/// \brief Number of proxies that try one after another; the others try almost at once, because several that do not
+/// claim are lost, and a claim that comes second only fails.
 inline constexpr std::size_t staggeredClaims = 3;
 /// \brief Extra delay per rank beyond staggeredClaims, and the largest sum of these.
 inline constexpr Milliseconds lateClaimStagger{10};
--- a/include/dandeliondock/proxy/target_load.h
+++ b/include/dandeliondock/proxy/target_load.h
@@ -19,7 +19,7 @@
 
     Microseconds workTime{0};      ///< mean work time of the request's route on this target; 0 when it is unknown
     std::uint32_t workPercent = 0; ///< work time that the target reports for the moment, 100 is usual; 0 when unknown
-    ColdReport cold{}; ///< limit on the rate of the target, if it is cold
+    ColdReport cold{};             ///< limit on the rate of the target, if it is cold
 
     bool operator==(const TargetLoad &) const = default;
 };
