--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -44,9 +44,9 @@
 TrafficDuty::TrafficDuty(EventLoop &loop, const ProxySettings &settings, const PlatformAdapter &adapter,
                          MetricsRegistry &metrics, LogSink log, std::function<void(TrafficUpdate)> publish)
     : m_loop(loop), m_settings(settings), m_adapter(adapter), m_metrics(metrics), m_log(std::move(log)),
-      m_publish(std::move(publish)),
-      m_account(std::make_shared<ReceiveAccount>(loop, receiveLimitsFor(settings.memoryLimit, settings.descriptorLimit),
-                                                 [this](const ShedHolder &holder) { recordShed(holder); })),
+      m_publish(std::move(publish)), m_receiveAccount(std::make_shared<ReceiveAccount>(
+                                             loop, receiveLimitsFor(settings.memoryLimit, settings.descriptorLimit),
+                                             [this](const ShedHolder &holder) { recordShed(holder); })),
       m_client(loop, clientLimits()), m_pacer(loop, settings.responseRate), m_inbound(inboundDependencies()),
       m_quotas(settings.quota, systemRandom()), m_forwarder(forwarderDependencies()),
       m_callerServer(loop, [this](const HttpRequestContextPtr &context) { m_forwarder.handle(context); }),
@@ -125,10 +125,10 @@
     m_inboundServer.setLimits(limits);
     m_callerServer.setConcurrency([this](const HttpRequest &request) { return isConcurrent(request); });
     m_callerServer.onConcurrencyEvent([this](ConcurrencyEvent event) { recordConcurrencyEvent(event); });
-    m_client.setReceiveAccount(m_account);
+    m_client.setReceiveAccount(m_receiveAccount);
     for (AsyncHttpServer *server : {&m_callerServer, &m_healthServer, &m_announcementServer, &m_metricsServer})
-        server->setReceiveAccount(m_account);
-    m_inboundServer.setReceiveAccount(m_account, inboundRefusalHeaders());
+        server->setReceiveAccount(m_receiveAccount);
+    m_inboundServer.setReceiveAccount(m_receiveAccount, inboundRefusalHeaders());
     m_callerServer.setTransferHooks(m_pacer.hooks());
     m_inboundServer.setTransferHooks(m_pacer.hooks());
     return absl::OkStatus();
@@ -366,7 +366,7 @@
             .field("callers", m_callerServer.connections())
             .field("open", m_callerServer.activeRequests())
             .field("jobs", m_inbound.openJobs())
-            .field("held_bytes", m_account->budget().held().value());
+            .field("held_bytes", m_receiveAccount->budget().held().value());
 }
 
 void TrafficDuty::recordShed(const ShedHolder &holder)
@@ -378,8 +378,8 @@
     LogEvent(LogLevel::Warn, "connection.shed")
             .field("activity", activity)
             .field("bytes", holder.status.bytes.value())
-            .field("held_bytes", m_account->budget().held().value())
-            .field("connections", m_account->budget().connections().value())
+            .field("held_bytes", m_receiveAccount->budget().held().value())
+            .field("connections", m_receiveAccount->budget().connections().value())
             .write(m_log);
 }
 
--- a/src/proxy/traffic_duty.h
+++ b/src/proxy/traffic_duty.h
@@ -121,7 +121,7 @@
     MetricsRegistry &m_metrics;
     LogSink m_log;
     std::function<void(TrafficUpdate)> m_publish;
-    std::shared_ptr<ReceiveAccount> m_account;
+    std::shared_ptr<ReceiveAccount> m_receiveAccount;
     AsyncHttpClient m_client;
     LinkPacer m_pacer;
     InboundHandler m_inbound;
