Keep the framing of a response to HEAD when its handler took the request

A handler that forwards a request moves its method away, so that the response was framed as one with a body. Found while reading; the test guards it.

--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -54,7 +54,7 @@
 public:
     SessionRequest(HttpRequest request, bool keepAlive, unsigned version)
         : m_request(std::move(request)), m_receivedBytes(m_request.body.size() + headReadSize), m_keepAlive(keepAlive),
-          m_version(version)
+          m_version(version), m_isHead(m_request.method == "HEAD")
     {
     }
 
@@ -112,6 +112,8 @@
     [[nodiscard]] bool isConcurrent() const noexcept { return m_isConcurrent; }
     [[nodiscard]] bool keepAlive() const noexcept { return m_keepAlive; }
     [[nodiscard]] unsigned version() const noexcept { return m_version; }
+    /// \brief Whether the response has no body. The handler may have moved the method out of the request.
+    [[nodiscard]] bool isHead() const noexcept { return m_isHead; }
 
 private:
     std::shared_ptr<ServerSession> m_session;
@@ -122,6 +124,7 @@
     bool m_isConcurrent = false;
     bool m_keepAlive;
     unsigned m_version;
+    bool m_isHead;
     std::function<void()> m_onCancelled;
 };
 
@@ -417,13 +420,13 @@
     const bool keepAlive = request.keepAlive() && !isLast;
     http::response<http::string_body> message(static_cast<http::status>(response.status), request.version());
     copyHeaders(response.headers, message);
-    const bool isHead = request.request().method == "HEAD";
     message.keep_alive(keepAlive);
     if (!keepAlive)
         m_closesAfterResponse = true;
-    message.body() = std::move(response.body);
-    if (!isHead)
+    if (!request.isHead()) {
+        message.body() = std::move(response.body);
         message.prepare_payload();
+    }
     write(std::move(message), response.isUrgent);
 }
 
--- a/tests/http/async_server_test.cpp
+++ b/tests/http/async_server_test.cpp
@@ -500,4 +500,22 @@
     CHECK(std::chrono::steady_clock::now() - begin < Milliseconds(3'500));
 }
 
+// Guards against a response to HEAD that is framed as one with a body: a handler that forwards the request moves its
+// method away before it responds.
+TEST_CASE("the response to a HEAD request has no body although the handler took the request", "[http]")
+{
+    TestServer server([](const HttpRequestContextPtr &context) {
+        const HttpRequest taken = std::move(context->request());
+        HttpResponse response;
+        response.headers.add("Content-Length", "5");
+        response.body = taken.method;
+        context->respond(std::move(response));
+    });
+    RawConnection connection(server.port());
+    connection.write("HEAD /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+    const std::string received = connection.readAll();
+    CHECK_THAT(received, Catch::Contains("Content-Length: 5\r\n"));
+    CHECK_THAT(received, Catch::EndsWith("\r\n\r\n"));
+}
+
 } // namespace dandeliondock::testing
