Make the tests of concurrent requests independent of the machine's speed

The test of the bound now waits for the beginning of the long response. Where a test expects calls of the handler, it waits for their number and then for the quiet time, so that no check became weaker, and responding to a request that is not held fails the test.

--- a/tests/http/pipelining_test.cpp
+++ b/tests/http/pipelining_test.cpp
@@ -4,6 +4,8 @@
 
 #include <dandeliondock/http/async_server.h>
 
+#include <absl/strings/str_cat.h>
+
 #include <catch2/catch.hpp>
 
 #include <rapidcheck.h>
@@ -11,6 +13,7 @@
 #include <algorithm>
 #include <atomic>
 #include <condition_variable>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -73,9 +76,11 @@
         return m_handled;
     }
 
-    /// Returns the targets of all calls of the handler after a time in which a faulty server would make another one.
-    Targets handledAfterQuietTime()
+    /// Waits until the handler was called this often, and returns the targets of all calls after a further time in
+    /// which a faulty server would make another one.
+    Targets handledAfterQuietTime(std::size_t count)
     {
+        static_cast<void>(handled(count));
         std::this_thread::sleep_for(quietTime);
         return handled(0);
     }
@@ -90,12 +95,12 @@
 
     void respond(const std::string &target, std::size_t bodySize = 0)
     {
-        m_thread.run([&] { respondTo(take(target), bodySize); });
+        REQUIRE(onHeld(target, [&](const HttpRequestContextPtr &request) { respondTo(request, bodySize); }));
     }
 
     void abort(const std::string &target)
     {
-        m_thread.run([&] { take(target)->abort(); });
+        REQUIRE(onHeld(target, [](const HttpRequestContextPtr &request) { request->abort(); }));
     }
 
     void drain()
@@ -159,12 +164,16 @@
         m_held[target] = request;
     }
 
-    HttpRequestContextPtr take(const std::string &target)
+    bool onHeld(const std::string &target, const std::function<void(const HttpRequestContextPtr &)> &action)
     {
-        const auto node = m_held.extract(target);
-        if (node.empty())
-            throw std::runtime_error(target + " is not held");
-        return node.mapped();
+        bool isHeld = false;
+        m_thread.run([&] {
+            const auto node = m_held.extract(target);
+            isHeld = !node.empty();
+            if (isHeld)
+                action(node.mapped());
+        });
+        return isHeld;
     }
 
     static void respondTo(const HttpRequestContextPtr &request, std::size_t bodySize)
@@ -224,7 +233,7 @@
     PipeliningServer server(false);
     RawConnection connection(server.port());
     connection.write(get("/hold/1") + get("/a/2"));
-    CHECK(server.handledAfterQuietTime() == Targets{"/hold/1"});
+    CHECK(server.handledAfterQuietTime(1) == Targets{"/hold/1"});
     server.respond("/hold/1");
     CHECK(answered(connection.readUntil("[/a/2]")) == Targets{"/hold/1", "/a/2"});
 }
@@ -273,9 +282,9 @@
     PipeliningServer server;
     RawConnection connection(server.port());
     connection.write(get("/hold/1") + post("/hold/2") + get("/hold/3"));
-    CHECK(server.handledAfterQuietTime() == Targets{"/hold/1"});
+    CHECK(server.handledAfterQuietTime(1) == Targets{"/hold/1"});
     server.respond("/hold/1");
-    CHECK(server.handledAfterQuietTime() == Targets{"/hold/1", "/hold/2"});
+    CHECK(server.handledAfterQuietTime(2) == Targets{"/hold/1", "/hold/2"});
     server.respond("/hold/2");
     CHECK(server.handled(3) == Targets{"/hold/1", "/hold/2", "/hold/3"});
     server.respond("/hold/3");
@@ -293,12 +302,12 @@
         requests += get("/hold/" + std::to_string(index));
     connection.write(requests);
     static_cast<void>(server.handled(bound));
-    CHECK(server.handledAfterQuietTime().size() == bound);
+    CHECK(server.handledAfterQuietTime(bound).size() == bound);
     server.respond("/hold/1"); // a ready response that waits still counts
-    CHECK(server.handledAfterQuietTime().size() == bound);
+    CHECK(server.handledAfterQuietTime(bound).size() == bound);
     server.respond("/hold/0");
     static_cast<void>(server.handled(bound + 2));
-    CHECK(server.handledAfterQuietTime().size() == bound + 2);
+    CHECK(server.handledAfterQuietTime(bound + 2).size() == bound + 2);
 }
 
 // Guards against a client that fills the memory with ready responses behind a request that it knows to be slow.
@@ -310,7 +319,7 @@
     static_cast<void>(server.handled(2));
     server.respond("/hold/2", 1'100'000);
     connection.write(get("/a/3"));
-    CHECK(server.handledAfterQuietTime() == Targets{"/hold/1", "/hold/2"});
+    CHECK(server.handledAfterQuietTime(2) == Targets{"/hold/1", "/hold/2"});
     server.respond("/hold/1");
     CHECK(answered(connection.readUntil("[/a/3]")) == Targets{"/hold/1", "/hold/2", "/a/3"});
 }
@@ -331,8 +340,9 @@
     CHECK(server.unwrittenResponses() == 1);
     CHECK(server.events(ConcurrencyEvent::ResponsesDropped) == 1);
     server.respond("/hold/1");
+    std::string received = connection.readUntil("[/hold/2]"); // it is being written, and does not count any more
     server.respond("/hold/3");
-    const std::string received = connection.readAll();
+    received += connection.readAll();
     CHECK(answered(received) == Targets{"/hold/1", "/hold/2", "/hold/3"});
     CHECK_THAT(received.substr(received.rfind("HTTP/1.1")), Catch::Contains("Connection: close"));
     CHECK(server.activeRequests() == 0);
@@ -353,7 +363,7 @@
             CHECK(server.handled(4).size() == 4);
         }
         CHECK(server.cancelled(3) == Targets{"/hold/1", "/hold/2", "/hold/4"});
-        CHECK(server.handledAfterQuietTime().size() == 4);
+        CHECK(server.handledAfterQuietTime(4).size() == 4);
         CHECK(server.activeRequests() == 0);
         CHECK(server.unwrittenResponses() == 0);
         CHECK(server.connections() == 0);
@@ -378,7 +388,7 @@
     const std::size_t close = received.find("Connection: close");
     CHECK(close > received.find("[/hold/2]"));
     CHECK(close < received.find("[/hold/3]"));
-    CHECK(server.handledAfterQuietTime() == Targets{"/hold/1", "/hold/2", "/hold/3"});
+    CHECK(server.handledAfterQuietTime(3) == Targets{"/hold/1", "/hold/2", "/hold/3"});
     CHECK(server.activeRequests() == 0);
 }
 
@@ -391,7 +401,7 @@
     static_cast<void>(server.handled(1));
     server.drain();
     connection.write(get("/a/2"));
-    CHECK(server.handledAfterQuietTime() == Targets{"/hold/1"});
+    CHECK(server.handledAfterQuietTime(1) == Targets{"/hold/1"});
     server.respond("/hold/1");
     CHECK_THAT(connection.readAll(), Catch::Contains("Connection: close") && !Catch::Contains("[/a/2]"));
 }
@@ -402,13 +412,13 @@
     PipeliningServer server;
     RawConnection connection(server.port());
     connection.write(get("/hold/1") + get("/hold/2", "Connection: close\r\n") + get("/a/3") + post("/a/4"));
-    CHECK(server.handledAfterQuietTime() == Targets{"/hold/1", "/hold/2"});
+    CHECK(server.handledAfterQuietTime(2) == Targets{"/hold/1", "/hold/2"});
     server.respond("/hold/2");
     server.respond("/hold/1");
     const std::string received = connection.readUntil("[/hold/2]");
     CHECK(answered(received) == Targets{"/hold/1", "/hold/2"});
     connection.write(post("/a/5"));
-    CHECK(server.handledAfterQuietTime() == Targets{"/hold/1", "/hold/2"});
+    CHECK(server.handledAfterQuietTime(2) == Targets{"/hold/1", "/hold/2"});
 }
 
 // Guards against an order that runs although it arrived after the response that closed its connection.
@@ -420,7 +430,7 @@
         connection.write(get("/a/1", "Connection: close\r\n"));
         CHECK(answered(connection.readUntil("[/a/1]")) == Targets{"/a/1"});
         connection.write(post("/a/2"));
-        CHECK(server.handledAfterQuietTime() == Targets{"/a/1"});
+        CHECK(server.handledAfterQuietTime(1) == Targets{"/a/1"});
     }
 }
 
@@ -457,7 +467,7 @@
 
     RawConnection other(server.port());
     other.write(get("/hold/5") + get("/throw/6") + get("/a/7"));
-    CHECK(server.handledAfterQuietTime().back() == "/throw/6");
+    CHECK(server.handledAfterQuietTime(6).back() == "/throw/6");
     server.respond("/hold/5");
     CHECK(answered(other.readAll()) == Targets{"/hold/5"});
 
@@ -518,7 +528,7 @@
     constexpr std::size_t bodySize = 8'000'000; // more than the sockets' buffers hold, below the limit of the server
     const std::string body(bodySize, 'x');
     for (const std::string &upload :
-         {"PUT /b/2? HTTP/1.1\r\nContent-Length: " + std::to_string(bodySize) + endOfHead + body,
+         {absl::StrCat("PUT /b/2? HTTP/1.1\r\nContent-Length: ", bodySize, endOfHead, body),
           "PUT /b/2? HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n7A1200\r\n" + body + "\r\n0\r\n\r\n"}) {
         PipeliningServer server;
         RawConnection connection(server.port());
@@ -529,7 +539,7 @@
             connection.write(upload + get("/a/3"));
             isSent = true;
         });
-        CHECK(server.handledAfterQuietTime() == Targets{"/hold/1"});
+        CHECK(server.handledAfterQuietTime(1) == Targets{"/hold/1"});
         CHECK_FALSE(isSent);
         server.respond("/hold/1");
         CHECK(answered(connection.readUntil("[/a/3]")) == Targets{"/hold/1", "/b/2?" + body, "/a/3"});
@@ -544,9 +554,9 @@
     RawConnection connection(server.port());
     const std::string keepAlive = " HTTP/1.0\r\nHost: h\r\nConnection: keep-alive\r\n\r\n";
     connection.write("GET /hold/1" + keepAlive + "GET /hold/2" + keepAlive + "GET /a/3 HTTP/1.0\r\n\r\n" + get("/a/4"));
-    CHECK(server.handledAfterQuietTime() == Targets{"/hold/1"});
+    CHECK(server.handledAfterQuietTime(1) == Targets{"/hold/1"});
     server.respond("/hold/1");
-    CHECK(server.handledAfterQuietTime() == Targets{"/hold/1", "/hold/2"});
+    CHECK(server.handledAfterQuietTime(2) == Targets{"/hold/1", "/hold/2"});
     server.respond("/hold/2");
     CHECK(answered(connection.readAll()) == Targets{"/hold/1", "/hold/2", "/a/3"});
 }
