--- a/tests/http/pipelining_test.cpp
+++ b/tests/http/pipelining_test.cpp
@@ -179,7 +179,7 @@
     static void respondTo(const HttpRequestContextPtr &request, std::size_t bodySize)
     {
         HttpResponse response;
-        response.body = "[" + request->request().target + request->request().body + "]";
+        response.body = "[" + request->request().target + request->request().body.text() + "]";
         response.body.resize(std::max(response.body.size(), bodySize), 'x');
         request->respond(std::move(response));
     }
