Queue a request before those that it displaces are refused

A request of this proxy that is refused may come back within the call, so that the inbound handler is entered again. The request that displaced it was then in the queue but not yet among the waiting jobs: it could be displaced or taken for a slot without being found, and was refused only when its time was over. It is now entered first. Found by reading; there is no test for it.

--- a/src/proxy/inbound_handler.cpp
+++ b/src/proxy/inbound_handler.cpp
@@ -83,8 +83,8 @@
     const MonotonicTime queueDeadline = softDeadline - m_dependencies.link->transferTime(response);
     const InboundAdmission admission =
             m_queue.admit(job->waiter, {request.route, request.workClass, request.maxWait}, queueDeadline, now);
-    refuseDisplaced(admission.displaced);
     if (admission.verdict == InboundVerdict::Refuse) {
+        refuseDisplaced(admission.displaced);
         refuse(job, InboundRefusal::Busy, admission.retryAfter);
         return;
     }
@@ -102,6 +102,8 @@
             refuse(waiting, InboundRefusal::Late, Microseconds{0});
         }
     });
+    // A refused request of this proxy may come back within the call, so that this job must already be waiting.
+    refuseDisplaced(admission.displaced);
 }
 
 void InboundHandler::refuseDisplaced(const std::vector<WaiterId> &displaced)
