--- a/tests/proxy/quota_exchange_test.cpp
+++ b/tests/proxy/quota_exchange_test.cpp
@@ -74,7 +74,7 @@
             m_exchange = std::make_unique<QuotaExchange>(std::move(dependencies));
             m_server = std::make_unique<AsyncHttpServer>(m_thread.loop(), [this](const HttpRequestContextPtr &context) {
                 ++messages;
-                PeerResponse handled = m_exchange->handle(context->request().target, context->request().body);
+                PeerResponse handled = m_exchange->handle(context->request().target, context->request().body.text());
                 HttpResponse response;
                 response.status = handled.status;
                 response.body = std::move(handled.body);
