--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -1,5 +1,7 @@
 #include "server_session.h"
 
+#include "session_request.h"
+
 #include <algorithm>
 #include <functional>
 #include <iterator>
@@ -20,8 +22,6 @@
 // Time after which a client may repeat a request that was refused because connections hold too much. Stalled ones are
 // closed within this time.
 constexpr absl::string_view refusalRetryAfter = "1";
-// Bytes of the head of a response, for the account of what is written.
-constexpr std::uint64_t assumedHeadSize = 300;
 
 http::status statusForError(const error_code &error)
 {
@@ -48,86 +48,6 @@
 
 } // namespace
 
-/// \brief A request that a session has read, until its response is written, or until it is aborted or cancelled.
-class SessionRequest : public HttpRequestContext
-{
-public:
-    SessionRequest(HttpRequest request, bool keepAlive, unsigned version)
-        : m_request(std::move(request)), m_receivedBytes(m_request.body.size() + headReadSize), m_keepAlive(keepAlive),
-          m_version(version), m_isHead(m_request.method == "HEAD")
-    {
-    }
-
-    /// \brief Must be called before the request is handed to the handler.
-    void begin(std::shared_ptr<ServerSession> session, bool isConcurrent)
-    {
-        m_session = std::move(session);
-        m_arrivedAt = EventLoop::now();
-        m_isConcurrent = isConcurrent;
-    }
-
-    const HttpRequest &request() const noexcept override { return m_request; }
-    HttpRequest &request() noexcept override { return m_request; }
-    MonotonicTime arrivedAt() const noexcept override { return m_arrivedAt; }
-
-    void respond(HttpResponse response) override
-    {
-        m_onCancelled = nullptr;
-        m_request.body = {}; // not needed while the response is written
-        if (const auto session = std::exchange(m_session, nullptr))
-            session->respond(this, std::move(response));
-    }
-
-    void abort() override
-    {
-        m_onCancelled = nullptr;
-        if (const auto session = std::exchange(m_session, nullptr))
-            session->abort(this);
-    }
-
-    void onCancelled(std::function<void()> hook) override { m_onCancelled = std::move(hook); }
-
-    void notifyCancelled()
-    {
-        m_session.reset();
-        if (const auto hook = std::exchange(m_onCancelled, nullptr))
-            hook();
-    }
-
-    /// \brief Keeps the response until it can be written, and frees the request.
-    void holdResponse(HttpResponse response)
-    {
-        m_request.headers = {};
-        m_request.body = {};
-        m_response = std::move(response);
-    }
-
-    [[nodiscard]] HttpResponse takeResponse() { return *std::exchange(m_response, std::nullopt); }
-
-    [[nodiscard]] bool hasResponse() const noexcept { return m_response.has_value(); }
-    [[nodiscard]] std::size_t heldBytes() const noexcept
-    {
-        return m_response ? m_response->body.size() + assumedHeadSize : m_receivedBytes;
-    }
-    [[nodiscard]] bool isConcurrent() const noexcept { return m_isConcurrent; }
-    [[nodiscard]] bool keepAlive() const noexcept { return m_keepAlive; }
-    [[nodiscard]] unsigned version() const noexcept { return m_version; }
-    /// \brief Whether the response has no body. The handler may have moved the method out of the request.
-    [[nodiscard]] bool isHead() const noexcept { return m_isHead; }
-
-private:
-    std::shared_ptr<ServerSession> m_session;
-    HttpRequest m_request;
-    std::optional<HttpResponse> m_response; ///< ready, and waiting for the responses before it
-    std::size_t m_receivedBytes;
-    MonotonicTime m_arrivedAt;
-    bool m_isConcurrent = false;
-    bool m_keepAlive;
-    unsigned m_version;
-    bool m_isHead;
-    std::function<void()> m_onCancelled;
-};
-
 ServerSession::ServerSession(StreamSocket socket, std::shared_ptr<ServerState> server)
     : m_socket(std::move(socket)), m_server(std::move(server)), m_lastActivity(EventLoop::now())
 {
@@ -193,13 +113,15 @@
     }
 }
 
-// The body of a request behind others is read only if it fits into the bound, and if its client does not wait for a
-// status 100, which cannot be written before the other responses.
+// The body of a request behind others is read only if it fits into the bound. On a server with concurrent requests, the
+// bound counts what they hold, and a client that waits for a status 100 waits until the earlier responses are written.
 bool ServerSession::mayReadBody() const
 {
     if (isIdle())
         return true;
     const auto length = m_parser->content_length();
+    if (!m_server->isConcurrent)
+        return length && *length <= maxConcurrentBytes;
     return length && heldBytes() + *length <= maxConcurrentBytes
            && !boost::beast::iequals(m_parser->get()[http::field::expect], "100-continue");
 }
