Give two tests of the control duty the hook for evacuated data centres

Two merged parts met: the control duty asks the adapter's hook for each row of the operator's table, and these tests, written beside it, had none, so that it threw before it read an order or a configuration. No check changed.

--- a/tests/proxy/confirmation_test.cpp
+++ b/tests/proxy/confirmation_test.cpp
@@ -5,6 +5,7 @@
 #include <catch2/catch.hpp>
 
 #include <memory>
+#include <optional>
 #include <thread>
 #include <vector>
 
@@ -44,6 +45,9 @@
             respond(std::move(handler), Milliseconds(10), false);
         };
         dependencies.documents.table = table;
+        dependencies.documents.evacuatedDataCentre = [](const RowKey &) -> std::optional<DataCentreName> {
+            return std::nullopt;
+        };
         dependencies.documents.read = [hasAccounts](const TableRow &) -> absl::StatusOr<OperatorDocument> {
             std::vector<ClientAccount> accounts;
             if (hasAccounts)
--- a/tests/proxy/control_duty_test.cpp
+++ b/tests/proxy/control_duty_test.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <atomic>
 #include <memory>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -119,6 +120,9 @@
         thread.loop().post([handler] { handler(TableCommitResult{true, RowVersion(2)}); });
     };
     dependencies.documents.table = TableName("op");
+    dependencies.documents.evacuatedDataCentre = [](const RowKey &) -> std::optional<DataCentreName> {
+        return std::nullopt;
+    };
     dependencies.documents.read = [](const TableRow &) -> absl::StatusOr<OperatorDocument> {
         return RolloutOrder{TicketNumber(7), ServiceName("s"), VersionName("v2"), Seconds(16)};
     };
