--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -348,6 +348,8 @@
     if (!request.isHead()) {
         message.body() = std::move(response.body);
         message.prepare_payload();
+    } else if (const auto length = response.headers.first("Content-Length")) {
+        message.set(http::field::content_length, boost::beast::string_view(length->data(), length->size()));
     }
     write(std::move(message), response.isUrgent);
 }
