--- a/include/dandeliondock/admission/attempt_gate.h
+++ b/include/dandeliondock/admission/attempt_gate.h
@@ -16,8 +16,8 @@
 /// \brief Attempts that may be sent for each accepted one. With 2, half of the attempts still test whether there is
 /// room.
 inline constexpr double attemptsPerAccepted = 2.0;
-/// \brief The same for critical requests, which displace others where they arrive. With 2, 264 instead of 77 of 5,226
-/// of them were refused in a replay.
+/// \brief The same for critical requests. They displace others where they arrive, so that more of their further
+/// attempts are accepted.
 inline constexpr double criticalAttemptsPerAccepted = 4.0;
 /// \brief Attempts of a route that must be known before any is withheld.
 inline constexpr double minGatedAttempts = 8;
--- a/include/dandeliondock/places/cold_admission.h
+++ b/include/dandeliondock/places/cold_admission.h
@@ -41,8 +41,8 @@
 inline constexpr Milliseconds suspicionReport{200};
 /// \brief Time after which a sender may try again at a target whose rate is not known yet.
 inline constexpr Milliseconds configurationDelay{100};
-/// \brief Longest wait that a sender is told. A hundred senders of a target with 10 requests per second fit; with 4 s,
-/// 80 of them had more requests refused than served.
+/// \brief Longest wait that a sender is told. A hundred senders of a target with 10 requests per second fit; with a
+/// shorter one, many senders come back before their turn and are refused again.
 inline constexpr Milliseconds maxColdWait{10'000};
 
 /// \brief Decides how many requests the target on this instance gets while it is cold.
