--- a/review/standins-2/standins.h
+++ b/review/standins-2/standins.h
@@ -117,7 +117,9 @@
         if (fd >= 0)
             ::setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     }
-    Connection(Connection &&other) noexcept : m_fd(std::exchange(other.m_fd, -1)), m_buffer(std::move(other.m_buffer)) {}
+    Connection(Connection &&other) noexcept : m_fd(std::exchange(other.m_fd, -1)), m_buffer(std::move(other.m_buffer))
+    {
+    }
     Connection &operator=(Connection &&other) noexcept
     {
         close();
@@ -193,8 +195,6 @@
 
     [[nodiscard]] bool isTimedOut() const { return m_isTimedOut; }
 
-    std::string m_unread() const { return m_buffer; }
-
     struct Message
     {
         std::string startLine;
@@ -211,14 +211,10 @@
         }
         [[nodiscard]] bool hasHeader(const std::string &name) const
         {
-            return std::any_of(headers.begin(), headers.end(), [&](const auto &line) {
-                return ::strcasecmp(line.first.c_str(), name.c_str()) == 0;
-            });
-        }
-        [[nodiscard]] int status() const
-        {
-            return startLine.size() > 12 ? std::atoi(startLine.c_str() + 9) : 0;
+            return std::any_of(headers.begin(), headers.end(),
+                               [&](const auto &line) { return ::strcasecmp(line.first.c_str(), name.c_str()) == 0; });
         }
+        [[nodiscard]] int status() const { return startLine.size() > 12 ? std::atoi(startLine.c_str() + 9) : 0; }
         [[nodiscard]] std::string method() const { return startLine.substr(0, startLine.find(' ')); }
         [[nodiscard]] std::string target() const
         {
@@ -408,8 +404,7 @@
 {
 public:
     explicit Store(Record &record)
-        : m_record(record),
-          m_server(freePort(), [this](Connection &connection, const Message &request) {
+        : m_record(record), m_server(freePort(), [this](Connection &connection, const Message &request) {
               return handle(connection, request);
           })
     {
@@ -608,8 +603,11 @@
             const long version = found == m_state.rows.end() ? 0 : found->second.version;
             isMet = isMet && version == condition.at("ver").get<long>();
             if (found != m_state.rows.end())
-                current.push_back({{"table", key.first}, {"part", ""}, {"key", key.second},
-                                   {"value", found->second.value}, {"ver", version}});
+                current.push_back({{"table", key.first},
+                                   {"part", ""},
+                                   {"key", key.second},
+                                   {"value", found->second.value},
+                                   {"ver", version}});
         }
         if (!isMet)
             return answer(connection, lock, 412, {{"rows", current}});
@@ -641,7 +639,10 @@
                 hasMore = true;
                 break;
             }
-            rows.push_back({{"table", key.first}, {"part", ""}, {"key", key.second}, {"value", row.value},
+            rows.push_back({{"table", key.first},
+                            {"part", ""},
+                            {"key", key.second},
+                            {"value", row.value},
                             {"ver", row.version}});
         }
         return answer(connection, lock, 200, {{"rows", rows}, {"has_more", hasMore}});
@@ -669,7 +670,9 @@
                       [](const Change *left, const Change *right) { return left->version < right->version; });
             json rows = json::array();
             for (const Change *change : ordered) {
-                json row = {{"table", change->key.first}, {"part", ""}, {"key", change->key.second},
+                json row = {{"table", change->key.first},
+                            {"part", ""},
+                            {"key", change->key.second},
                             {"ver", change->version}};
                 if (change->value)
                     row["value"] = *change->value;
@@ -767,10 +770,9 @@
 public:
     Backend(const Machine &machine, std::string id, Record &record, Runs &runs, std::string version = "v1")
         : m_machine(machine), m_id(std::move(id)), m_version(std::move(version)), m_record(record), m_runs(runs),
-          m_born(unixMs()), m_server(machine.app,
-                                     [this](Connection &connection, const Message &request) {
-                                         return handle(connection, request);
-                                     }),
+          m_born(unixMs()),
+          m_server(machine.app,
+                   [this](Connection &connection, const Message &request) { return handle(connection, request); }),
           m_heartbeats([this] { beat(); })
     {
     }
@@ -827,8 +829,8 @@
     bool call(const std::string &target, const json &body)
     {
         Connection connection = Connection::open(m_machine.control);
-        if (!connection.write(requestText("POST", target,
-                                          {{"Host", "control"}, {"Content-Type", "application/json"}}, body.dump())))
+        if (!connection.write(requestText("POST", target, {{"Host", "control"}, {"Content-Type", "application/json"}},
+                                          body.dump())))
             return false;
         const auto response = connection.read(1'000);
         return response && response->status() / 100 == 2;
@@ -836,16 +838,15 @@
 
     bool sendHeartbeat()
     {
-        return call("/api/rpc?call=instances.heartbeat&of=" + m_id,
-                    {{"service", m_machine.service},
-                     {"address", localAddress(m_machine.app)},
-                     {"zone", m_machine.zone},
-                     {"version", m_version},
-                     {"slots", 16},
-                     {"state", m_isDraining ? "draining" : "ready"},
-                     {"cold_remaining_ms", 0},
-                     {"sequence", ++m_sequence},
-                     {"born", m_born}});
+        return call("/api/rpc?call=instances.heartbeat&of=" + m_id, {{"service", m_machine.service},
+                                                                     {"address", localAddress(m_machine.app)},
+                                                                     {"zone", m_machine.zone},
+                                                                     {"version", m_version},
+                                                                     {"slots", 16},
+                                                                     {"state", m_isDraining ? "draining" : "ready"},
+                                                                     {"cold_remaining_ms", 0},
+                                                                     {"sequence", ++m_sequence},
+                                                                     {"born", m_born}});
     }
 
     void beat()
@@ -863,7 +864,8 @@
     {
         const std::string attempt = request.header("X-Dandeliondock-Attempt-Id");
         if (request.target() == "/health")
-            return connection.write(responseText(m_isDraining ? 503 : 200, {{"X-Dandeliondock-Instance-Id", m_id}}, ""));
+            return connection.write(
+                    responseText(m_isDraining ? 503 : 200, {{"X-Dandeliondock-Instance-Id", m_id}}, ""));
         const std::string expected = request.header("X-Dandeliondock-Expect-Instance");
         if (!expected.empty() && expected != m_id)
             return connection.write(responseText(
@@ -873,10 +875,9 @@
         if (work)
             answer = work(request);
         sleepMs(answer.first);
-        return connection.write(responseText(200,
-                                             {{"X-Dandeliondock-Attempt-Id", attempt},
-                                              {"X-Dandeliondock-Server-Seal", "seal-" + attempt}},
-                                             answer.second));
+        return connection.write(responseText(
+                200, {{"X-Dandeliondock-Attempt-Id", attempt}, {"X-Dandeliondock-Server-Seal", "seal-" + attempt}},
+                answer.second));
     }
 
     Machine m_machine;
@@ -931,7 +932,8 @@
 class Proxy
 {
 public:
-    Proxy(const Machine &machine, const Store &store, TemporaryFolder &folder, Record &record, json more = json::object())
+    Proxy(const Machine &machine, const Store &store, TemporaryFolder &folder, Record &record,
+          json more = json::object())
         : m_machine(machine), m_record(record), m_settings(folder.file(machine.name + ".json")),
           m_log(folder.file(machine.name + ".log"))
     {
@@ -1109,8 +1111,8 @@
 
 inline json route(const std::string &prefix, const std::string &service, const std::string &kind = "safe")
 {
-    return {{"host", "feed.example"},      {"prefix", prefix},  {"kind", kind},       {"timeout_ms", 2'000},
-            {"target_latency_ms", 300}, {"priority", 1}, {"service", service}, {"max_attempts", 2}};
+    return {{"host", "feed.example"},   {"prefix", prefix}, {"kind", kind},       {"timeout_ms", 2'000},
+            {"target_latency_ms", 300}, {"priority", 1},    {"service", service}, {"max_attempts", 2}};
 }
 
 inline json limits()
