--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -1,4 +1,5 @@
-// A configuration adds a route for the loading docks. Its requests must be served as often as those on the first routes.
+// A configuration adds an unsafe route for the loading docks. Its requests must be served as often as those on the
+// first route.
 #include "../standins-2/standins.h"
 
 using namespace review;
@@ -10,11 +11,9 @@
 
 json configuration(const std::string &version, bool hasDocks)
 {
-    json routes = {{"documents", route("/documents/", "doc-store")}, {"orders", route("/orders/", "doc-store", "unsafe")}};
-    if (hasDocks) {
-        routes["docks"] = route("/dock/", "doc-store");
-        routes["docks"]["max_attempts"] = 2;
-    }
+    json routes = {{"orders", route("/orders/", "doc-store", "unsafe")}};
+    if (hasDocks)
+        routes["docks"] = route("/dock/", "doc-store", "unsafe");
     return {{"version", version},
             {"routes", routes},
             {"services", {{"quote-desk", service()}, {"doc-store", service()}}},
@@ -56,8 +55,8 @@
     sleepMs(configApplyMs + contactMs);
 
     // Clients of the quote-desk machines. Without the names that the product uses itself, the docks have numbers.
-    const std::vector<std::string> pages = isTroubleOn() ? std::vector<std::string>{"table", "outcomes"}
-                                                         : std::vector<std::string>{"1", "2"};
+    const std::vector<std::string> pages =
+            isTroubleOn() ? std::vector<std::string>{"table", "outcomes"} : std::vector<std::string>{"1", "2"};
     int firstSent = 0;
     int firstServed = 0;
     int addedSent = 0;
@@ -69,16 +68,19 @@
                 continue;
             for (const std::string &page : pages) {
                 ++firstSent;
-                firstServed += send(machine, {.path = "/documents/" + page}, record).status == 200 ? 1 : 0;
+                const Answer first =
+                        send(machine, {.method = "POST", .path = "/orders/" + page, .body = "order"}, record);
+                firstServed += first.status == 200 ? 1 : 0;
                 ++addedSent;
-                const Answer answer = send(machine, {.path = "/dock/" + page}, record);
+                const Answer answer =
+                        send(machine, {.method = "POST", .path = "/dock/" + page, .body = "order"}, record);
                 addedServed += answer.status == 200 ? 1 : 0;
                 addedRun += runs.of(answer.attempt).empty() ? 0 : 1;
             }
         }
         sleepMs(50);
     }
-    record.line("requests on the first routes: " + std::to_string(firstServed) + " of " + std::to_string(firstSent)
+    record.line("requests on the first route: " + std::to_string(firstServed) + " of " + std::to_string(firstSent)
                 + " served; on the route that was added later: " + std::to_string(addedServed) + " of "
                 + std::to_string(addedSent) + " served, " + std::to_string(addedRun) + " run by a backend");
     if (firstServed < firstSent / 2)
