--- a/include/dandeliondock/codec/table_codec.h
+++ b/include/dandeliondock/codec/table_codec.h
@@ -13,7 +13,7 @@
 struct TablePoll
 {
     TableName table;
-    RowVersion after;
+    TableVersion after;
     bool isFull = false; ///< requests all rows instead of the changes after a version
 };
 
--- a/include/dandeliondock/core/log_event.h
+++ b/include/dandeliondock/core/log_event.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <dandeliondock/core/table_version.h>
+
 #include <absl/status/status.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/string_view.h>
@@ -31,6 +33,12 @@
 
     LogEvent &field(absl::string_view key, bool value) { return field(key, value ? "true" : "false"); }
 
+    /// \brief Adds a field with the era and the version, such as 2.1047.
+    LogEvent &field(absl::string_view key, const TableVersion &value)
+    {
+        return field(key, absl::string_view(absl::StrCat(value.era.value(), ".", value.version.value())));
+    }
+
     template <typename Number>
     requires(std::is_arithmetic_v<Number> && !std::is_same_v<Number, bool>) LogEvent &field(absl::string_view key,
                                                                                             Number value)
--- a/include/dandeliondock/places/evacuations.h
+++ b/include/dandeliondock/places/evacuations.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliondock/core/ids.h>
+#include <dandeliondock/core/table_version.h>
 
 #include <map>
 #include <set>
@@ -12,7 +13,7 @@
 struct EvacuationRow
 {
     DataCentreName dataCentre;
-    RowVersion version;
+    TableVersion version;
 };
 
 /// \brief Evacuation rows that one read of the operator's table returned.
@@ -20,7 +21,7 @@
 {
     std::vector<EvacuationRow> declared;
     std::vector<DataCentreName> ended; ///< data centres whose rows were removed
-    RowVersion asOfVersion;            ///< version of the table that the read covers
+    TableVersion asOfVersion;          ///< version of the table that the read covers
     bool isFull = false;               ///< rows that are not in declared do not exist
 };
 
@@ -39,11 +40,11 @@
     [[nodiscard]] std::set<DataCentreName> dataCentres() const;
 
     /// \brief Returns the evacuated data centres with the versions of their rows.
-    [[nodiscard]] const std::map<DataCentreName, RowVersion> &rows() const noexcept { return m_rows; }
+    [[nodiscard]] const std::map<DataCentreName, TableVersion> &rows() const noexcept { return m_rows; }
 
 private:
-    std::map<DataCentreName, RowVersion> m_rows;
-    RowVersion m_asOfVersion;
+    std::map<DataCentreName, TableVersion> m_rows;
+    TableVersion m_asOfVersion;
 };
 
 } // namespace dandeliondock
--- a/include/dandeliondock/proxy/control_duty.h
+++ b/include/dandeliondock/proxy/control_duty.h
@@ -69,6 +69,10 @@
 /// once for each proxy.
 inline constexpr Milliseconds coldStartSpread{1'000};
 
+/// \brief Time for which a target whose row was lost when the table came back from an older copy stays in use, so that
+/// its proxy can write the row again. A row that is still missing after about two seconds is that of a lost target.
+inline constexpr Milliseconds rowRewriteTime{2'500};
+
 /// \brief Dependencies of the control duty.
 struct ControlDutyDependencies
 {
@@ -127,9 +131,14 @@
     void applyOperatorRows(const TableReadResult &result);
     void applyEvacuations(const TableReadResult &result, bool isFull);
     void applySharedRows(const TableReadResult &result, bool isFull);
-    void applySharedRow(const TableRow &row);
-    void removeSharedRow(const RowKey &key);
-    void removeMissingTargets(const TableReadResult &result);
+    void applySharedRow(const TableRow &row, const TableVersion &version, bool isNewEra);
+    void applyEndpoint(const Endpoint &endpoint, bool isNewEra);
+    void applyServiceVersions(const ServiceVersions &versions, const TableVersion &version, bool isNewEra);
+    void removeSharedRow(const RowKey &key, const TableVersion &asOfVersion);
+    void removeTarget(const Address &address);
+    /// Handles the rows that are not in a full read.
+    void handleMissingRows(const TableReadResult &result, bool isNewEra);
+    void removeUnconfirmedTargets();
     void declareServiceVersion();
     void recordTableTime(const TableReadResult &result);
     void publishConfirmation(const TableReadResult &result);
@@ -137,6 +146,7 @@
     [[nodiscard]] std::uint32_t servingCount(const VersionName &version) const;
     /// Rank of this proxy among the proxies of its service whose targets serve, by inbound address.
     [[nodiscard]] std::size_t rank() const;
+    [[nodiscard]] static ControlDutyDependencies withCheckedEras(ControlDutyDependencies dependencies);
     [[nodiscard]] RolloutControlDependencies rolloutDependencies();
     [[nodiscard]] TableRelayClientDependencies relayClientDependencies();
     [[nodiscard]] TableRelayServerDependencies relayServerDependencies();
@@ -160,6 +170,9 @@
     ConfirmationProbe m_confirmationProbe;
     Evacuations m_evacuations;
     std::map<Address, Endpoint> m_endpoints; ///< by inbound address
+    std::set<Address> m_unconfirmedTargets;  ///< their rows have to be written again, see rowRewriteTime
+    LoopTimer m_unconfirmedTargetsTimer;
+    std::optional<StoreEra> m_sharedEra; ///< in which the shared table was last read
     absl::flat_hash_map<ServiceName, ServiceVersions> m_serviceVersions;
     std::optional<Endpoint> m_localTarget;
     LoopTimer m_serviceRowTimer;
--- a/include/dandeliondock/proxy/operator_documents.h
+++ b/include/dandeliondock/proxy/operator_documents.h
@@ -27,8 +27,9 @@
 struct OperatorTableCodec
 {
     TableName table;
-    /// Decodes a row. Returns InvalidRow when the row cannot be used; the last valid one stays in force.
-    std::function<absl::StatusOr<OperatorDocument>(const TableRow &)> read;
+    /// Decodes a row that was read in an era of the table. Returns InvalidRow when the row cannot be used; the last
+    /// valid one stays in force.
+    std::function<absl::StatusOr<OperatorDocument>(const TableRow &, StoreEra)> read;
     /// Returns the data centre that a row with this key evacuates; empty for any other key. Removed rows have no value,
     /// so that only their key tells what ended.
     std::function<std::optional<DataCentreName>(const RowKey &)> evacuatedDataCentre;
--- a/include/dandeliondock/proxy/rollout_control.h
+++ b/include/dandeliondock/proxy/rollout_control.h
@@ -10,6 +10,7 @@
 #include <dandeliondock/rollout/outcome_aggregator.h>
 #include <dandeliondock/rollout/rollout_driver.h>
 
+#include <deque>
 #include <functional>
 #include <memory>
 #include <optional>
@@ -34,6 +35,9 @@
 inline constexpr Milliseconds completionNoticeDelay{1'300};
 /// \brief Time before the end of an order's duration that is reserved for the completion notice to reach the operator.
 inline constexpr Milliseconds noticeReserve{3'000};
+/// \brief Time from the first read of the table in an era in which the operator may have written orders again that the
+/// table had lost. A new order for the same version of a service takes longer than that.
+inline constexpr Milliseconds orderRewriteTime{5'000};
 /// \brief Path of the inbound listener at which the driver of a rollout receives outcome reports.
 inline constexpr absl::string_view outcomesPath = "/dock/outcomes";
 
@@ -71,10 +75,16 @@
 public:
     explicit RolloutControl(RolloutControlDependencies dependencies);
 
-    /// \brief Applies the service's row as read from the table; ignores a version older than the one applied.
-    void setRow(const ServiceVersions &versions, RowVersion version);
+    /// \brief Applies the service's row as read from the table; ignores a version older than the one applied. A row of
+    /// a later era that lacks known progress is not applied; it is written again.
+    void setRow(const ServiceVersions &versions, const TableVersion &version);
 
-    /// \brief Applies an operator's order; ignores one that is not newer than the latest.
+    /// \brief Takes note that a version of the table has no row of the service. A row that was known before is written
+    /// again.
+    void handleRowAbsent(const TableVersion &asOfVersion);
+
+    /// \brief Applies an operator's order; ignores one that is not newer than the latest, and one that was known in an
+    /// earlier era of the table.
     void setOrder(const RolloutOrder &order);
 
     /// \brief Records the outcome of an attempt on the local target, for the next report to the driver.
@@ -93,6 +103,13 @@
     /// Whether the stored row contains a running rollout.
     [[nodiscard]] bool isRolloutRunning() const;
     [[nodiscard]] bool isDriver() const;
+    /// Whether an order of a later era is one that was known before the table came back from an older copy.
+    [[nodiscard]] bool isKnownOrder(const RolloutOrder &order) const;
+    /// Whether the latest order has not started a rollout yet.
+    [[nodiscard]] bool isOrderPending() const;
+    /// Schedules the write of the known versions to a row that has lost them.
+    void scheduleRestore();
+    void restoreRow();
     void scheduleTick();
     void tick();
     void claimIfDue();
@@ -115,8 +132,14 @@
     RolloutControlDependencies m_dependencies;
     std::optional<ServiceVersions> m_storedVersions; ///< as stored in the row
     std::optional<ServiceVersions> m_knownVersions;  ///< with changes that are known before the row is written
-    RowVersion m_rowVersion;
+    TableVersion m_rowVersion;                       ///< absent if the table has no row
+    std::optional<MonotonicTime> m_restoreAt;        ///< when this proxy writes lost progress to the row again
+    StoreEra m_orderEra;                             ///< latest era in which an order was read
+    MonotonicTime m_orderEraSeenAt;                  ///< when an order was first read in that era
+    bool m_isOrderRewritten = false;                 ///< m_order may be one that was written again after a loss
     std::optional<RolloutOrder> m_order;
+    TicketNumber m_latestOrderNumber; ///< including those of orders that were known before
+    std::deque<RolloutOrder> m_earlierOrders;
     OutcomeAggregator m_outcomes;
     std::optional<RolloutDriver> m_driver;
     WallTime m_orderReadAt;           ///< when the order was read, on the table's clock
--- a/include/dandeliondock/proxy/service_versions.h
+++ b/include/dandeliondock/proxy/service_versions.h
@@ -16,7 +16,7 @@
 /// \brief An operator's order to roll out a version of a service.
 struct RolloutOrder
 {
-    TicketNumber number; ///< increases with each order
+    TicketNumber number; ///< increases with each order; see orderNumber()
     ServiceName service;
     VersionName target;
     Milliseconds duration{0};
@@ -66,6 +66,10 @@
 /// \brief Returns the traffic split in force; empty when the current version carries all traffic. Thread-safe.
 [[nodiscard]] std::optional<VersionSplit> versionSplit(const ServiceVersions &versions, std::uint32_t newTargets);
 
+/// \brief Whether a service's row lacks progress of its rollouts that is known, because the row is of an older copy of
+/// the table. Thread-safe.
+[[nodiscard]] bool isBehind(const ServiceVersions &row, const ServiceVersions &known);
+
 /// \brief Whether targets of a version may serve requests. Thread-safe.
 [[nodiscard]] bool mayServe(const ServiceVersions &versions, const VersionName &version);
 
--- a/include/dandeliondock/proxy/table_relay_server.h
+++ b/include/dandeliondock/proxy/table_relay_server.h
@@ -55,7 +55,7 @@
     /// A child's poll for changes that has no response yet.
     struct HeldPoll
     {
-        RowVersion after;
+        TableVersion after;
         MonotonicTime heldSince;
         std::function<void(int, std::string)> respond;
         LoopTimer holdTimer;
--- a/include/dandeliondock/proxy/table_watch.h
+++ b/include/dandeliondock/proxy/table_watch.h
@@ -27,7 +27,7 @@
 inline constexpr std::size_t maxSupersededChanges = 2;
 
 /// \brief Watches one table: reads it in full, then polls for changes, and reads it in full again when changes were
-/// missed.
+/// missed or the table is of another era.
 ///
 /// Changes that arrive after the response timeout are applied as well, unless newer ones are known.
 ///
@@ -48,7 +48,7 @@
     void start();
 
     /// \brief Returns the version up to which changes are applied.
-    [[nodiscard]] RowVersion asOfVersion() const noexcept { return m_asOfVersion; }
+    [[nodiscard]] const TableVersion &asOfVersion() const noexcept { return m_asOfVersion; }
 
     /// \brief Applies the result of a poll that the owner made for the changes after asOfVersion(); the watch goes on
     /// polling as before. An error has no effect.
@@ -67,6 +67,8 @@
     void pollChanges();
     void handleResult(absl::StatusOr<TableReadResult> result, bool isFull);
     void handleLateResult(const absl::StatusOr<TableReadResult> &result);
+    /// Whether a result may be applied to the rows that were applied before.
+    [[nodiscard]] bool isApplicable(const TableReadResult &result, bool isFull) const;
     void apply(const TableReadResult &result, bool isFull);
     void handleFailure(const absl::Status &status);
 
@@ -79,7 +81,7 @@
     Handler m_handler;
     CurrentHandler m_onCurrentChanged;
     LoopTimer m_timer;
-    RowVersion m_asOfVersion;
+    TableVersion m_asOfVersion;
     std::uint64_t m_lastPoll = 0; ///< number of the latest poll for changes
     int m_failures = 0;
     bool m_isSynced = false;
--- a/include/dandeliondock/proxy/target_row.h
+++ b/include/dandeliondock/proxy/target_row.h
@@ -39,7 +39,8 @@
 ///
 /// The row outlives the process: it tells the next process at this address what this one has acknowledged to the
 /// target. It is read from the platform before the first write, and each write is conditional on the version last seen,
-/// so that a late write of an earlier process replaces no newer record.
+/// so that a late write of an earlier process replaces no newer record. When the table comes back from an older copy,
+/// the row is read, and written again if it was lost.
 ///
 /// \remark Belongs to the control duty's thread.
 class TargetRow
@@ -55,15 +56,21 @@
     /// \brief Writes a record, and retries until the row holds it or another one is announced.
     void announce(const Endpoint &endpoint);
 
-    /// \brief Takes note of a version of the row in the shared table, 0 if the row was removed. A version of another
-    /// writer is read, and replaced by the announced record.
-    void handleTableVersion(RowVersion version);
+    /// \brief Takes note of the row's version in the shared table. The version of another writer is read, and its
+    /// record is replaced by the announced one.
+    void handleTableVersion(const TableVersion &version);
+
+    /// \brief Takes note that a version of the shared table has no such row. If the row was written before, it is
+    /// written again.
+    void handleRowAbsent(const TableVersion &asOfVersion);
 
     /// \brief Returns the key of the row of the target behind an inbound address. Thread-safe.
     [[nodiscard]] static RowKey keyOf(const Address &inboundAddress);
 
 private:
     void read();
+    /// Whether the row has to be read again because the shared table is of a later era than the row as known here.
+    [[nodiscard]] bool isOfEarlierEra() const { return m_version.era < m_tableEra; }
     void handleRead(const absl::StatusOr<TableReadResult> &result);
     void writeIfNeeded();
     void handleCommit(const Endpoint &written, const absl::StatusOr<TableCommitResult> &result);
@@ -72,7 +79,8 @@
     TargetRowDependencies m_dependencies;
     std::optional<Endpoint> m_announced;
     std::optional<Endpoint> m_stored; ///< record in the row as last read or written
-    RowVersion m_version;             ///< of m_stored; 0 if there is no row
+    TableVersion m_version;           ///< of m_stored; absent if there is no row
+    StoreEra m_tableEra;              ///< latest era in which the shared table was read
     bool m_isRead = false;            ///< the version is known, so that the row can be written
     bool m_isBusy = false;            ///< a read or write is in progress, or a retry is scheduled
     LoopTimer m_retryTimer;
--- a/src/codec/table_codec.cpp
+++ b/src/codec/table_codec.cpp
@@ -20,7 +20,8 @@
 {
     wire::TablePoll message;
     message.set_table(poll.table.value());
-    message.set_after(poll.after.value());
+    message.set_after(poll.after.version.value());
+    message.set_era(poll.after.era.value());
     message.set_whole(poll.isFull);
     return message.SerializeAsString();
 }
@@ -32,7 +33,8 @@
         return message.status();
     if (message->table().empty())
         return makeError(ErrorKind::InvalidMessage, "a call for changes names no table");
-    return TablePoll{TableName(message->table()), RowVersion(message->after()), message->whole()};
+    return TablePoll{
+            TableName(message->table()), {StoreEra(message->era()), RowVersion(message->after())}, message->whole()};
 }
 
 std::string encodeTableReadResult(const TableReadResult &result)
@@ -46,7 +48,8 @@
     }
     for (const RowKey &key : result.removed)
         message.add_removed(key.value());
-    message.set_up_to(result.asOfVersion.value());
+    message.set_up_to(result.asOfVersion.version.value());
+    message.set_era(result.asOfVersion.era.value());
     message.set_table_ms(result.tableTime.time_since_epoch().count());
     message.set_age_ms(static_cast<std::uint32_t>(std::max<Milliseconds::rep>(0, result.age.count())));
     message.set_held_ms(static_cast<std::uint32_t>(std::max<Milliseconds::rep>(0, result.holdTime.count())));
@@ -69,7 +72,7 @@
         result.rows.push_back({RowKey(row.key()), RowVersion(row.version()), row.value()});
     for (const std::string &key : message->removed())
         result.removed.emplace_back(key);
-    result.asOfVersion = RowVersion(message->up_to());
+    result.asOfVersion = {StoreEra(message->era()), RowVersion(message->up_to())};
     result.tableTime = WallTime(Milliseconds(message->table_ms()));
     result.age = Milliseconds(message->age_ms());
     result.holdTime = Milliseconds(message->held_ms());
--- a/src/places/evacuations.cpp
+++ b/src/places/evacuations.cpp
@@ -15,7 +15,7 @@
     for (const DataCentreName &dataCentre : changes.ended)
         m_rows.erase(dataCentre);
     for (const EvacuationRow &row : changes.declared) {
-        RowVersion &version = m_rows[row.dataCentre];
+        TableVersion &version = m_rows[row.dataCentre];
         version = std::max(version, row.version);
     }
     return dataCentres() != before;
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -1,6 +1,7 @@
 #include <dandeliondock/codec/proxy_codec.h>
 #include <dandeliondock/core/error.h>
 #include <dandeliondock/proxy/control_duty.h>
+#include <dandeliondock/store/era_checked_table.h>
 
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_join.h>
@@ -24,7 +25,7 @@
 } // namespace
 
 ControlDuty::ControlDuty(ControlDutyDependencies dependencies)
-    : m_dependencies(std::move(dependencies)),
+    : m_dependencies(withCheckedEras(std::move(dependencies))),
       m_loopMonitor(*m_dependencies.loop, "control", *m_dependencies.metrics, m_dependencies.log, [](LogEvent &) {}),
       m_relayClient(relayClientDependencies()), m_relayServer(relayServerDependencies()),
       m_table(m_relayClient.hooks()),
@@ -49,6 +50,12 @@
 {
 }
 
+ControlDutyDependencies ControlDuty::withCheckedEras(ControlDutyDependencies dependencies)
+{
+    dependencies.table = eraCheckedTable(*dependencies.loop, std::move(dependencies.table));
+    return dependencies;
+}
+
 TableRelayClientDependencies ControlDuty::relayClientDependencies()
 {
     TableRelayClientDependencies dependencies;
@@ -215,7 +222,7 @@
     ServiceVersions versions{m_localTarget->service, m_localTarget->version, std::nullopt};
     TableTransaction transaction;
     const RowKey key = serviceRowKey(m_localTarget->service);
-    transaction.conditions.push_back({sharedTable(), {key, RowVersion(0)}});
+    transaction.conditions.push_back({sharedTable(), key, TableVersion()});
     transaction.writes.push_back({sharedTable(), {key, encodeServiceVersions(versions)}});
     m_dependencies.table.commit(transaction, [this](const absl::StatusOr<TableCommitResult> &result) {
         if (!result.ok()) {
@@ -240,7 +247,7 @@
     changes.isFull = isFull;
     for (const TableRow &row : result.rows) {
         if (auto dataCentre = m_dependencies.documents.evacuatedDataCentre(row.key))
-            changes.declared.push_back({*std::move(dataCentre), row.version});
+            changes.declared.push_back({*std::move(dataCentre), result.versionOf(row)});
     }
     for (const RowKey &key : result.removed) {
         if (auto dataCentre = m_dependencies.documents.evacuatedDataCentre(key))
@@ -260,7 +267,7 @@
 {
     recordTableTime(result);
     for (const TableRow &row : result.rows) {
-        auto document = m_dependencies.documents.read(row);
+        auto document = m_dependencies.documents.read(row, result.asOfVersion.era);
         if (!document.ok()) {
             m_dependencies.metrics->counter("operator_rows_refused_total").add();
             LogEvent(LogLevel::Warn, "operator.row_refused")
@@ -306,77 +313,122 @@
 void ControlDuty::applySharedRows(const TableReadResult &result, bool isFull)
 {
     recordTableTime(result);
+    const bool isNewEra = m_sharedEra && *m_sharedEra != result.asOfVersion.era;
+    m_sharedEra = result.asOfVersion.era;
     for (const TableRow &row : result.rows)
-        applySharedRow(row);
+        applySharedRow(row, result.versionOf(row), isNewEra);
     for (const RowKey &key : result.removed)
-        removeSharedRow(key);
+        removeSharedRow(key, result.asOfVersion);
     if (isFull) {
-        removeMissingTargets(result);
+        handleMissingRows(result, isNewEra);
         declareServiceVersion();
     }
     startOperatorWatch();
     publishWhenSynced();
 }
 
-void ControlDuty::applySharedRow(const TableRow &row)
+// With isNewEra the row is of an older copy of the table: it does not replace what was known to be newer, because the
+// proxy that wrote the newer row writes it again.
+void ControlDuty::applySharedRow(const TableRow &row, const TableVersion &version, bool isNewEra)
 {
     absl::string_view name = row.key.value();
     absl::Status status;
     if (absl::ConsumePrefix(&name, targetRowPrefix)) {
         if (name == m_dependencies.inboundAddress.value())
-            m_targetRow.handleTableVersion(row.version);
+            m_targetRow.handleTableVersion(version);
         const auto endpoint = decodeTargetRow(Address(std::string(name)), row.value);
         status = endpoint.status();
-        if (endpoint.ok()) {
-            m_endpoints[endpoint->controlAddress] = *endpoint;
-            m_dependencies.publish(*endpoint);
-        }
+        if (endpoint.ok())
+            applyEndpoint(*endpoint, isNewEra);
     } else if (absl::ConsumePrefix(&name, serviceRowPrefix)) {
         const auto versions = decodeServiceVersions(ServiceName(std::string(name)), row.value);
         status = versions.status();
-        if (versions.ok()) {
-            m_serviceVersions[versions->service] = *versions;
-            if (versions->service == m_dependencies.service)
-                m_rolloutControl.setRow(*versions, row.version);
-            else
-                m_dependencies.publish(*versions);
-        }
+        if (versions.ok())
+            applyServiceVersions(*versions, version, isNewEra);
     }
     if (status.ok())
         return;
     m_dependencies.metrics->counter("table_rows_refused_total").add();
     LogEvent(LogLevel::Warn, "table.row_refused")
             .field("row", row.key)
-            .field("version", row.version)
+            .field("version", version)
             .error(status)
             .write(m_dependencies.log);
 }
 
-void ControlDuty::removeSharedRow(const RowKey &key)
+void ControlDuty::applyEndpoint(const Endpoint &endpoint, bool isNewEra)
+{
+    m_unconfirmedTargets.erase(endpoint.controlAddress);
+    const auto [known, isFirst] = m_endpoints.try_emplace(endpoint.controlAddress, endpoint);
+    if (!isFirst && isNewEra && endpoint.stamp < known->second.stamp)
+        return;
+    known->second = endpoint;
+    m_dependencies.publish(endpoint);
+}
+
+void ControlDuty::applyServiceVersions(const ServiceVersions &versions, const TableVersion &version, bool isNewEra)
+{
+    const auto [known, isFirst] = m_serviceVersions.try_emplace(versions.service, versions);
+    if (versions.service == m_dependencies.service) {
+        known->second = versions;
+        m_rolloutControl.setRow(versions, version);
+        return;
+    }
+    if (!isFirst && isNewEra && isBehind(versions, known->second))
+        return;
+    known->second = versions;
+    m_dependencies.publish(versions);
+}
+
+void ControlDuty::removeSharedRow(const RowKey &key, const TableVersion &asOfVersion)
 {
     absl::string_view name = key.value();
     if (!absl::ConsumePrefix(&name, targetRowPrefix))
         return;
     const Address address{std::string(name)};
+    removeTarget(address);
+    if (address == m_dependencies.inboundAddress)
+        m_targetRow.handleRowAbsent(asOfVersion);
+}
+
+void ControlDuty::removeTarget(const Address &address)
+{
+    m_unconfirmedTargets.erase(address);
     m_endpoints.erase(address);
     m_dependencies.publish(EndpointRemoved{address});
-    if (address == m_dependencies.inboundAddress)
-        m_targetRow.handleTableVersion(RowVersion());
 }
 
-void ControlDuty::removeMissingTargets(const TableReadResult &result)
+// A copy of the table lacks the rows of the targets that registered after it was made. They stay in use until their
+// proxies had time to write them again.
+void ControlDuty::handleMissingRows(const TableReadResult &result, bool isNewEra)
 {
     std::set<RowKey> presentKeys;
     for (const TableRow &row : result.rows)
         presentKeys.insert(row.key);
-    std::vector<RowKey> missingKeys;
+    if (!presentKeys.contains(TargetRow::keyOf(m_dependencies.inboundAddress)))
+        m_targetRow.handleRowAbsent(result.asOfVersion);
+    if (!presentKeys.contains(serviceRowKey(m_dependencies.service)))
+        m_rolloutControl.handleRowAbsent(result.asOfVersion);
+    std::vector<Address> missing;
     for (const auto &[address, endpoint] : m_endpoints) {
-        const RowKey key = TargetRow::keyOf(address);
-        if (!presentKeys.contains(key))
-            missingKeys.push_back(key);
+        if (!presentKeys.contains(TargetRow::keyOf(address)) && !m_unconfirmedTargets.contains(address))
+            missing.push_back(address);
+    }
+    if (!isNewEra) {
+        for (const Address &address : missing)
+            removeTarget(address);
+        return;
+    }
+    m_unconfirmedTargets.insert(missing.begin(), missing.end());
+    m_unconfirmedTargetsTimer = m_dependencies.loop->after(rowRewriteTime, [this] { removeUnconfirmedTargets(); });
+}
+
+void ControlDuty::removeUnconfirmedTargets()
+{
+    for (const Address &address : std::exchange(m_unconfirmedTargets, {})) {
+        LogEvent(LogLevel::Warn, "target.row_not_rewritten").field("proxy", address).write(m_dependencies.log);
+        removeTarget(address);
     }
-    for (const RowKey &key : missingKeys)
-        removeSharedRow(key);
 }
 
 void ControlDuty::publishWhenSynced()
--- a/src/proxy/rollout_control.cpp
+++ b/src/proxy/rollout_control.cpp
@@ -10,6 +10,8 @@
 
 // On a saturated link a response takes a second or more.
 constexpr Milliseconds reportTimeout{3'000};
+// Orders that are remembered to recognise them in an older copy of the table, which is some seconds old.
+constexpr std::size_t maxEarlierOrders = 16;
 
 } // namespace
 
@@ -27,11 +29,17 @@
            && m_knownVersions->rollout->driver == m_dependencies.inboundAddress;
 }
 
-void RolloutControl::setRow(const ServiceVersions &versions, RowVersion version)
+void RolloutControl::setRow(const ServiceVersions &versions, const TableVersion &version)
 {
     if (version < m_rowVersion)
         return;
+    const bool isOtherEra = version.era != m_rowVersion.era || m_restoreAt;
     m_rowVersion = version;
+    if (isOtherEra && m_knownVersions && isBehind(versions, *m_knownVersions)) {
+        scheduleRestore();
+        return;
+    }
+    m_restoreAt.reset();
     const bool neededCompletionNotice = needsCompletionNotice();
     m_storedVersions = versions;
     if (needsCompletionNotice() && !neededCompletionNotice)
@@ -40,6 +48,41 @@
     scheduleTick();
 }
 
+void RolloutControl::handleRowAbsent(const TableVersion &asOfVersion)
+{
+    if (!m_knownVersions || m_rowVersion.isAbsent() || asOfVersion < m_rowVersion)
+        return;
+    m_rowVersion = {asOfVersion.era, RowVersion()};
+    scheduleRestore();
+}
+
+// The driver writes first, because it knows of decisions that the others do not know yet.
+void RolloutControl::scheduleRestore()
+{
+    if (!m_restoreAt) {
+        m_restoreAt = EventLoop::now() + (isDriver() ? Milliseconds{0} : driverStagger + claimDelay());
+        LogEvent(LogLevel::Warn, "rollout.row_lost")
+                .field("service", m_dependencies.service)
+                .field("row_version", m_rowVersion)
+                .field("order", m_knownVersions->rollout ? m_knownVersions->rollout->record.ticket : TicketNumber())
+                .write(m_dependencies.log);
+    }
+    scheduleTick();
+}
+
+void RolloutControl::restoreRow()
+{
+    if (m_isWriting || EventLoop::now() < *m_restoreAt)
+        return;
+    std::optional<RolloutState> operatorStatus;
+    if (m_knownVersions->rollout) {
+        const RolloutProgress &rollout = *m_knownVersions->rollout;
+        if (rollout.record.state != RolloutState::Completed || rollout.isNotified)
+            operatorStatus = rollout.record.state;
+    }
+    writeRow(*m_knownVersions, operatorStatus);
+}
+
 // A row that was read before a known rollback was written does not undo that rollback.
 void RolloutControl::updateKnownVersions(const ServiceVersions &versions)
 {
@@ -66,8 +109,26 @@
 
 void RolloutControl::setOrder(const RolloutOrder &order)
 {
-    if (m_order && m_order->number >= order.number)
+    if (m_order && m_latestOrderNumber >= order.number)
+        return;
+    m_latestOrderNumber = order.number;
+    const StoreEra era = orderVersion(order.number).era;
+    if (m_orderEraSeenAt == MonotonicTime() || era > m_orderEra) {
+        m_orderEra = era;
+        m_orderEraSeenAt = EventLoop::now();
+    }
+    if (isKnownOrder(order)) {
+        LogEvent(LogLevel::Info, "rollout.order_known")
+                .field("service", order.service)
+                .field("target", order.target)
+                .field("order", order.number)
+                .write(m_dependencies.log);
         return;
+    }
+    m_isOrderRewritten = EventLoop::now() - m_orderEraSeenAt < orderRewriteTime;
+    m_earlierOrders.push_back(order);
+    if (m_earlierOrders.size() > maxEarlierOrders)
+        m_earlierOrders.pop_front();
     m_order = order;
     m_orderReadAt = m_dependencies.tableTime();
     m_earliestClaim = EventLoop::now() + claimDelay();
@@ -80,6 +141,32 @@
     scheduleTick();
 }
 
+bool RolloutControl::isKnownOrder(const RolloutOrder &order) const
+{
+    const TableVersion version = orderVersion(order.number);
+    const bool mayBeRewritten = EventLoop::now() - m_orderEraSeenAt < orderRewriteTime;
+    return std::any_of(m_earlierOrders.begin(), m_earlierOrders.end(), [&](const RolloutOrder &earlier) {
+        const TableVersion earlierVersion = orderVersion(earlier.number);
+        const bool isSameRow = earlierVersion.version == version.version;
+        return earlierVersion.era < version.era && earlier.target == order.target && (isSameRow || mayBeRewritten);
+    });
+}
+
+// A process that started after the table came back from an older copy knows no earlier order: the rollout in the
+// service's row tells which version the operator had ordered.
+bool RolloutControl::isOrderPending() const
+{
+    if (!m_order || !m_knownVersions)
+        return false;
+    const std::optional<RolloutProgress> &rollout = m_knownVersions->rollout;
+    if (!rollout)
+        return true;
+    const bool isOfEarlierEra = orderVersion(rollout->record.ticket).era < orderVersion(m_order->number).era;
+    if (isOfEarlierEra && m_isOrderRewritten && rollout->target == m_order->target)
+        return false;
+    return rollout->record.ticket < m_order->number;
+}
+
 void RolloutControl::record(const AttemptReport &report, TicketNumber rollout)
 {
     m_outcomes.record(rollout, report, EventLoop::now());
@@ -97,10 +184,7 @@
 
 void RolloutControl::scheduleTick()
 {
-    const bool hasPendingOrder =
-            m_order && m_knownVersions
-            && (!m_knownVersions->rollout || m_knownVersions->rollout->record.ticket < m_order->number);
-    if (!isRolloutRunning() && !hasPendingOrder && !needsCompletionNotice())
+    if (!isRolloutRunning() && !isOrderPending() && !needsCompletionNotice() && !m_restoreAt)
         return;
     m_tickTimer = m_dependencies.loop->after(rolloutInterval, [this] { tick(); });
 }
@@ -131,6 +215,11 @@
         scheduleTick();
         return;
     }
+    if (m_restoreAt) {
+        restoreRow();
+        scheduleTick();
+        return;
+    }
     claimIfDue();
     if (isRolloutRunning() && isDriver())
         runDriver();
@@ -146,10 +235,8 @@
     if (!m_knownVersions || m_isWriting)
         return;
     const MonotonicTime now = EventLoop::now();
-    const bool isOrderUnclaimed =
-            m_order && (!m_knownVersions->rollout || m_knownVersions->rollout->record.ticket < m_order->number);
     const bool isDriverGone = isRolloutRunning() && !isDriver() && now - m_lastDriverContact > takeoverDelay();
-    if ((isOrderUnclaimed && now >= m_earliestClaim) || isDriverGone)
+    if ((isOrderPending() && now >= m_earliestClaim) || isDriverGone)
         claim();
 }
 
@@ -171,7 +258,7 @@
 {
     ServiceVersions next = *m_knownVersions;
     const FencingToken fence(next.rollout ? next.rollout->fence.value() + 1 : 1);
-    if (m_order && (!next.rollout || next.rollout->record.ticket < m_order->number)) {
+    if (isOrderPending()) {
         RolloutProgress progress;
         progress.record = {m_order->number, m_dependencies.service, StageIndex(0), RolloutState::Running, {}};
         if (m_order->target == next.current)
@@ -253,8 +340,7 @@
         return;
     m_isWriting = true;
     TableTransaction transaction;
-    transaction.conditions.push_back(
-            {m_dependencies.sharedTable, {serviceRowKey(m_dependencies.service), m_rowVersion}});
+    transaction.conditions.push_back({m_dependencies.sharedTable, serviceRowKey(m_dependencies.service), m_rowVersion});
     transaction.writes.push_back(
             {m_dependencies.sharedTable, {serviceRowKey(m_dependencies.service), encodeServiceVersions(next)}});
     if (operatorStatus)
--- a/src/proxy/service_versions.cpp
+++ b/src/proxy/service_versions.cpp
@@ -56,6 +56,19 @@
                         stage.newTargetShare};
 }
 
+bool isBehind(const ServiceVersions &row, const ServiceVersions &known)
+{
+    if (!row.rollout || !known.rollout)
+        return known.rollout.has_value();
+    const RolloutRecord &rowRecord = row.rollout->record;
+    const RolloutRecord &knownRecord = known.rollout->record;
+    if (rowRecord.ticket != knownRecord.ticket)
+        return rowRecord.ticket < knownRecord.ticket;
+    if (rowRecord.state != knownRecord.state)
+        return rowRecord.state < knownRecord.state;
+    return rowRecord.stage < knownRecord.stage || (!row.rollout->isNotified && known.rollout->isNotified);
+}
+
 bool mayServe(const ServiceVersions &versions, const VersionName &version)
 {
     if (version == versions.current)
--- a/src/proxy/table_cache.cpp
+++ b/src/proxy/table_cache.cpp
@@ -9,8 +9,14 @@
 {
     if (result.asOfVersion < m_asOfVersion)
         return;
-    if (isFull)
+    if (isFull && result.asOfVersion.era != m_asOfVersion.era) {
+        // The versions of the cached rows and removals mean nothing in another era.
+        m_rows.clear();
+        m_removals.clear();
+        m_removalsKnownAfter = result.asOfVersion;
+    } else if (isFull) {
         removeMissing(result);
+    }
     for (const TableRow &row : result.rows) {
         TableRow &cachedRow = m_rows[row.key];
         if (cachedRow.version <= row.version)
@@ -31,7 +37,7 @@
 // Removes the cached rows that are not in the result of a full read.
 void TableCache::removeMissing(const TableReadResult &result)
 {
-    if (m_asOfVersion == RowVersion())
+    if (m_asOfVersion == TableVersion())
         m_removalsKnownAfter = result.asOfVersion;
     std::set<RowKey> presentKeys;
     for (const TableRow &row : result.rows)
@@ -56,7 +62,7 @@
     return result;
 }
 
-std::optional<TableReadResult> TableCache::changesSince(RowVersion after) const
+std::optional<TableReadResult> TableCache::changesSince(const TableVersion &after) const
 {
     if (after < m_removalsKnownAfter)
         return std::nullopt;
@@ -64,7 +70,7 @@
     result.asOfVersion = std::max(m_asOfVersion, after);
     result.tableTime = m_tableTime;
     for (const auto &[key, row] : m_rows) {
-        if (row.version > after)
+        if (TableVersion{m_asOfVersion.era, row.version} > after)
             result.rows.push_back(row);
     }
     for (const auto &[version, key] : m_removals) {
--- a/src/proxy/table_relay_client.cpp
+++ b/src/proxy/table_relay_client.cpp
@@ -401,10 +401,10 @@
 {
     AsyncTableHooks hooks = m_state->dependencies.platform;
     hooks.list = [state = m_state](const TableName &table, TableReadHandler handler) {
-        std::make_shared<impl::RelayedTableRead>(state, TablePoll{table, RowVersion(), true}, std::move(handler))
+        std::make_shared<impl::RelayedTableRead>(state, TablePoll{table, TableVersion(), true}, std::move(handler))
                 ->start();
     };
-    hooks.pollChanges = [state = m_state](const TableName &table, RowVersion after, Milliseconds,
+    hooks.pollChanges = [state = m_state](const TableName &table, const TableVersion &after, Milliseconds,
                                           TableReadHandler handler) {
         std::make_shared<impl::RelayedTableRead>(state, TablePoll{table, after, false}, std::move(handler))->start();
     };
--- a/src/proxy/table_watch.cpp
+++ b/src/proxy/table_watch.cpp
@@ -58,14 +58,15 @@
         handleFailure(result.status());
         return;
     }
-    // Older rows would replace the applied ones permanently, because only changes after m_asOfVersion are polled.
-    if (isFull && result->asOfVersion < m_asOfVersion) {
+    if (isFull && !isApplicable(*result, true)) {
         handleFailure(makeError(ErrorKind::StoreUnavailable, "the full read is older than the rows already applied"));
         return;
     }
     const std::size_t distinctChanges = result->rows.size() + result->removed.size();
-    m_needsFullRead = result->changes >= distinctChanges + maxSupersededChanges;
-    if (result->asOfVersion >= m_asOfVersion)
+    // Changes of a later era are not changes of the applied rows: the table was replaced by an older copy of itself.
+    const bool isLaterEra = !isFull && result->asOfVersion.era > m_asOfVersion.era;
+    m_needsFullRead = isLaterEra || result->changes >= distinctChanges + maxSupersededChanges;
+    if (isApplicable(*result, isFull))
         apply(*result, isFull);
     m_timer = m_loop.after(distinctChanges > 0 ? m_timing.batchDelay : Milliseconds{0}, [this] { readNext(); });
 }
@@ -73,10 +74,16 @@
 // Applies the result of a poll that timed out; the poll that replaced it continues.
 void TableWatch::handleLateResult(const absl::StatusOr<TableReadResult> &result)
 {
-    if (result.ok() && result->asOfVersion >= m_asOfVersion)
+    if (result.ok() && isApplicable(*result, false))
         apply(*result, false);
 }
 
+// Older rows would replace the applied ones permanently, because only changes after m_asOfVersion are polled.
+bool TableWatch::isApplicable(const TableReadResult &result, bool isFull) const
+{
+    return result.asOfVersion >= m_asOfVersion && (isFull || result.asOfVersion.era == m_asOfVersion.era);
+}
+
 void TableWatch::apply(const TableReadResult &result, bool isFull)
 {
     if (m_failures > 0 || !m_isSynced) {
@@ -94,6 +101,14 @@
                 .field("rows", result.unreadable)
                 .write(m_log);
     }
+    if (m_isSynced && result.asOfVersion.era != m_asOfVersion.era) {
+        LogEvent(LogLevel::Warn, "table.era_changed")
+                .field("table", m_name)
+                .field("from_version", m_asOfVersion)
+                .field("version", result.asOfVersion)
+                .field("rows", result.rows.size())
+                .write(m_log);
+    }
     m_failures = 0;
     m_isSynced = true;
     m_asOfVersion = std::max(m_asOfVersion, result.asOfVersion);
--- a/src/proxy/target_row.cpp
+++ b/src/proxy/target_row.cpp
@@ -27,10 +27,19 @@
     writeIfNeeded();
 }
 
-void TargetRow::handleTableVersion(RowVersion version)
+void TargetRow::handleTableVersion(const TableVersion &version)
 {
-    const bool isRemoved = version == RowVersion();
-    if (!m_isRead || m_isBusy || (isRemoved ? m_version == RowVersion() : version <= m_version))
+    m_tableEra = std::max(m_tableEra, version.era);
+    if (!m_isRead || m_isBusy || version <= m_version)
+        return;
+    m_isRead = false;
+    read();
+}
+
+void TargetRow::handleRowAbsent(const TableVersion &asOfVersion)
+{
+    m_tableEra = std::max(m_tableEra, asOfVersion.era);
+    if (!m_isRead || m_isBusy || m_version.isAbsent() || asOfVersion < m_version)
         return;
     m_isRead = false;
     read();
@@ -49,13 +58,17 @@
         retryLater(result.status());
         return;
     }
+    if (result->asOfVersion.era < m_tableEra) {
+        retryLater(makeError(ErrorKind::StoreUnavailable, "the row was read in an earlier era of the table"));
+        return;
+    }
     m_isBusy = false;
     m_isRead = true;
     m_stored.reset();
-    m_version = RowVersion();
+    m_version = {result->asOfVersion.era, RowVersion()};
     if (!result->rows.empty()) {
         const TableRow &row = result->rows.front();
-        m_version = row.version;
+        m_version = result->versionOf(row);
         // A row that cannot be decoded says nothing about the target and is replaced.
         if (auto record = decodeTargetRow(m_dependencies.inboundAddress, row.value); record.ok())
             m_stored = *std::move(record);
@@ -74,7 +87,7 @@
     m_isBusy = true;
     const RowKey key = keyOf(m_dependencies.inboundAddress);
     TableTransaction transaction;
-    transaction.conditions.push_back({m_dependencies.tableName, {key, m_version}});
+    transaction.conditions.push_back({m_dependencies.tableName, key, m_version});
     transaction.writes.push_back({m_dependencies.tableName, {key, encodeTargetRow(*m_announced)}});
     m_dependencies.table->commit(transaction,
                                  [this, written = *m_announced](const absl::StatusOr<TableCommitResult> &result) {
@@ -97,6 +110,12 @@
     m_stored = written;
     m_version = result->version;
     m_dependencies.onRecorded(written);
+    // The write took effect before the table came back from an older copy, which may be without it.
+    if (isOfEarlierEra()) {
+        m_isRead = false;
+        read();
+        return;
+    }
     writeIfNeeded();
 }
 
--- a/tests/places/evacuations_test.cpp
+++ b/tests/places/evacuations_test.cpp
@@ -1,3 +1,5 @@
+#include "support/table_versions.h"
+
 #include <dandeliondock/places/evacuations.h>
 
 #include <catch2/catch.hpp>
@@ -12,13 +14,15 @@
 namespace dandeliondock {
 namespace {
 
+using testing::tableVersion;
+
 const DataCentreName a("a");
 const DataCentreName b("b");
 
 EvacuationChanges read(std::uint64_t asOf, std::vector<EvacuationRow> declared, std::vector<DataCentreName> ended,
                        bool isFull = false)
 {
-    return {std::move(declared), std::move(ended), RowVersion(asOf), isFull};
+    return {std::move(declared), std::move(ended), tableVersion(asOf), isFull};
 }
 
 /// The operator's rows, with every change that was made to them.
@@ -49,7 +53,7 @@
         const auto rows = rowsAt(version);
         for (const auto &[dataCentre, rowVersion] : rows) {
             if (!after || rowVersion > *after)
-                result.declared.push_back({dataCentre, RowVersion(rowVersion)});
+                result.declared.push_back({dataCentre, tableVersion(rowVersion)});
         }
         for (std::uint64_t index = after.value_or(version); index < version; ++index) {
             if (!rows.contains(changes[index].dataCentre))
@@ -67,10 +71,10 @@
 TEST_CASE("an evacuation lasts from the declaration of its row to the removal", "[places]")
 {
     Evacuations evacuations;
-    CHECK(evacuations.apply(read(5, {{a, RowVersion(4)}, {b, RowVersion(5)}}, {}, true)));
+    CHECK(evacuations.apply(read(5, {{a, tableVersion(4)}, {b, tableVersion(5)}}, {}, true)));
     CHECK(evacuations.dataCentres() == std::set{a, b});
-    CHECK_FALSE(evacuations.apply(read(6, {{a, RowVersion(6)}}, {})));
-    CHECK(evacuations.rows().at(a) == RowVersion(6));
+    CHECK_FALSE(evacuations.apply(read(6, {{a, tableVersion(6)}}, {})));
+    CHECK(evacuations.rows().at(a) == tableVersion(6));
     CHECK(evacuations.apply(read(7, {}, {a})));
     CHECK(evacuations.dataCentres() == std::set{b});
     CHECK(evacuations.apply(read(9, {}, {}, true)));
@@ -82,12 +86,12 @@
 TEST_CASE("a read of an older version of the table changes nothing", "[places]")
 {
     Evacuations evacuations;
-    CHECK(evacuations.apply(read(8, {{a, RowVersion(8)}}, {})));
+    CHECK(evacuations.apply(read(8, {{a, tableVersion(8)}}, {})));
     CHECK_FALSE(evacuations.apply(read(7, {}, {a})));
     CHECK_FALSE(evacuations.apply(read(7, {}, {}, true)));
     CHECK(evacuations.dataCentres() == std::set{a});
     CHECK(evacuations.apply(read(9, {}, {a})));
-    CHECK_FALSE(evacuations.apply(read(8, {{a, RowVersion(8)}}, {})));
+    CHECK_FALSE(evacuations.apply(read(8, {{a, tableVersion(8)}}, {})));
     CHECK(evacuations.dataCentres().empty());
 }
 
@@ -117,4 +121,19 @@
     }));
 }
 
+// Guards against an evacuation that is not seen, or does not end, because the store has come back from an older copy.
+TEST_CASE("evacuations of a later era replace those of an earlier one", "[places]")
+{
+    Evacuations evacuations;
+    EvacuationChanges lost = read(90, {{a, tableVersion(80)}}, {}, true);
+    lost.asOfVersion.era = StoreEra(1);
+    CHECK(evacuations.apply(lost));
+    EvacuationChanges copy = read(70, {{b, tableVersion(70, 2)}}, {}, true);
+    copy.asOfVersion.era = StoreEra(2);
+    CHECK(evacuations.apply(copy));
+    CHECK(evacuations.dataCentres() == std::set<DataCentreName>{b});
+    CHECK_FALSE(evacuations.apply(lost));
+    CHECK(evacuations.dataCentres() == std::set<DataCentreName>{b});
+}
+
 } // namespace dandeliondock
--- a/tests/platform/confirmation_time_test.cpp
+++ b/tests/platform/confirmation_time_test.cpp
@@ -1,6 +1,7 @@
 #include "support/child_process.h"
 #include "support/fake_store.h"
 #include "support/loop_thread.h"
+#include "support/table_versions.h"
 
 #include <platform/table_client.h>
 
@@ -38,7 +39,7 @@
     std::future<BootTime> poll(Milliseconds hold)
     {
         return read([hold](const AsyncTableHooks &hooks, TableReadHandler handler) {
-            hooks.pollChanges(table, RowVersion(1), hold, std::move(handler));
+            hooks.pollChanges(table, tableVersion(1), hold, std::move(handler));
         });
     }
 
--- a/tests/platform/operator_rows_test.cpp
+++ b/tests/platform/operator_rows_test.cpp
@@ -19,7 +19,7 @@
 
 absl::StatusOr<OperatorDocument> readConfigText(const std::string &text)
 {
-    return operatorTableCodec().read({RowKey("config"), RowVersion(3), text});
+    return operatorTableCodec().read({RowKey("config"), RowVersion(3), text}, StoreEra());
 }
 
 std::string configWith(const std::string &from, const std::string &to)
@@ -138,21 +138,22 @@
           "[platform]")
 {
     const OperatorTableCodec codec = operatorTableCodec();
-    const auto document =
-            codec.read({RowKey("rollout/s"), RowVersion(9), R"({"service":"s","target":"v2","duration_s":12.5})"});
+    const auto document = codec.read(
+            {RowKey("rollout/s"), RowVersion(9), R"({"service":"s","target":"v2","duration_s":12.5})"}, StoreEra());
     REQUIRE(document.ok());
     const auto &order = std::get<RolloutOrder>(*document);
     CHECK(order.number == TicketNumber(9));
     CHECK(order.target == VersionName("v2"));
     CHECK(order.duration == Milliseconds(12'500));
-    CHECK_FALSE(
-            codec.read({RowKey("rollout/s"), RowVersion(9), R"({"service":"t","target":"v2","duration_s":1})"}).ok());
-    CHECK_FALSE(codec.read({RowKey("rollout/s"), RowVersion(9), R"({"service":"s","target":"v2"})"}).ok());
+    CHECK_FALSE(codec.read({RowKey("rollout/s"), RowVersion(9), R"({"service":"t","target":"v2","duration_s":1})"},
+                           StoreEra())
+                        .ok());
+    CHECK_FALSE(codec.read({RowKey("rollout/s"), RowVersion(9), R"({"service":"s","target":"v2"})"}, StoreEra()).ok());
     const TableWrite status = codec.status(ServiceName("s"), VersionName("v2"), RolloutState::RolledBack);
     CHECK(status.table == TableName("status"));
     CHECK(status.row.key == RowKey("rollout/s"));
     CHECK(*status.row.value == R"({"service":"s","state":"rolled_back","target":"v2"})");
-    const auto other = codec.read({RowKey("else"), RowVersion(1), "anything"});
+    const auto other = codec.read({RowKey("else"), RowVersion(1), "anything"}, StoreEra());
     REQUIRE(other.ok());
     CHECK(std::holds_alternative<std::monostate>(*other));
 }
--- a/tests/platform/proxy_test.cpp
+++ b/tests/platform/proxy_test.cpp
@@ -489,6 +489,70 @@
     CHECK(deployment.eventually([&] { return deployment.serves(deployment.second, "/d/1"); }));
 }
 
+// Guards against a configuration that no proxy applies because the store has come back from an older copy, gives out
+// the lost versions again and numbers the configuration lower than what the proxies have read.
+TEST_CASE("a configuration written after the store came back from an older copy takes effect", "[platform]")
+{
+    Deployment deployment;
+    REQUIRE(deployment.announce(deployment.first, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.second); }));
+    deployment.store.takeCopy();
+    for (int lost = 0; lost < 20; ++lost)
+        deployment.store.put("another", "row", std::to_string(lost));
+    deployment.store.put("op", "config", configText(3, "/b/"));
+    for (Instance *instance : {&deployment.first, &deployment.second})
+        REQUIRE(deployment.eventually([&] { return deployment.serves(*instance, "/b/1"); }));
+    deployment.store.returnFromCopy({"op"});
+    std::this_thread::sleep_for(Seconds(1));
+    deployment.store.put("op", "config", configText(5, "/c/"));
+    for (Instance *instance : {&deployment.first, &deployment.second}) {
+        CHECK(deployment.eventually([&] { return deployment.serves(*instance, "/c/1"); }));
+        CHECK(deployment.callProxy(*instance, "/b/1").status == 404);
+    }
+}
+
+// Guards against changes that are read with the versions of another era: the store has come back from an older copy and
+// has given out more versions again than were lost, so that no call for changes fails.
+TEST_CASE("rows that changed while lost versions were given out again are read", "[platform]")
+{
+    Deployment deployment;
+    REQUIRE(deployment.announce(deployment.first, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.second); }));
+    deployment.store.takeCopy();
+    for (int lost = 0; lost < 5; ++lost)
+        deployment.store.put("another", "row", std::to_string(lost));
+    std::this_thread::sleep_for(Seconds(1)); // the proxies know the lost versions
+    deployment.store.putUnseen("op", "config", configText(5, "/c/"));
+    deployment.store.returnFromCopy({"op"}, 20);
+    for (Instance *instance : {&deployment.first, &deployment.second})
+        CHECK(deployment.eventually([&] { return deployment.serves(*instance, "/c/1"); }));
+}
+
+// Guards against targets that no other proxy knows because the store has lost their rows, and against a departure that
+// is forgotten although it was acknowledged.
+TEST_CASE("the rows of targets are written again after the store came back from an older copy", "[platform]")
+{
+    Deployment deployment;
+    REQUIRE(deployment.announce(deployment.first, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.second); }));
+    deployment.store.takeCopy();
+    REQUIRE(deployment.announce(deployment.second, "ready", 1) == 200);
+    const std::string secondKey = "target/" + deployment.second.settings.inbound.value();
+    REQUIRE(deployment.eventually([&] { return !deployment.store.value("dandeliondock", secondKey).empty(); }));
+    REQUIRE(deployment.announce(deployment.first, "draining", 2) == 200);
+    REQUIRE(deployment.eventually(
+            [&] { return deployment.second.target.runs > 0 || deployment.serves(deployment.first); }));
+    const std::string firstKey = "target/" + deployment.first.settings.inbound.value();
+    const std::string drainingRow = deployment.store.value("dandeliondock", firstKey);
+    const int runsOfFirst = deployment.first.target.runs;
+    deployment.store.returnFromCopy({"op"});
+    CHECK(deployment.eventually([&] { return !deployment.store.value("dandeliondock", secondKey).empty(); }));
+    CHECK(deployment.eventually([&] { return deployment.store.value("dandeliondock", firstKey) == drainingRow; }));
+    for (Instance *instance : {&deployment.first, &deployment.second})
+        CHECK(deployment.eventually([&] { return deployment.serves(*instance); }));
+    CHECK(deployment.first.target.runs == runsOfFirst);
+}
+
 // Guards against a missing row of the local target when the response to its write is lost.
 TEST_CASE("the row of the local target is written although responses are lost, and is written again after its removal",
           "[platform]")
@@ -606,13 +670,13 @@
 
 namespace {
 
-using ReadDocument = std::function<absl::StatusOr<OperatorDocument>(const TableRow &)>;
+using ReadDocument = std::function<absl::StatusOr<OperatorDocument>(const TableRow &, StoreEra)>;
 
 /// Adds the account "mill", with a quota of 0.1 requests per second, to the configurations that \c read returns.
 ReadDocument withAccount(ReadDocument read)
 {
-    return [read = std::move(read)](const TableRow &row) {
-        auto document = read(row);
+    return [read = std::move(read)](const TableRow &row, StoreEra era) {
+        auto document = read(row, era);
         if (!document.ok() || !std::holds_alternative<ProxyConfigPtr>(*document))
             return document;
         const ProxyConfigPtr &config = std::get<ProxyConfigPtr>(*document);
--- a/tests/proxy/confirmation_test.cpp
+++ b/tests/proxy/confirmation_test.cpp
@@ -1,4 +1,5 @@
 #include "support/loop_thread.h"
+#include "support/table_versions.h"
 
 #include <dandeliondock/proxy/control_duty.h>
 
@@ -28,7 +29,7 @@
         const auto respond = [&](TableReadHandler handler, Milliseconds delay, bool isFull) {
             timers.push_back(thread.loop().after(delay, [handler = std::move(handler), isFull] {
                 TableReadResult result;
-                result.asOfVersion = RowVersion(5);
+                result.asOfVersion = tableVersion(5);
                 if (isFull)
                     result.put({RowKey("config"), RowVersion(5), ""});
                 result.confirmedAt = BootClock::now();
@@ -41,14 +42,15 @@
         dependencies.table.list = [&](const TableName &, TableReadHandler handler) {
             respond(std::move(handler), Milliseconds(0), true);
         };
-        dependencies.table.pollChanges = [&](const TableName &, RowVersion, Milliseconds, TableReadHandler handler) {
+        dependencies.table.pollChanges = [&](const TableName &, const TableVersion &, Milliseconds,
+                                             TableReadHandler handler) {
             respond(std::move(handler), Milliseconds(10), false);
         };
         dependencies.documents.table = table;
         dependencies.documents.evacuatedDataCentre = [](const RowKey &) -> std::optional<DataCentreName> {
             return std::nullopt;
         };
-        dependencies.documents.read = [hasAccounts](const TableRow &) -> absl::StatusOr<OperatorDocument> {
+        dependencies.documents.read = [hasAccounts](const TableRow &, StoreEra) -> absl::StatusOr<OperatorDocument> {
             std::vector<ClientAccount> accounts;
             if (hasAccounts)
                 accounts.push_back({AccountName("mill"), {}, {}, {}, {}});
--- a/tests/proxy/control_duty_test.cpp
+++ b/tests/proxy/control_duty_test.cpp
@@ -1,4 +1,5 @@
 #include "support/loop_thread.h"
+#include "support/table_versions.h"
 
 #include <dandeliondock/core/error.h>
 #include <dandeliondock/proxy/control_duty.h>
@@ -11,6 +12,8 @@
 #include <optional>
 #include <string>
 #include <thread>
+#include <utility>
+#include <variant>
 #include <vector>
 
 namespace dandeliondock::testing {
@@ -44,7 +47,8 @@
     dependencies.table.list = [&](const TableName &, const TableReadHandler &handler) {
         thread.loop().post([handler] { handler(TableReadResult()); });
     };
-    dependencies.table.pollChanges = [](const TableName &, RowVersion, Milliseconds, const TableReadHandler &) {};
+    dependencies.table.pollChanges = [](const TableName &, const TableVersion &, Milliseconds,
+                                        const TableReadHandler &) {};
     dependencies.table.commit = [&](const TableTransaction &transaction, const TableCommitHandler &handler) {
         thread.loop().post([&isDown, &writtenKeys, key = transaction.writes.front().row.key, handler] {
             if (isDown) {
@@ -52,7 +56,7 @@
                 return;
             }
             writtenKeys.push_back(key.value());
-            handler(TableCommitResult{true, RowVersion(1)});
+            handler(TableCommitResult{true, tableVersion(1)});
         });
     };
     dependencies.documents.table = TableName("op");
@@ -98,7 +102,7 @@
     };
     dependencies.table.list = [&](const TableName &table, const TableReadHandler &handler) {
         TableReadResult result;
-        result.asOfVersion = RowVersion(1);
+        result.asOfVersion = tableVersion(1);
         if (table == TableName("op")) {
             result.put({RowKey("rollout/s"), RowVersion(1), ""});
         } else {
@@ -113,17 +117,18 @@
         }
         thread.loop().post([handler, result] { handler(result); });
     };
-    dependencies.table.pollChanges = [](const TableName &, RowVersion, Milliseconds, const TableReadHandler &) {};
+    dependencies.table.pollChanges = [](const TableName &, const TableVersion &, Milliseconds,
+                                        const TableReadHandler &) {};
     dependencies.table.commit = [&](const TableTransaction &transaction, const TableCommitHandler &handler) {
         if (transaction.writes.front().row.key == serviceRowKey(ServiceName("s")))
             isClaimed = true;
-        thread.loop().post([handler] { handler(TableCommitResult{true, RowVersion(2)}); });
+        thread.loop().post([handler] { handler(TableCommitResult{true, tableVersion(2)}); });
     };
     dependencies.documents.table = TableName("op");
     dependencies.documents.evacuatedDataCentre = [](const RowKey &) -> std::optional<DataCentreName> {
         return std::nullopt;
     };
-    dependencies.documents.read = [](const TableRow &) -> absl::StatusOr<OperatorDocument> {
+    dependencies.documents.read = [](const TableRow &, StoreEra) -> absl::StatusOr<OperatorDocument> {
         return RolloutOrder{TicketNumber(7), ServiceName("s"), VersionName("v2"), Seconds(16)};
     };
     dependencies.documents.status = [](const ServiceName &, const VersionName &, RolloutState) {
@@ -153,4 +158,95 @@
     });
 }
 
+// Guards against targets that get no requests, or get them although they are leaving, because the table came back from
+// a copy that is older than their rows; and against lost targets that stay in use.
+TEST_CASE("a later era of the table neither removes targets at once nor makes a leaving one serve", "[proxy]")
+{
+    const auto other = [](const char *address, EndpointState state, std::uint64_t sequence) {
+        Endpoint endpoint = localTarget();
+        endpoint.address = Address("127.0.0.9:1");
+        endpoint.dataCentre = DataCentreName("a");
+        endpoint.slots = SlotCount(4);
+        endpoint.controlAddress = Address(address);
+        endpoint.stamp = {Incarnation(1), SequenceNumber(sequence), state};
+        return endpoint;
+    };
+    const Endpoint added = other("127.0.0.2:1", EndpointState::Serving, 1);
+    const Endpoint leaving = other("127.0.0.3:1", EndpointState::Leaving, 2);
+    const Endpoint leavingBefore = other("127.0.0.3:1", EndpointState::Serving, 1);
+    LoopThread thread;
+    std::vector<ControlUpdate> updates;
+    std::vector<TableReadHandler> heldPolls;
+    std::optional<MonotonicTime> copyReadAt;
+    bool isCopy = false;
+    ControlDutyDependencies dependencies;
+    dependencies.table.read = [&](const TableName &, const RowKey &, const TableReadHandler &handler) {
+        thread.loop().post([handler] { handler(TableReadResult()); });
+    };
+    dependencies.table.list = [&](const TableName &table, const TableReadHandler &handler) {
+        TableReadResult result;
+        result.asOfVersion = isCopy ? tableVersion(5, 2) : tableVersion(9, 1);
+        if (table == TableName(std::string(sharedTableName))) {
+            const Endpoint &known = isCopy ? leavingBefore : leaving;
+            result.put({TargetRow::keyOf(known.controlAddress), RowVersion(5), encodeTargetRow(known)});
+            if (isCopy && !copyReadAt)
+                copyReadAt = EventLoop::now();
+            if (!isCopy)
+                result.put({TargetRow::keyOf(added.controlAddress), RowVersion(9), encodeTargetRow(added)});
+        }
+        thread.loop().post([handler, result] { handler(result); });
+    };
+    dependencies.table.pollChanges = [&](const TableName &, const TableVersion &, Milliseconds,
+                                         const TableReadHandler &handler) { heldPolls.push_back(handler); };
+    dependencies.documents.table = TableName("op");
+    dependencies.random = seededRandom(1);
+    dependencies.inboundAddress = Address("127.0.0.1:1");
+    dependencies.region = RegionName("east");
+    dependencies.service = ServiceName("s");
+    dependencies.publish = [&updates](const ControlUpdate &update) { updates.push_back(update); };
+    MetricsRegistry metrics;
+    std::unique_ptr<AsyncHttpClient> client;
+    std::unique_ptr<ControlDuty> duty;
+    thread.run([&] {
+        client = std::make_unique<AsyncHttpClient>(thread.loop());
+        dependencies.loop = &thread.loop();
+        dependencies.client = client.get();
+        dependencies.metrics = &metrics;
+        duty = std::make_unique<ControlDuty>(dependencies);
+        duty->start();
+    });
+    std::this_thread::sleep_for(Milliseconds(200));
+    thread.run([&] {
+        REQUIRE(std::count_if(updates.begin(), updates.end(),
+                              [](const ControlUpdate &update) { return std::holds_alternative<Endpoint>(update); })
+                == 2);
+        updates.clear();
+        isCopy = true;
+        for (const TableReadHandler &handler : std::exchange(heldPolls, {}))
+            handler(makeError(ErrorKind::RevisionGap, "not reached again"));
+    });
+    // The first update after the read of the copy is the removal of the target whose row is not written again.
+    bool isRemoved = false;
+    for (int attempt = 0; attempt < 200 && !isRemoved; ++attempt) {
+        std::this_thread::sleep_for(Milliseconds(50));
+        thread.run([&] {
+            isRemoved = std::any_of(updates.begin(), updates.end(), [&](const ControlUpdate &update) {
+                const auto *removed = std::get_if<EndpointRemoved>(&update);
+                return removed != nullptr && removed->address == added.controlAddress;
+            });
+            if (isRemoved) {
+                REQUIRE(copyReadAt);
+                CHECK(EventLoop::now() - *copyReadAt >= rowRewriteTime);
+            }
+            CHECK(std::none_of(updates.begin(), updates.end(),
+                               [](const ControlUpdate &update) { return std::holds_alternative<Endpoint>(update); }));
+        });
+    }
+    CHECK(isRemoved);
+    thread.run([&] {
+        duty.reset();
+        client.reset();
+    });
+}
+
 } // namespace dandeliondock::testing
--- a/tests/proxy/lost_peers_test.cpp
+++ b/tests/proxy/lost_peers_test.cpp
@@ -1,4 +1,5 @@
 #include "support/relay_fleet.h"
+#include "support/table_versions.h"
 
 #include <dandeliondock/proxy/relay_peer_health.h>
 
@@ -22,14 +23,14 @@
 {
     PeerFleet fleet;
     ChildProxy child(fleet, lastAddress, ChildProxy::Platform::Serves);
-    REQUIRE(child.waitFor(RowVersion(1), startTimeout) < startTimeout);
+    REQUIRE(child.waitFor(tableVersion(1), startTimeout) < startTimeout);
     fleet.stopRespondingAll();
     std::this_thread::sleep_for(contactTime);
     // The time covers several rounds of exclusions and probes.
     Milliseconds latest{0};
     for (unsigned version = 2; version < 32; ++version) {
-        fleet.change(RowVersion(version));
-        latest = std::max(latest, child.waitFor(RowVersion(version), applyDeadline));
+        fleet.change(tableVersion(version));
+        latest = std::max(latest, child.waitFor(tableVersion(version), applyDeadline));
         std::this_thread::sleep_for(Milliseconds(100));
     }
     CHECK(latest < applyDeadline);
@@ -40,12 +41,12 @@
 {
     PeerFleet fleet;
     ChildProxy child(fleet, lastAddress, ChildProxy::Platform::Serves);
-    REQUIRE(child.waitFor(RowVersion(1), startTimeout) < startTimeout);
+    REQUIRE(child.waitFor(tableVersion(1), startTimeout) < startTimeout);
     const int polls = child.platformPolls;
     fleet.stopResponding(*relayParent({fleetRegion, lastAddress}, fleet.peers()));
     std::this_thread::sleep_for(contactTime);
-    fleet.change(RowVersion(2));
-    CHECK(child.waitFor(RowVersion(2), applyDeadline) < applyDeadline);
+    fleet.change(tableVersion(2));
+    CHECK(child.waitFor(tableVersion(2), applyDeadline) < applyDeadline);
     CHECK(child.platformPolls == polls);
 }
 
@@ -54,7 +55,7 @@
 {
     PeerFleet fleet;
     ChildProxy child(fleet, lastAddress, ChildProxy::Platform::Serves);
-    REQUIRE(child.waitFor(RowVersion(1), startTimeout) < startTimeout);
+    REQUIRE(child.waitFor(tableVersion(1), startTimeout) < startTimeout);
     fleet.stopRespondingAll();
     std::this_thread::sleep_for(contactTime);
     fleet.respondAgain();
--- a/tests/proxy/placement_test.cpp
+++ b/tests/proxy/placement_test.cpp
@@ -1,5 +1,6 @@
 #include "support/loop_thread.h"
 #include "support/raw_socket.h"
+#include "support/table_versions.h"
 
 #include <dandeliondock/proxy/control_duty.h>
 #include <dandeliondock/proxy/inbound_handler.h>
@@ -331,18 +332,18 @@
             return;
         }
         TableReadResult result;
-        result.asOfVersion = RowVersion(4);
+        result.asOfVersion = tableVersion(4);
         result.rows = {{RowKey("config"), RowVersion(3), ""}, {RowKey("evacuate/e1"), RowVersion(4), "{}"}};
         thread.loop().post([handler, result] { handler(result); });
     };
-    dependencies.table.pollChanges = [&](const TableName &table, RowVersion, Milliseconds,
+    dependencies.table.pollChanges = [&](const TableName &table, const TableVersion &, Milliseconds,
                                          const TableReadHandler &handler) {
         if (table == TableName("op"))
             polls.push_back(handler);
     };
     dependencies.table.commit = [](const TableTransaction &, const TableCommitHandler &) {};
     dependencies.documents.table = TableName("op");
-    dependencies.documents.read = [](const TableRow &row) -> absl::StatusOr<OperatorDocument> {
+    dependencies.documents.read = [](const TableRow &row, StoreEra) -> absl::StatusOr<OperatorDocument> {
         if (row.key == RowKey("config"))
             return std::make_shared<const ProxyConfig>(std::make_shared<const ConfigState>(), ConnectionLimits());
         return OperatorDocument{};
@@ -391,7 +392,7 @@
     waitForPoll(1);
     thread.run([&] {
         TableReadResult result;
-        result.asOfVersion = RowVersion(6);
+        result.asOfVersion = tableVersion(6);
         result.put({RowKey("evacuate/w1"), RowVersion(5), "{}"});
         result.remove(RowKey("evacuate/e1"));
         polls.back()(result);
--- a/tests/proxy/relay_confirmation_test.cpp
+++ b/tests/proxy/relay_confirmation_test.cpp
@@ -1,5 +1,6 @@
 #include "support/child_process.h"
 #include "support/loop_thread.h"
+#include "support/table_versions.h"
 
 #include <dandeliondock/codec/table_codec.h>
 #include <dandeliondock/http/async_server.h>
@@ -24,7 +25,7 @@
 TableReadResult confirmedResult(BootTime confirmedAt)
 {
     TableReadResult result;
-    result.asOfVersion = RowVersion(5);
+    result.asOfVersion = tableVersion(5);
     result.put({RowKey("a"), RowVersion(5), "value"});
     result.confirmedAt = confirmedAt;
     return result;
@@ -34,7 +35,7 @@
 TableReadResult readFrom(TableRelayServer &server, bool isFull)
 {
     std::string body;
-    server.handle(encodeTablePoll({table, RowVersion(isFull ? 0 : 5), isFull}),
+    server.handle(encodeTablePoll({table, tableVersion(isFull ? 0 : 5), isFull}),
                   [&body](int status, std::string responseBody) {
                       REQUIRE(status == 200);
                       body = std::move(responseBody);
@@ -92,7 +93,7 @@
         const auto promise = std::make_shared<std::promise<absl::StatusOr<TableReadResult>>>();
         m_thread.run([&] {
             m_relayClient->hooks().pollChanges(
-                    table, RowVersion(1), platformHold,
+                    table, tableVersion(1), platformHold,
                     [promise](absl::StatusOr<TableReadResult> result) { promise->set_value(std::move(result)); });
         });
         const auto result = promise->get_future().get();
@@ -123,7 +124,7 @@
     const BootTime confirmedAt = BootClock::now() - Milliseconds(800);
     server.apply(table, confirmedResult(confirmedAt), true);
     TableReadResult changes;
-    changes.asOfVersion = RowVersion(6);
+    changes.asOfVersion = tableVersion(6);
     changes.put({RowKey("a"), RowVersion(6), "changed"});
     changes.confirmedAt = confirmedAt;
     server.apply(table, changes, false);
--- a/tests/proxy/rollout_control_test.cpp
+++ b/tests/proxy/rollout_control_test.cpp
@@ -1,5 +1,6 @@
 #include "support/child_process.h"
 #include "support/loop_thread.h"
+#include "support/table_versions.h"
 
 #include <dandeliondock/codec/proxy_codec.h>
 #include <dandeliondock/http/async_server.h>
@@ -30,7 +31,11 @@
     {
         m_table.commit = [this](const TableTransaction &transaction, TableCommitHandler handler) {
             commits.push_back(transaction);
-            m_thread.loop().post([this, handler] { handler(TableCommitResult{true, RowVersion(++m_version)}); });
+            // In the era of the condition, as the hooks of the control duty ensure.
+            const std::uint64_t era = transaction.conditions.front().version.era.value();
+            m_thread.loop().post([this, handler, era] {
+                handler(TableCommitResult{true, tableVersion(++m_version, era)});
+            });
         };
         m_documents.status = [](const ServiceName &, const VersionName &, RolloutState state) {
             return TableWrite{TableName("status"), {RowKey("status"), std::to_string(static_cast<int>(state))}};
@@ -161,7 +166,7 @@
     TestControl other("127.0.0.1:2");
     for (TestControl *control : {&driver, &other})
         control->run([](RolloutControl &rolloutControl) {
-            rolloutControl.setRow(makeRow(RolloutState::Completed, "127.0.0.1:1"), RowVersion(5));
+            rolloutControl.setRow(makeRow(RolloutState::Completed, "127.0.0.1:1"), tableVersion(5));
         });
     std::this_thread::sleep_for(completionNoticeDelay - rolloutInterval);
     CHECK_FALSE(notifiesCompletion(driver.committed()));
@@ -178,17 +183,17 @@
 {
     TestControl control("127.0.0.1:1");
     control.run([](RolloutControl &rolloutControl) {
-        rolloutControl.setRow({service, oldVersion, std::nullopt}, RowVersion(5));
+        rolloutControl.setRow({service, oldVersion, std::nullopt}, tableVersion(5));
         rolloutControl.setOrder({TicketNumber(7), service, newVersion, Seconds(20)});
     });
     std::this_thread::sleep_for(rolloutInterval * 2);
     const auto commits = control.committed();
     REQUIRE_FALSE(commits.empty());
-    CHECK(commits.front().conditions.front().row.version == RowVersion(5));
+    CHECK(commits.front().conditions.front().version == tableVersion(5));
     CHECK(commits.front().writes.size() == 2);
     control.run([](RolloutControl &rolloutControl) {
-        rolloutControl.setRow(makeRow(RolloutState::RolledBack, "127.0.0.1:9"), RowVersion(500));
-        rolloutControl.setRow(makeRow(RolloutState::Running, "127.0.0.1:9"), RowVersion(400));
+        rolloutControl.setRow(makeRow(RolloutState::RolledBack, "127.0.0.1:9"), tableVersion(500));
+        rolloutControl.setRow(makeRow(RolloutState::Running, "127.0.0.1:9"), tableVersion(400));
     });
     control.run([&control](RolloutControl &) {
         CHECK(control.knownVersions.rollout->record.state == RolloutState::RolledBack);
@@ -202,20 +207,20 @@
     TestControl other("127.0.0.1:2", 1);
     for (TestControl *control : {&driver, &other})
         control->run([](RolloutControl &rolloutControl) {
-            rolloutControl.setRow(makeRow(RolloutState::Running, "127.0.0.1:1"), RowVersion(5));
+            rolloutControl.setRow(makeRow(RolloutState::Running, "127.0.0.1:1"), tableVersion(5));
             rolloutControl.stop();
         });
     CHECK(other.committed().empty());
     const auto commits = driver.committed();
     REQUIRE(commits.size() == 1);
-    CHECK(commits.front().conditions.front().row.version == RowVersion(5));
+    CHECK(commits.front().conditions.front().version == tableVersion(5));
     const auto releasedRow = decodeServiceVersions(service, *commits.front().writes.front().row.value);
     REQUIRE(releasedRow.ok());
     CHECK(releasedRow->rollout->driver == Address());
     CHECK(releasedRow->rollout->record.state == RolloutState::Running);
     TestControl successor("127.0.0.1:3", 1);
     successor.run(
-            [&releasedRow](RolloutControl &rolloutControl) { rolloutControl.setRow(*releasedRow, RowVersion(101)); });
+            [&releasedRow](RolloutControl &rolloutControl) { rolloutControl.setRow(*releasedRow, tableVersion(101)); });
     std::this_thread::sleep_for(rolloutInterval * 3);
     const auto successorCommits = successor.committed();
     REQUIRE_FALSE(successorCommits.empty());
@@ -238,10 +243,10 @@
     TestControl reporter("127.0.0.1:1");
     TestControl claimant("127.0.0.1:2");
     reporter.run([&](RolloutControl &rolloutControl) {
-        rolloutControl.setRow(makeRow(RolloutState::Running, lateDriver.address.c_str()), RowVersion(5));
+        rolloutControl.setRow(makeRow(RolloutState::Running, lateDriver.address.c_str()), tableVersion(5));
     });
     claimant.run([&](RolloutControl &rolloutControl) {
-        rolloutControl.setRow(makeRow(RolloutState::Running, unresponsiveDriver.address.c_str()), RowVersion(5));
+        rolloutControl.setRow(makeRow(RolloutState::Running, unresponsiveDriver.address.c_str()), tableVersion(5));
     });
     std::this_thread::sleep_for(driverTimeout + rolloutInterval * 2);
     CHECK(claimant.committed().size() == 1);
@@ -249,7 +254,7 @@
     claimant.run([&](RolloutControl &rolloutControl) {
         ServiceVersions row = makeRow(RolloutState::Running, nextDriver.address.c_str());
         row.rollout->fence = FencingToken(3);
-        rolloutControl.setRow(row, RowVersion(200));
+        rolloutControl.setRow(row, tableVersion(200));
     });
     std::this_thread::sleep_for(rolloutInterval * 2);
     CHECK(nextDriver.reports > 0);
@@ -257,4 +262,96 @@
     CHECK(reporter.committed().empty());
 }
 
+// Guards against a version that gets traffic again after its rollback, and against an operator who is never told of a
+// result, because the store has lost the row and the status.
+TEST_CASE("progress that the table has lost is written again, first by the driver", "[proxy]")
+{
+    const auto state = GENERATE(RolloutState::RolledBack, RolloutState::Completed);
+    CAPTURE(static_cast<int>(state));
+    TestControl driver("127.0.0.1:1");
+    TestControl other("127.0.0.1:2", 1);
+    ServiceVersions known = makeRow(state, "127.0.0.1:1");
+    known.rollout->isNotified = state == RolloutState::Completed;
+    for (TestControl *control : {&driver, &other})
+        control->run([&](RolloutControl &rolloutControl) {
+            rolloutControl.setRow(known, tableVersion(50, 1));
+            rolloutControl.setRow(makeRow(RolloutState::Running, "127.0.0.1:1"), tableVersion(20, 2));
+        });
+    for (TestControl *control : {&driver, &other})
+        control->run([&](RolloutControl &) { CHECK(control->knownVersions == known); });
+    std::this_thread::sleep_for(rolloutInterval * 3 / 2);
+    const auto commits = driver.committed();
+    REQUIRE(commits.size() == 1);
+    CHECK(commits.front().conditions.front().version == tableVersion(20, 2));
+    REQUIRE(commits.front().writes.size() == 2);
+    CHECK(commits.front().writes[0].row.value == encodeServiceVersions(known));
+    CHECK(commits.front().writes[1].row.value == std::to_string(static_cast<int>(state)));
+    CHECK(other.committed().empty());
+    std::this_thread::sleep_for(rolloutInterval * 3);
+    CHECK(other.committed().size() == 1);
+}
+
+// Guards against a service whose rollouts stop for good because the condition of each write names the version of a row
+// that the store has lost.
+TEST_CASE("a service's row that the table has lost is written again on condition that it is absent", "[proxy]")
+{
+    TestControl control("127.0.0.1:1");
+    control.run([](RolloutControl &rolloutControl) {
+        rolloutControl.setRow({service, oldVersion, std::nullopt}, tableVersion(50, 1));
+        rolloutControl.handleRowAbsent(tableVersion(40, 1));
+        rolloutControl.handleRowAbsent(tableVersion(20, 2));
+    });
+    std::this_thread::sleep_for(rolloutInterval * 5 / 2);
+    const auto commits = control.committed();
+    REQUIRE(commits.size() == 1);
+    CHECK(commits.front().conditions.front().version.isAbsent());
+    CHECK(commits.front().writes.size() == 1);
+}
+
+// Guards against a rollout that starts again, or that an older order replaces, because the table returns known orders
+// with the versions of a later era; and against a new order that is ignored because its version is lower.
+TEST_CASE("orders that were known before the table was lost start no rollout, later ones do", "[proxy]")
+{
+    TestControl control("127.0.0.1:1");
+    const VersionName thirdVersion("v3");
+    ServiceVersions row = makeRow(RolloutState::RolledBack, "127.0.0.1:1");
+    row.rollout->target = thirdVersion;
+    row.rollout->record.ticket = orderNumber(tableVersion(50, 1));
+    const auto order = [](const TableVersion &version, const VersionName &target) {
+        return RolloutOrder{orderNumber(version), service, target, Seconds(20)};
+    };
+    control.run([&](RolloutControl &rolloutControl) {
+        rolloutControl.setRow(row, tableVersion(60, 1));
+        rolloutControl.setOrder(order(tableVersion(10, 1), newVersion));
+        rolloutControl.setOrder(order(tableVersion(50, 1), thirdVersion));
+        rolloutControl.setRow(row, tableVersion(30, 2));
+        rolloutControl.setOrder(order(tableVersion(10, 2), newVersion));   // older order, as in the copy
+        rolloutControl.setOrder(order(tableVersion(31, 2), thirdVersion)); // written again by the operator
+    });
+    std::this_thread::sleep_for(rolloutInterval * 2);
+    CHECK(control.committed().empty());
+    control.run([&](RolloutControl &rolloutControl) {
+        rolloutControl.setOrder(order(tableVersion(33, 2), VersionName("v4")));
+    });
+    std::this_thread::sleep_for(rolloutInterval * 2);
+    REQUIRE_FALSE(control.committed().empty());
+    const auto claimed = decodeServiceVersions(service, *control.committed().front().writes.front().row.value);
+    REQUIRE(claimed.ok());
+    CHECK(claimed->rollout->target == VersionName("v4"));
+}
+
+// Guards against a process that was started after the table was lost and takes an order written again for a new one.
+TEST_CASE("an order written again is recognised by the rollout of the service's row", "[proxy]")
+{
+    TestControl control("127.0.0.1:1");
+    ServiceVersions row = makeRow(RolloutState::RolledBack, "127.0.0.1:9");
+    row.rollout->record.ticket = orderNumber(tableVersion(50, 1));
+    control.run([&](RolloutControl &rolloutControl) {
+        rolloutControl.setRow(row, tableVersion(30, 2));
+        rolloutControl.setOrder({orderNumber(tableVersion(31, 2)), service, newVersion, Seconds(20)});
+    });
+    std::this_thread::sleep_for(rolloutInterval * 2);
+    CHECK(control.committed().empty());
+}
+
 } // namespace dandeliondock::testing
--- a/tests/proxy/slow_link_test.cpp
+++ b/tests/proxy/slow_link_test.cpp
@@ -1,4 +1,5 @@
 #include "support/relay_fleet.h"
+#include "support/table_versions.h"
 
 #include <absl/strings/match.h>
 
@@ -19,12 +20,12 @@
 {
     PeerFleet fleet;
     ChildProxy child(fleet);
-    REQUIRE(child.waitFor(RowVersion(1), applyDeadline) < applyDeadline);
+    REQUIRE(child.waitFor(tableVersion(1), applyDeadline) < applyDeadline);
     fleet.setRoundTrip(Milliseconds(900));
     const std::size_t linesBefore = child.lines("relay.passed_over").size();
     fleet.confirmFor(Milliseconds(1'500));
-    fleet.change(RowVersion(2));
-    CHECK(child.waitFor(RowVersion(2), applyDeadline) < applyDeadline);
+    fleet.change(tableVersion(2));
+    CHECK(child.waitFor(tableVersion(2), applyDeadline) < applyDeadline);
     CHECK(child.lines("relay.passed_over").size() == linesBefore);
 }
 
@@ -33,11 +34,11 @@
 {
     PeerFleet fleet;
     ChildProxy child(fleet, Address(fleet.peers()[1].address.value() + "1"));
-    REQUIRE(child.waitFor(RowVersion(1), applyDeadline) < applyDeadline);
+    REQUIRE(child.waitFor(tableVersion(1), applyDeadline) < applyDeadline);
     fleet.setRoundTrip(Milliseconds(900));
     fleet.confirmFor(Milliseconds(1'500));
-    fleet.change(RowVersion(2));
-    CHECK(child.waitFor(RowVersion(2), applyDeadline) < applyDeadline);
+    fleet.change(tableVersion(2));
+    CHECK(child.waitFor(tableVersion(2), applyDeadline) < applyDeadline);
 }
 
 // Guards against a dead proxy that delays its children for as long as they would wait for a slow one.
@@ -45,12 +46,12 @@
 {
     PeerFleet fleet;
     ChildProxy child(fleet);
-    REQUIRE(child.waitFor(RowVersion(1), applyDeadline) < applyDeadline);
+    REQUIRE(child.waitFor(tableVersion(1), applyDeadline) < applyDeadline);
     const Address parent = *relayParent({fleetRegion, lastAddress}, fleet.peers());
     fleet.stopResponding(parent);
     std::this_thread::sleep_for(relayHold);
-    fleet.change(RowVersion(2));
-    CHECK(child.waitFor(RowVersion(2), applyDeadline) < Milliseconds(1'500));
+    fleet.change(tableVersion(2));
+    CHECK(child.waitFor(tableVersion(2), applyDeadline) < Milliseconds(1'500));
     const auto exclusionLines = child.lines("relay.passed_over");
     REQUIRE_FALSE(exclusionLines.empty());
     for (const std::string &line : exclusionLines)
--- a/tests/proxy/table_cache_test.cpp
+++ b/tests/proxy/table_cache_test.cpp
@@ -1,3 +1,5 @@
+#include "support/table_versions.h"
+
 #include <dandeliondock/proxy/table_cache.h>
 
 #include <catch2/catch.hpp>
@@ -9,6 +11,8 @@
 namespace dandeliondock {
 namespace {
 
+using testing::tableVersion;
+
 // Versions of the rows that a child holds after applying the changes from the cache.
 using Rows = std::map<std::string, std::uint64_t>;
 
@@ -46,13 +50,13 @@
                 tableRows.erase(key);
                 result.remove(RowKey(key));
             } else {
-                result.asOfVersion = RowVersion(version);
+                result.asOfVersion = tableVersion(version);
                 cache.apply(result, false);
                 result = {};
-                const auto changes = cache.changesSince(RowVersion(childVersion));
+                const auto changes = cache.changesSince(tableVersion(childVersion));
                 RC_ASSERT(changes.has_value());
                 applyTo(childRows, *changes);
-                childVersion = changes->asOfVersion.value();
+                childVersion = changes->asOfVersion.version.value();
                 RC_ASSERT(childRows == tableRows);
             }
         }
@@ -64,14 +68,14 @@
 {
     TableCache cache;
     TableReadResult fullResult;
-    fullResult.asOfVersion = RowVersion(10);
+    fullResult.asOfVersion = tableVersion(10);
     fullResult.rows.push_back({RowKey("a"), RowVersion(4), "x"});
     fullResult.rows.push_back({RowKey("b"), RowVersion(5), "x"});
     cache.apply(fullResult, true);
-    fullResult.asOfVersion = RowVersion(20);
+    fullResult.asOfVersion = tableVersion(20);
     fullResult.rows.pop_back();
     cache.apply(fullResult, true);
-    const auto changes = cache.changesSince(RowVersion(10));
+    const auto changes = cache.changesSince(tableVersion(10));
     REQUIRE(changes.has_value());
     CHECK(changes->removed == std::vector<RowKey>{RowKey("b")});
     CHECK(changes->rows.empty());
@@ -83,12 +87,12 @@
 {
     TableCache cache;
     TableReadResult fullResult;
-    fullResult.asOfVersion = RowVersion(10);
+    fullResult.asOfVersion = tableVersion(10);
     fullResult.rows.push_back({RowKey("a"), RowVersion(4), "x"});
     cache.apply(fullResult, true);
-    CHECK_FALSE(cache.changesSince(RowVersion(9)).has_value());
-    REQUIRE(cache.changesSince(RowVersion(10)).has_value());
-    CHECK(cache.changesSince(RowVersion(10))->rows.empty());
+    CHECK_FALSE(cache.changesSince(tableVersion(9)).has_value());
+    REQUIRE(cache.changesSince(tableVersion(10)).has_value());
+    CHECK(cache.changesSince(tableVersion(10))->rows.empty());
 }
 
 // Guards against a parent with older rows than its child that takes the child back to an older version.
@@ -96,11 +100,38 @@
 {
     TableCache cache;
     TableReadResult fullResult;
-    fullResult.asOfVersion = RowVersion(10);
+    fullResult.asOfVersion = tableVersion(10);
     cache.apply(fullResult, true);
-    const auto changes = cache.changesSince(RowVersion(20));
+    const auto changes = cache.changesSince(tableVersion(20));
     REQUIRE(changes.has_value());
-    CHECK(changes->asOfVersion == RowVersion(20));
+    CHECK(changes->asOfVersion == tableVersion(20));
+}
+
+// Guards against rows, removals and versions of a lost era that outlive the return of the store from an older copy.
+TEST_CASE("a full read of a later era replaces the cache, and a child of an earlier era has to read the full table",
+          "[proxy]")
+{
+    TableCache cache;
+    TableReadResult lost;
+    lost.asOfVersion = tableVersion(20, 1);
+    lost.rows = {{RowKey("a"), RowVersion(4), "kept"}, {RowKey("b"), RowVersion(19), "lost"}};
+    cache.apply(lost, true);
+    TableReadResult copy;
+    copy.asOfVersion = tableVersion(12, 2);
+    copy.rows = {{RowKey("a"), RowVersion(4), "kept"}, {RowKey("b"), RowVersion(12), "rewritten"}};
+    cache.apply(copy, true);
+    CHECK(cache.asOfVersion() == tableVersion(12, 2));
+    CHECK(cache.fullTable().rows == copy.rows);
+    for (const std::uint64_t known : {4U, 12U, 20U, 30U})
+        CHECK_FALSE(cache.changesSince(tableVersion(known, 1)).has_value());
+    REQUIRE(cache.changesSince(tableVersion(12, 2)).has_value());
+    CHECK(cache.changesSince(tableVersion(12, 2))->rows.empty());
+    cache.apply(lost, true);
+    CHECK(cache.fullTable().rows == copy.rows);
+    const auto ahead = cache.changesSince(tableVersion(3, 3));
+    REQUIRE(ahead.has_value());
+    CHECK(ahead->rows.empty());
+    CHECK(ahead->asOfVersion == tableVersion(3, 3));
 }
 
 } // namespace dandeliondock
--- a/tests/proxy/table_relay_server_test.cpp
+++ b/tests/proxy/table_relay_server_test.cpp
@@ -1,5 +1,6 @@
 #include "support/child_process.h"
 #include "support/loop_thread.h"
+#include "support/table_versions.h"
 
 #include <dandeliondock/codec/table_codec.h>
 #include <dandeliondock/http/async_server.h>
@@ -41,7 +42,7 @@
                 ++platformLists;
                 m_thread.loop().post([handler] { handler(TableReadResult()); });
             };
-            dependencies.platform.pollChanges = [this](const TableName &, RowVersion after, Milliseconds,
+            dependencies.platform.pollChanges = [this](const TableName &, const TableVersion &after, Milliseconds,
                                                        const TableReadHandler &handler) {
                 ++platformPolls;
                 TableReadResult result;
@@ -65,7 +66,7 @@
         });
     }
 
-    absl::StatusOr<TableReadResult> pollChanges(RowVersion after)
+    absl::StatusOr<TableReadResult> pollChanges(const TableVersion &after)
     {
         const auto promise = std::make_shared<std::promise<absl::StatusOr<TableReadResult>>>();
         m_thread.run([&] {
@@ -88,7 +89,8 @@
     }
 
     /// Polls the server as a child, calls \c duringPoll and returns the response's status and the time until it came.
-    std::pair<int, Milliseconds> pollServer(RowVersion after, const std::function<void(TableRelayServer &)> &duringPoll)
+    std::pair<int, Milliseconds> pollServer(const TableVersion &after,
+                                            const std::function<void(TableRelayServer &)> &duringPoll)
     {
         const auto promise = std::make_shared<std::promise<int>>();
         const auto begin = std::chrono::steady_clock::now();
@@ -102,7 +104,7 @@
     }
 
     /// Polls the server as a child and returns the body of the response.
-    std::string responseBody(RowVersion after)
+    std::string responseBody(const TableVersion &after)
     {
         const auto promise = std::make_shared<std::promise<std::string>>();
         m_thread.run([&] {
@@ -145,7 +147,7 @@
         m_thread.run([&] {
             m_server = std::make_unique<AsyncHttpServer>(m_thread.loop(), [age](const HttpRequestContextPtr &request) {
                 TableReadResult result;
-                result.asOfVersion = RowVersion(7);
+                result.asOfVersion = tableVersion(7);
                 result.age = age;
                 HttpResponse response;
                 response.body = encodeTableReadResult(result);
@@ -175,10 +177,10 @@
 {
     ParentProxy outdatedParent(maxRelayedAge + Milliseconds(100));
     TestRelay relay(outdatedParent.address);
-    const auto result = relay.pollChanges(RowVersion(5));
+    const auto result = relay.pollChanges(tableVersion(5));
     REQUIRE(result.ok());
     CHECK(relay.platformPolls == 1);
-    static_cast<void>(relay.pollChanges(RowVersion(5)));
+    static_cast<void>(relay.pollChanges(tableVersion(5)));
     CHECK(relay.platformPolls == 2);
 }
 
@@ -186,9 +188,9 @@
 {
     ParentProxy parent(Milliseconds(200));
     TestRelay relay(parent.address);
-    const auto result = relay.pollChanges(RowVersion(5));
+    const auto result = relay.pollChanges(tableVersion(5));
     REQUIRE(result.ok());
-    CHECK(result->asOfVersion == RowVersion(7));
+    CHECK(result->asOfVersion == tableVersion(7));
     CHECK(result->age >= Milliseconds(200)); // includes the round trip
     CHECK(result->age < Milliseconds(200) + maxDelay);
     CHECK(relay.platformPolls == 0);
@@ -200,21 +202,21 @@
     TestRelay relay(Address("127.0.0.1:9"));
     relay.run([](TableRelayServer &server) {
         TableReadResult result;
-        result.asOfVersion = RowVersion(5);
+        result.asOfVersion = tableVersion(5);
         server.apply(table, result, true);
         server.setCurrent(table, true);
     });
-    const auto result = decodeTableReadResult(relay.responseBody(RowVersion(5)));
+    const auto result = decodeTableReadResult(relay.responseBody(tableVersion(5)));
     REQUIRE(result.ok());
     CHECK(result->holdTime >= relayHold);
     CHECK(result->holdTime < maxDelay);
     relay.run([](TableRelayServer &server) {
         TableReadResult change;
         change.put({RowKey("a"), RowVersion(6), "1"});
-        change.asOfVersion = RowVersion(6);
+        change.asOfVersion = tableVersion(6);
         server.apply(table, change, false);
     });
-    const auto changes = decodeTableReadResult(relay.responseBody(RowVersion(5)));
+    const auto changes = decodeTableReadResult(relay.responseBody(tableVersion(5)));
     REQUIRE(changes.ok());
     CHECK(changes->holdTime < relayHold);
 }
@@ -224,16 +226,16 @@
 {
     TestRelay relay(Address("127.0.0.1:9"));
     TableReadResult result;
-    result.asOfVersion = RowVersion(5);
+    result.asOfVersion = tableVersion(5);
     relay.run([&](TableRelayServer &server) {
         server.apply(table, result, true);
         server.setCurrent(table, true);
     });
     const auto [status, waited] =
-            relay.pollServer(RowVersion(5), [&](TableRelayServer &server) { server.apply(table, result, false); });
+            relay.pollServer(tableVersion(5), [&](TableRelayServer &server) { server.apply(table, result, false); });
     CHECK(status == 200);
     CHECK(waited < relayHold);
-    const auto [later, held] = relay.pollServer(RowVersion(5), [](TableRelayServer &) {});
+    const auto [later, held] = relay.pollServer(tableVersion(5), [](TableRelayServer &) {});
     CHECK(later == 200);
     CHECK(held >= relayHold);
     CHECK(held < maxDelay);
@@ -249,7 +251,7 @@
     TestRelay largeFleet(parent.address, largeFleetThreshold);
     const auto result = largeFleet.list();
     REQUIRE(result.ok());
-    CHECK(result->asOfVersion == RowVersion(7));
+    CHECK(result->asOfVersion == tableVersion(7));
     CHECK(largeFleet.platformLists == 0);
     TestRelay unreachableParent(Address("127.0.0.1:9"), largeFleetThreshold);
     for (int attempt = 1; attempt < maxFullReadAttempts; ++attempt)
@@ -271,10 +273,10 @@
         return peers;
     };
     TestRelay lowRankProxy(largeFleetPeers(maxPlatformReaders - 1));
-    CHECK(lowRankProxy.pollChanges(RowVersion(5)).ok());
+    CHECK(lowRankProxy.pollChanges(tableVersion(5)).ok());
     CHECK(lowRankProxy.platformPolls == 1);
     TestRelay highRankProxy(largeFleetPeers(maxPlatformReaders));
-    CHECK_FALSE(highRankProxy.pollChanges(RowVersion(5)).ok());
+    CHECK_FALSE(highRankProxy.pollChanges(tableVersion(5)).ok());
     CHECK(highRankProxy.platformPolls == 0);
 }
 
@@ -282,7 +284,7 @@
 TEST_CASE("in a large fleet a proxy that lost the platform still serves recent data", "[proxy]")
 {
     TableReadResult result;
-    result.asOfVersion = RowVersion(9);
+    result.asOfVersion = tableVersion(9);
     const auto losePlatform = [&result](TableRelayServer &server) {
         server.apply(table, result, true);
         server.setCurrent(table, true);
@@ -291,12 +293,29 @@
     const auto noAction = [](TableRelayServer &) {};
     TestRelay smallFleet(Address("127.0.0.1:9"));
     smallFleet.run(losePlatform);
-    CHECK(smallFleet.pollServer(RowVersion(5), noAction).first == 503);
+    CHECK(smallFleet.pollServer(tableVersion(5), noAction).first == 503);
     TestRelay largeFleet(Address("127.0.0.1:9"), largeFleetThreshold);
     largeFleet.run(losePlatform);
-    CHECK(largeFleet.pollServer(RowVersion(9), noAction).first == 200);
+    CHECK(largeFleet.pollServer(tableVersion(9), noAction).first == 200);
     largeFleet.run([](TableRelayServer &server) { server.stop(); });
-    CHECK(largeFleet.pollServer(RowVersion(9), noAction).first == 503);
+    CHECK(largeFleet.pollServer(tableVersion(9), noAction).first == 503);
+}
+
+// Guards against a child that keeps the rows of a lost era, because the versions of a later one look like its changes.
+TEST_CASE("a held poll of an earlier era is answered as one whose changes are gone", "[proxy]")
+{
+    TestRelay relay(Address("127.0.0.1:9"));
+    TableReadResult lost;
+    lost.asOfVersion = tableVersion(5, 1);
+    relay.run([&](TableRelayServer &server) {
+        server.apply(table, lost, true);
+        server.setCurrent(table, true);
+    });
+    TableReadResult copy;
+    copy.asOfVersion = tableVersion(3, 2);
+    const auto [status, held] =
+            relay.pollServer(tableVersion(5, 1), [&](TableRelayServer &server) { server.apply(table, copy, true); });
+    CHECK(status == 410);
 }
 
 } // namespace dandeliondock::testing
--- a/tests/proxy/table_watch_test.cpp
+++ b/tests/proxy/table_watch_test.cpp
@@ -1,4 +1,5 @@
 #include "support/loop_thread.h"
+#include "support/table_versions.h"
 
 #include <dandeliondock/core/error.h>
 #include <dandeliondock/core/random_source.h>
@@ -19,7 +20,7 @@
 TableReadResult resultAsOf(std::uint64_t version)
 {
     TableReadResult result;
-    result.asOfVersion = RowVersion(version);
+    result.asOfVersion = tableVersion(version);
     result.put({RowKey("a"), RowVersion(version), "value"});
     return result;
 }
@@ -39,7 +40,7 @@
             listVersions.erase(listVersions.begin());
         thread.loop().post([handler, version] { handler(resultAsOf(version)); });
     };
-    hooks.pollChanges = [&](const TableName &, RowVersion, Milliseconds, const TableReadHandler &handler) {
+    hooks.pollChanges = [&](const TableName &, const TableVersion &, Milliseconds, const TableReadHandler &handler) {
         thread.loop().post([handler] { handler(makeError(ErrorKind::RevisionGap, "dropped")); });
     };
     std::unique_ptr<TableWatch> watch;
@@ -47,8 +48,9 @@
         watch = std::make_unique<TableWatch>(
                 thread.loop(), hooks, table, shortTiming, seededRandom(1), LogSink(),
                 [&appliedVersions](const TableReadResult &result, bool isFull) {
-                    if (isFull && (appliedVersions.empty() || appliedVersions.back() != result.asOfVersion.value()))
-                        appliedVersions.push_back(result.asOfVersion.value());
+                    if (isFull
+                        && (appliedVersions.empty() || appliedVersions.back() != result.asOfVersion.version.value()))
+                        appliedVersions.push_back(result.asOfVersion.version.value());
                 },
                 [](bool) {});
         watch->start();
@@ -70,7 +72,7 @@
     hooks.list = [&](const TableName &, const TableReadHandler &handler) {
         thread.loop().post([handler] { handler(resultAsOf(5)); });
     };
-    hooks.pollChanges = [&](const TableName &, RowVersion, Milliseconds, TableReadHandler handler) {
+    hooks.pollChanges = [&](const TableName &, const TableVersion &, Milliseconds, TableReadHandler handler) {
         pollHandlers.push_back(std::move(handler));
     };
     WatchTiming timing = shortTiming;
@@ -81,7 +83,7 @@
                 thread.loop(), hooks, table, timing, seededRandom(1), LogSink(),
                 [&appliedVersions](const TableReadResult &result, bool isFull) {
                     if (!isFull)
-                        appliedVersions.push_back(result.asOfVersion.value());
+                        appliedVersions.push_back(result.asOfVersion.version.value());
                 },
                 [&currentStates](bool isCurrent) { currentStates.push_back(isCurrent); });
         watch->start();
--- a/tests/proxy/target_row_test.cpp
+++ b/tests/proxy/target_row_test.cpp
@@ -1,4 +1,5 @@
 #include "support/loop_thread.h"
+#include "support/table_versions.h"
 
 #include <dandeliondock/codec/proxy_codec.h>
 #include <dandeliondock/core/error.h>
@@ -44,13 +45,13 @@
             m_thread.loop().post([handler, result] { handler(result); });
         };
         m_hooks.commit = [this](const TableTransaction &transaction, const TableCommitHandler &handler) {
-            absl::StatusOr<TableCommitResult> result = TableCommitResult{false, RowVersion(m_version)};
+            absl::StatusOr<TableCommitResult> result = TableCommitResult{false, tableVersion(m_version)};
             REQUIRE(transaction.conditions.size() == 1);
             if (isDown) {
                 result = makeError(ErrorKind::StoreUnavailable, "down");
-            } else if (transaction.conditions.front().row.version == RowVersion(m_version)) {
+            } else if (transaction.conditions.front().version == tableVersion(m_version)) {
                 write(*transaction.writes.front().row.value);
-                result = TableCommitResult{true, RowVersion(m_version)};
+                result = TableCommitResult{true, tableVersion(m_version)};
                 if (losesResponses)
                     result = makeError(ErrorKind::OutcomeUnknown, "lost");
             }
@@ -97,7 +98,7 @@
         return endpoint;
     }
 
-    [[nodiscard]] RowVersion version() const { return RowVersion(m_version); }
+    [[nodiscard]] TableVersion version() const { return tableVersion(m_version); }
 
     std::vector<std::optional<Endpoint>> found;
     std::vector<Endpoint> recorded;
@@ -147,7 +148,7 @@
     row.losesResponses = true;
     row.run([](TargetRow &target) { target.announce(record(EndpointState::Leaving)); });
     CHECK(row.recorded == std::vector{record(EndpointState::Leaving)});
-    CHECK(row.version() == RowVersion(1));
+    CHECK(row.version() == tableVersion(1));
 }
 
 // Guards against a write of this process that replaces what another process has written unseen.
--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -37,14 +37,6 @@
     return absl::SimpleAtoi(text, &number) ? number : 0;
 }
 
-void respond(const HttpRequestContextPtr &context, int status, const std::string &body = {})
-{
-    HttpResponse response;
-    response.status = status;
-    response.body = body;
-    context->respond(std::move(response));
-}
-
 std::uint64_t nowMilliseconds()
 {
     return static_cast<std::uint64_t>(
@@ -85,6 +77,11 @@
     });
 }
 
+void FakeStore::putUnseen(const std::string &table, const std::string &key, const std::string &value)
+{
+    m_thread.run([&] { writeRow(table, key, {value, ++m_version, false}); });
+}
+
 void FakeStore::remove(const std::string &table, const std::string &key)
 {
     m_thread.run([&] {
@@ -115,6 +112,32 @@
     });
 }
 
+void FakeStore::takeCopy()
+{
+    m_thread.run([this] {
+        m_copiedRows = m_rows;
+        m_copiedVersion = m_version;
+    });
+}
+
+void FakeStore::returnFromCopy(const std::set<std::string> &rewritten, std::uint64_t otherVersions)
+{
+    m_thread.run([&] {
+        const Rows lostRows = std::exchange(m_rows, m_copiedRows);
+        m_version = m_copiedVersion;
+        ++m_era;
+        for (const auto &[name, row] : lostRows) {
+            const auto copied = m_rows.find(name);
+            if (rewritten.contains(name.first) && (copied == m_rows.end() || copied->second.version != row.version))
+                writeRow(name.first, name.second, {row.value, ++m_version, row.isRemoved});
+        }
+        m_version += otherVersions;
+        // Held calls are handled again: most of them are for changes after a version that no longer exists.
+        for (const HeldPoll &item : std::exchange(m_heldPolls, {}))
+            handle(item.context);
+    });
+}
+
 std::uint64_t FakeStore::calls()
 {
     std::uint64_t calls = 0;
@@ -122,6 +145,15 @@
     return calls;
 }
 
+void FakeStore::respond(const HttpRequestContextPtr &context, int status, const std::string &body) const
+{
+    HttpResponse response;
+    response.status = status;
+    response.headers.add("Store-Era", absl::StrCat(m_era));
+    response.body = body;
+    context->respond(std::move(response));
+}
+
 void FakeStore::handle(const HttpRequestContextPtr &context)
 {
     ++m_callCount;
@@ -178,7 +210,7 @@
 
 void FakeStore::serveChanges(const HttpRequestContextPtr &context, Query &query)
 {
-    if (m_faults.hasNoHistory) {
+    if (m_faults.hasNoHistory || parseNumberOrZero(query["after"]) > m_version) {
         respond(context, 410);
         return;
     }
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -41,6 +42,8 @@
     /// \brief Writes a row, as an operator or another process would, and responds to the held calls that wait for it.
     void put(const std::string &table, const std::string &key, const std::string &value);
     void remove(const std::string &table, const std::string &key);
+    /// \brief Writes a row without a response to the held calls, as if the store were lost right after the write.
+    void putUnseen(const std::string &table, const std::string &key, const std::string &value);
 
     /// \brief Returns the value of a row; empty if there is no such row.
     [[nodiscard]] std::string value(const std::string &table, const std::string &key);
@@ -48,6 +51,15 @@
     /// \brief Replaces the faults; they also apply to the calls for changes that are held.
     void setFaults(const FakeStoreFaults &faults);
 
+    /// \brief Keeps a copy of all rows for returnFromCopy().
+    void takeCopy();
+
+    /// \brief Comes back from the copy, as after a loss of the newest data: the era rises by one, versions continue
+    /// from that of the copy, and calls for changes after a version that was not reached again get 410. Rows of the
+    /// tables in \c rewritten that differ from the copy are written again with new versions, as their writers would;
+    /// other writers are then given \c otherVersions more. \pre takeCopy() was called.
+    void returnFromCopy(const std::set<std::string> &rewritten, std::uint64_t otherVersions = 0);
+
     /// \brief Returns the number of calls handled so far. A held call counts again whenever the faults are set.
     [[nodiscard]] std::uint64_t calls();
 
@@ -68,6 +80,7 @@
         std::shared_ptr<LoopTimer> timer;
     };
 
+    using Rows = std::map<std::pair<std::string, std::string>, Row>;
     using Query = std::map<std::string, std::string>;
 
     void handle(const HttpRequestContextPtr &context);
@@ -75,6 +88,8 @@
     void serveChanges(const HttpRequestContextPtr &context, Query &query);
     void serveTransaction(const HttpRequestContextPtr &context);
     void writeRow(const std::string &table, const std::string &key, Row row);
+    /// Responds with the number of the era, which is in every response of the store.
+    void respond(const HttpRequestContextPtr &context, int status, const std::string &body = {}) const;
     void respondToHeldPolls();
     // Returns the response body with the rows of a table whose version is above \c after, in the order of versions.
     // Sets \c isEmpty to whether there are none.
@@ -84,11 +99,14 @@
     std::uint16_t m_port;
     LoopThread m_thread;
     std::unique_ptr<AsyncHttpServer> m_server;
-    std::map<std::pair<std::string, std::string>, Row> m_rows;
+    Rows m_rows;
+    Rows m_copiedRows;
     std::vector<HeldPoll> m_heldPolls;
     std::vector<HttpRequestContextPtr> m_silencedRequests;
     FakeStoreFaults m_faults;
     std::uint64_t m_version = 0;
+    std::uint64_t m_copiedVersion = 0;
+    std::uint64_t m_era = 1;
     std::uint64_t m_callCount = 0;
 };
 
--- a/tests/support/relay_fleet.cpp
+++ b/tests/support/relay_fleet.cpp
@@ -1,6 +1,7 @@
 #include "support/relay_fleet.h"
 
 #include "support/child_process.h"
+#include "support/table_versions.h"
 
 #include <dandeliondock/core/error.h>
 
@@ -35,7 +36,7 @@
         for (const RelayPeer &peer : m_peers)
             listen(peer.address);
     });
-    change(RowVersion(1), true);
+    change(tableVersion(1), true);
 }
 
 PeerFleet::~PeerFleet()
@@ -46,10 +47,10 @@
     });
 }
 
-void PeerFleet::change(RowVersion version, bool isFull)
+void PeerFleet::change(const TableVersion &version, bool isFull)
 {
     TableReadResult result;
-    result.put({RowKey("a"), version, "value"});
+    result.put({RowKey("a"), version.version, "value"});
     result.asOfVersion = version;
     {
         const std::scoped_lock lock(m_platformMutex);
@@ -71,7 +72,7 @@
 {
     constexpr Milliseconds interval{150};
     TableReadResult result;
-    result.asOfVersion = RowVersion(1);
+    result.asOfVersion = tableVersion(1);
     for (Milliseconds elapsed{0}; elapsed < time; elapsed += interval) {
         std::this_thread::sleep_for(interval);
         m_thread.run([&] {
@@ -179,8 +180,8 @@
         ++platformLists;
         m_thread.loop().post([handler, result = fleet.platformRows()] { handler(result); });
     };
-    dependencies.platform.pollChanges = [this, &fleet, platform](const TableName &, RowVersion, Milliseconds hold,
-                                                                 const TableReadHandler &handler) {
+    dependencies.platform.pollChanges = [this, &fleet, platform](const TableName &, const TableVersion &,
+                                                                 Milliseconds hold, const TableReadHandler &handler) {
         ++platformPolls;
         if (platform == Platform::Refuses) {
             m_thread.loop().post([handler] { handler(makeError(ErrorKind::StoreUnavailable, "refused")); });
@@ -195,7 +196,7 @@
     return dependencies;
 }
 
-Milliseconds ChildProxy::waitFor(RowVersion version, Milliseconds timeout)
+Milliseconds ChildProxy::waitFor(const TableVersion &version, Milliseconds timeout)
 {
     const auto begin = std::chrono::steady_clock::now();
     const auto elapsed = [&begin] {
@@ -226,7 +227,7 @@
             [](bool) {});
 }
 
-bool ChildProxy::hasVersion(RowVersion version)
+bool ChildProxy::hasVersion(const TableVersion &version)
 {
     const std::scoped_lock lock(m_mutex);
     return m_knownVersions[operatorTable] >= version && m_knownVersions[sharedTable] >= version;
--- a/tests/support/relay_fleet.h
+++ b/tests/support/relay_fleet.h
@@ -41,7 +41,7 @@
     PeerFleet &operator=(const PeerFleet &) = delete;
 
     /// \brief Applies a change to both tables, at the platform and at the proxies.
-    void change(RowVersion version, bool isFull = false);
+    void change(const TableVersion &version, bool isFull = false);
 
     /// \brief Applies reads without changes to both tables at short intervals until \c time has passed, as the
     /// platform's responses do when no row changes.
@@ -98,7 +98,7 @@
     ChildProxy &operator=(const ChildProxy &) = delete;
 
     /// \brief Waits until both tables have reached a version or the timeout passes; returns the elapsed time.
-    Milliseconds waitFor(RowVersion version, Milliseconds timeout);
+    Milliseconds waitFor(const TableVersion &version, Milliseconds timeout);
 
     /// \brief Returns the log lines of one event.
     std::vector<std::string> lines(const std::string &event);
@@ -109,14 +109,14 @@
 private:
     TableRelayClientDependencies dependencies(PeerFleet &fleet, const Address &address, Platform platform);
     std::unique_ptr<TableWatch> makeWatch(const TableName &table);
-    bool hasVersion(RowVersion version);
+    bool hasVersion(const TableVersion &version);
     void addLine(const std::string &line);
 
     LoopThread m_thread;
     MetricsRegistry m_metrics;
     std::mutex m_mutex;
     std::vector<std::string> m_lines;
-    std::map<TableName, RowVersion> m_knownVersions;
+    std::map<TableName, TableVersion> m_knownVersions;
     std::unique_ptr<AsyncHttpClient> m_client;
     std::unique_ptr<TableRelayClient> m_relayClient;
     AsyncTableHooks m_hooks;
