Tell messages between proxies from callers' requests by a header

Callers' requests to /dock/table and /dock/outcomes, on a route that a configuration had added, got 502 and ran nowhere (40 of 40), while all requests of the first route and those to /dock/1 and /dock/2 were served.

Cause: messages between proxies and forwarded requests share the inbound listener and were told apart by the path, which belongs to the caller. The body went to the control duty, and the answer was no result of an inbound handler.

Change: the header Dock-Message names the kind of a message between proxies; without it a request is a forwarded one. Every header with the prefix Dock- is removed from callers' requests and targets' responses, as before, so that neither can send it. The four paths are gone; an unknown kind is refused with peer.message_refused.

--- a/include/dandeliondock/proxy/control_duty.h
+++ b/include/dandeliondock/proxy/control_duty.h
@@ -10,6 +10,7 @@
 #include <dandeliondock/proxy/confirmation_probe.h>
 #include <dandeliondock/proxy/loop_monitor.h>
 #include <dandeliondock/proxy/operator_documents.h>
+#include <dandeliondock/proxy/peer_message.h>
 #include <dandeliondock/proxy/quota_exchange.h>
 #include <dandeliondock/proxy/rollout_control.h>
 #include <dandeliondock/proxy/table_relay_client.h>
@@ -125,7 +126,7 @@
     void reportUsage(AccountUsages usage) { m_quotaExchange.report(std::move(usage)); }
 
     /// \brief Handles a call of another proxy. \c respond is called with an HTTP status and a body, at once or later.
-    void handle(absl::string_view path, absl::string_view body, std::function<void(int, std::string)> respond);
+    void handle(PeerMessageKind kind, absl::string_view body, std::function<void(int, std::string)> respond);
 
 private:
     void applyOperatorRows(const TableReadResult &result);
--- /dev/null
+++ b/include/dandeliondock/proxy/peer_message.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include <dandeliondock/http/message.h>
+
+#include <absl/status/statusor.h>
+
+#include <optional>
+#include <string>
+
+namespace dandeliondock {
+
+/// \brief What a message between the proxies themselves is for. The receiver tells such messages from forwarded
+/// requests by a header of its own, which no caller or target can send through a proxy; paths belong to the callers.
+enum class PeerMessageKind {
+    TablePoll,     ///< read of a table by a child proxy
+    OutcomeReport, ///< outcomes for the driver of a rollout
+    QuotaReport,   ///< usage for the collector of a data centre
+    QuotaSums      ///< sums for another collector
+};
+
+/// \brief Returns the request that carries a message to the inbound listener of another proxy. Thread-safe.
+[[nodiscard]] HttpRequest encodePeerMessage(PeerMessageKind kind, std::string body);
+
+/// \brief Returns the kind of the message that a request at the inbound listener carries; empty for a forwarded
+/// request. Thread-safe.
+/// \return InvalidMessage for a message of an unknown kind.
+[[nodiscard]] absl::StatusOr<std::optional<PeerMessageKind>> peerMessageKind(const HttpRequest &request);
+
+/// \brief Removes the headers of the proxies' own protocol, which callers and targets must not set. Thread-safe for
+/// distinct objects.
+void removeReservedHeaders(HttpHeaders &headers);
+
+} // namespace dandeliondock
--- a/include/dandeliondock/proxy/quota_exchange.h
+++ b/include/dandeliondock/proxy/quota_exchange.h
@@ -6,6 +6,7 @@
 #include <dandeliondock/core/random_source.h>
 #include <dandeliondock/http/async_client.h>
 #include <dandeliondock/http/event_loop.h>
+#include <dandeliondock/proxy/peer_message.h>
 #include <dandeliondock/proxy/proxy_config.h>
 #include <dandeliondock/quotas/collector_choice.h>
 #include <dandeliondock/quotas/quota_collector.h>
@@ -20,10 +21,6 @@
 
 namespace dandeliondock {
 
-/// \brief Path of the inbound listener at which a collector receives the reports of the proxies of its data centre.
-inline constexpr absl::string_view quotaReportPath = "/dock/quota-report";
-/// \brief Path of the inbound listener at which a collector exchanges sums with other collectors.
-inline constexpr absl::string_view quotaSumsPath = "/dock/quota-sums";
 /// \brief Time in which a collector must respond. Within a data centre a response takes about 1 ms, and up to 0.2 s
 /// when both event loops are late.
 inline constexpr Milliseconds quotaCallTimeout{300};
@@ -69,9 +66,9 @@
     /// sent only if that report fails.
     void report(AccountUsages usage);
 
-    /// \brief Handles a message that arrived at quotaReportPath or quotaSumsPath. The status is 400 for a malformed
-    /// message, and 404 for sums that reach a proxy which collects nothing.
-    [[nodiscard]] PeerResponse handle(absl::string_view path, absl::string_view body);
+    /// \brief Handles a message of another proxy. The status is 400 for a malformed message, and 404 for sums that
+    /// reach a proxy which collects nothing. \pre The kind is QuotaReport or QuotaSums.
+    [[nodiscard]] PeerResponse handle(PeerMessageKind kind, absl::string_view body);
 
 private:
     [[nodiscard]] PeerResponse handleReport(absl::string_view body);
@@ -89,7 +86,7 @@
     void handleSumsResult(const QuotaPeer &partner, const AsyncCallResult &result);
     void sendReport();
     void handleReportResult(const Address &collector, const AsyncCallResult &result);
-    void call(const Address &address, absl::string_view path, std::string body, AsyncCallHandler handler);
+    void call(const Address &address, PeerMessageKind kind, std::string body, AsyncCallHandler handler);
 
     QuotaExchangeDependencies m_dependencies;
     QuotaCollector m_collector;
--- a/include/dandeliondock/proxy/relay_protocol.h
+++ b/include/dandeliondock/proxy/relay_protocol.h
@@ -2,14 +2,10 @@
 
 #include <dandeliondock/core/units.h>
 
-#include <absl/strings/string_view.h>
-
 #include <cstddef>
 
 namespace dandeliondock {
 
-/// \brief Path of the inbound listener at which a proxy serves tables to its children.
-inline constexpr absl::string_view relayTablePath = "/dock/table";
 /// \brief Longest time for which a parent proxy holds a poll; shorter than at the platform because several proxies on
 /// the path to the platform may fail one after the other.
 inline constexpr Milliseconds relayHold{400};
--- a/include/dandeliondock/proxy/rollout_control.h
+++ b/include/dandeliondock/proxy/rollout_control.h
@@ -38,8 +38,6 @@
 /// \brief Time from the first read of the table in an era in which the operator may have written orders again that the
 /// table had lost. A new order for the same version of a service takes longer than that.
 inline constexpr Milliseconds orderRewriteTime{5'000};
-/// \brief Path of the inbound listener at which the driver of a rollout receives outcome reports.
-inline constexpr absl::string_view outcomesPath = "/dock/outcomes";
 
 /// \brief Dependencies of the rollout control.
 struct RolloutControlDependencies
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -150,15 +150,21 @@
     return peers;
 }
 
-void ControlDuty::handle(absl::string_view path, absl::string_view body, std::function<void(int, std::string)> respond)
+void ControlDuty::handle(PeerMessageKind kind, absl::string_view body, std::function<void(int, std::string)> respond)
 {
-    if (path == relayTablePath) {
+    switch (kind) {
+    case PeerMessageKind::TablePoll:
         m_relayServer.handle(body, std::move(respond));
-    } else if (path == quotaReportPath || path == quotaSumsPath) {
-        PeerResponse response = m_quotaExchange.handle(path, body);
-        respond(response.status, std::move(response.body));
-    } else
+        return;
+    case PeerMessageKind::OutcomeReport:
         respond(statusOk, m_rolloutControl.handleReport(body));
+        return;
+    case PeerMessageKind::QuotaReport:
+    case PeerMessageKind::QuotaSums:
+        PeerResponse response = m_quotaExchange.handle(kind, body);
+        respond(response.status, std::move(response.body));
+        return;
+    }
 }
 
 RolloutControlDependencies ControlDuty::rolloutDependencies()
--- a/src/proxy/inbound_request.cpp
+++ b/src/proxy/inbound_request.cpp
@@ -1,9 +1,9 @@
 #include <dandeliondock/core/checked_number.h>
 #include <dandeliondock/core/error.h>
 #include <dandeliondock/proxy/inbound_request.h>
+#include <dandeliondock/proxy/peer_message.h>
 #include <dandeliondock/proxy/server_load.h>
 
-#include <absl/strings/match.h>
 #include <absl/strings/numbers.h>
 #include <absl/strings/str_cat.h>
 #include <absl/strings/str_split.h>
@@ -17,8 +17,7 @@
 namespace {
 
 // Header names of the protocol between proxies. They are short because they are sent over the metered link between
-// regions. The prefix is reserved: a header sent by a caller or target must not replace one of a proxy.
-constexpr absl::string_view reservedPrefix = "Dock-";
+// regions. Their prefix is reserved, see removeReservedHeaders().
 constexpr absl::string_view targetHeader = "Dock-Target";
 constexpr absl::string_view serviceHeader = "Dock-Service";
 constexpr absl::string_view routeHeader = "Dock-Route";
@@ -54,11 +53,6 @@
     return makeError(ErrorKind::InvalidMessage, absl::StrCat(header, " is missing or malformed"));
 }
 
-void removeReserved(HttpHeaders &headers)
-{
-    headers.removeIf([](absl::string_view name) { return absl::StartsWithIgnoreCase(name, reservedPrefix); });
-}
-
 std::string takeHeader(HttpHeaders &headers, absl::string_view name)
 {
     std::string value(headers.first(name).value_or(""));
@@ -155,7 +149,7 @@
 HttpRequest encodeInboundRequest(const InboundRequest &request, MonotonicTime now)
 {
     HttpRequest message = request.request;
-    removeReserved(message.headers);
+    removeReservedHeaders(message.headers);
     message.headers.add(targetHeader, request.target.value());
     message.headers.add(serviceHeader, request.service.value());
     message.headers.add(routeHeader, request.route.value());
@@ -206,7 +200,7 @@
 HttpResponse encodeInboundResult(InboundResult result)
 {
     HttpResponse message = std::move(result.response);
-    removeReserved(message.headers);
+    removeReservedHeaders(message.headers);
     if (!hasResponse(result.outcome))
         message.status = refusedStatus;
     // Proxies of the previous version ignore the cause and treat this as the target's own failure.
--- a/src/proxy/quota_exchange.cpp
+++ b/src/proxy/quota_exchange.cpp
@@ -78,15 +78,11 @@
             m_collector.sums(EventLoop::now())};
 }
 
-void QuotaExchange::call(const Address &address, absl::string_view path, std::string body, AsyncCallHandler handler)
+void QuotaExchange::call(const Address &address, PeerMessageKind kind, std::string body, AsyncCallHandler handler)
 {
-    HttpRequest request;
-    request.method = "POST";
-    request.target = std::string(path);
-    request.body = std::move(body);
     AsyncCallOptions options;
     options.deadline = EventLoop::now() + quotaCallTimeout;
-    m_dependencies.client->send(address, request, options, std::move(handler));
+    m_dependencies.client->send(address, encodePeerMessage(kind, std::move(body)), options, std::move(handler));
 }
 
 void QuotaExchange::exchangeWith(const QuotaPeer &partner)
@@ -94,7 +90,7 @@
     if (!m_openExchanges.insert(partner.address).second)
         return;
     m_dependencies.metrics->counter("quota_exchanges_total").add();
-    call(partner.address, quotaSumsPath, encodeQuotaSums(sums()),
+    call(partner.address, PeerMessageKind::QuotaSums, encodeQuotaSums(sums()),
          [this, partner](const AsyncCallResult &result) { handleSumsResult(partner, result); });
 }
 
@@ -128,10 +124,11 @@
     }
     m_isReporting = true;
     m_dependencies.metrics->counter("quota_reports_total").add();
-    call(*collector, quotaReportPath, encodeQuotaReport(report), [this, collector](const AsyncCallResult &result) {
-        m_isReporting = false;
-        handleReportResult(*collector, result);
-    });
+    call(*collector, PeerMessageKind::QuotaReport, encodeQuotaReport(report),
+         [this, collector](const AsyncCallResult &result) {
+             m_isReporting = false;
+             handleReportResult(*collector, result);
+         });
 }
 
 void QuotaExchange::handleReportResult(const Address &collector, const AsyncCallResult &result)
@@ -155,9 +152,9 @@
     sendReport();
 }
 
-PeerResponse QuotaExchange::handle(absl::string_view path, absl::string_view body)
+PeerResponse QuotaExchange::handle(PeerMessageKind kind, absl::string_view body)
 {
-    return path == quotaReportPath ? handleReport(body) : handleSums(body);
+    return kind == PeerMessageKind::QuotaReport ? handleReport(body) : handleSums(body);
 }
 
 PeerResponse QuotaExchange::handleReport(absl::string_view body)
--- a/src/proxy/rollout_control.cpp
+++ b/src/proxy/rollout_control.cpp
@@ -1,4 +1,5 @@
 #include <dandeliondock/core/error.h>
+#include <dandeliondock/proxy/peer_message.h>
 #include <dandeliondock/proxy/rollout_control.h>
 
 #include <algorithm>
@@ -389,14 +390,11 @@
     OutcomeReport report;
     report.sender = {m_dependencies.node, m_dependencies.incarnation};
     report.batch = m_outcomes.batch();
-    HttpRequest request;
-    request.method = "POST";
-    request.target = std::string(outcomesPath);
-    request.body = encodeOutcomeReport(report);
     AsyncCallOptions options;
     options.deadline = EventLoop::now() + reportTimeout;
     m_reportCall = m_dependencies.client->send(
-            m_knownVersions->rollout->driver, request, options,
+            m_knownVersions->rollout->driver,
+            encodePeerMessage(PeerMessageKind::OutcomeReport, encodeOutcomeReport(report)), options,
             [this, sequence = report.batch ? report.batch->sequence : SequenceNumber()](const AsyncCallResult &result) {
                 m_isReporting = false;
                 handleReportResult(result, sequence);
--- a/src/proxy/table_relay_client.cpp
+++ b/src/proxy/table_relay_client.cpp
@@ -1,6 +1,7 @@
 #include <dandeliondock/codec/table_codec.h>
 #include <dandeliondock/core/error.h>
 #include <dandeliondock/core/log_rate_limiter.h>
+#include <dandeliondock/proxy/peer_message.h>
 #include <dandeliondock/proxy/relay_peer_health.h>
 #include <dandeliondock/proxy/table_relay_client.h>
 
@@ -120,14 +121,11 @@
 AsyncHttpCall RelayClientState::sendPoll(const Address &peer, const TablePoll &poll, Milliseconds hold,
                                          AsyncCallHandler handler) const
 {
-    HttpRequest request;
-    request.method = "POST";
-    request.target = std::string(relayTablePath);
-    request.body = encodeTablePoll(poll);
     AsyncCallOptions options;
     options.deadline = EventLoop::now() + hold + relayResponseTimeout;
     options.transferExtension = relayTransferTimeout;
-    return dependencies.client->send(peer, request, options, std::move(handler));
+    return dependencies.client->send(peer, encodePeerMessage(PeerMessageKind::TablePoll, encodeTablePoll(poll)),
+                                     options, std::move(handler));
 }
 
 void RelayClientState::readPlatform(const TablePoll &poll, Milliseconds hold, TableReadHandler handler) const
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -304,9 +304,15 @@
 
 void TrafficDuty::handleInbound(const HttpRequestContextPtr &context)
 {
-    const std::string &path = context->request().target;
-    if (path == outcomesPath || path == relayTablePath || path == quotaReportPath || path == quotaSumsPath) {
-        m_publish(PeerCall{path, std::move(context->request().body), [this, context](int status, std::string body) {
+    const auto messageKind = peerMessageKind(context->request());
+    if (!messageKind.ok()) {
+        LogEvent(LogLevel::Warn, "peer.message_refused").error(messageKind.status()).write(m_log);
+        context->respond(statusOnly(badRequest));
+        return;
+    }
+    if (*messageKind) {
+        m_publish(PeerCall{**messageKind, std::move(context->request().body),
+                           [this, context](int status, std::string body) {
                                m_loop.post([context, status, body = std::move(body)]() mutable {
                                    HttpResponse response;
                                    response.status = status;
--- a/src/proxy/traffic_duty.h
+++ b/src/proxy/traffic_duty.h
@@ -37,7 +37,7 @@
 /// \brief A request of another proxy to the control duty; \c respond may be called on any thread.
 struct PeerCall
 {
-    std::string path;
+    PeerMessageKind kind;
     std::string body;
     std::function<void(int, std::string)> respond;
 };
--- a/tests/platform/proxy_test.cpp
+++ b/tests/platform/proxy_test.cpp
@@ -448,6 +448,30 @@
     CHECK(deployment.second.target.runs == before + 2);
 }
 
+// Guards against a caller's request that is read as a message between proxies because of its path or its headers.
+TEST_CASE("requests of callers are not taken for messages between proxies", "[platform]")
+{
+    Deployment deployment;
+    REQUIRE(deployment.announce(deployment.second, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.first); }));
+    deployment.store.put("op", "config", configText(2, "/dock/"));
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.first, "/dock/1"); }));
+    for (const char *path : {"/dock/table", "/dock/outcomes", "/dock/quota-report", "/dock/quota-sums"}) {
+        CAPTURE(path);
+        CHECK(deployment.callProxy(deployment.first, path).status == 200);
+    }
+    for (const char *kind : {"table", "outcomes", "quota_report", "quota_sums", "unknown"}) {
+        CAPTURE(kind);
+        HttpHeaders forged;
+        forged.add("Dock-Message", kind);
+        forged.add("dock-message", kind);
+        forged.add("Connection", "Dock-Target, Dock-Terms");
+        const int before = deployment.second.target.runs;
+        CHECK(deployment.callProxy(deployment.first, "/order/1", "POST", forged).status == 200);
+        CHECK(deployment.second.target.runs == before + 1);
+    }
+}
+
 // Guards against a configuration that reaches only some proxies, that is replaced by an older one, or that is lost when
 // the store is unavailable.
 TEST_CASE("a configuration takes effect on all proxies, never reverts, and survives a store outage", "[platform]")
--- a/tests/proxy/quota_exchange_test.cpp
+++ b/tests/proxy/quota_exchange_test.cpp
@@ -74,7 +74,8 @@
             m_exchange = std::make_unique<QuotaExchange>(std::move(dependencies));
             m_server = std::make_unique<AsyncHttpServer>(m_thread.loop(), [this](const HttpRequestContextPtr &context) {
                 ++messages;
-                PeerResponse handled = m_exchange->handle(context->request().target, context->request().body.text());
+                PeerResponse handled =
+                        m_exchange->handle(**peerMessageKind(context->request()), context->request().body.text());
                 HttpResponse response;
                 response.status = handled.status;
                 response.body = std::move(handled.body);
@@ -201,11 +202,12 @@
     const std::string sums =
             encodeQuotaSums({fleet.b1.self.address, {Incarnation(1), SequenceNumber(1)}, fleet.b1.self.dataCentre, {}});
     first->run([&](QuotaExchange &exchange) {
-        CHECK(exchange.handle(quotaReportPath, "odd").status == 400);
-        CHECK(exchange.handle(quotaSumsPath, "odd").status == 400);
-        CHECK(exchange.handle(quotaSumsPath, sums).status == 200);
+        CHECK(exchange.handle(PeerMessageKind::QuotaReport, "odd").status == 400);
+        CHECK(exchange.handle(PeerMessageKind::QuotaSums, "odd").status == 400);
+        CHECK(exchange.handle(PeerMessageKind::QuotaSums, sums).status == 200);
     });
-    second->run([&](QuotaExchange &exchange) { CHECK(exchange.handle(quotaSumsPath, sums).status == 404); });
+    second->run(
+            [&](QuotaExchange &exchange) { CHECK(exchange.handle(PeerMessageKind::QuotaSums, sums).status == 404); });
 }
 
 } // namespace dandeliondock::testing
