Apply changed limits to the next request of open connections

Cause: a session gave the size limits to its parser when its last response was written, and setLimits() changed none of the parsers that wait. That new connections of the same proxies served the body rules out a late configuration.

Change: setLimits() renews the parser of each connection on which no byte of the next request has arrived. A request that has begun to arrive keeps the limits under which it began.

--- a/include/dandeliondock/http/async_server.h
+++ b/include/dandeliondock/http/async_server.h
@@ -93,8 +93,8 @@
     /// \return InvalidSettings when the address cannot be used.
     [[nodiscard]] absl::Status listen(const Address &address);
 
-    /// \brief Sets the limits. The size limits apply to requests whose head is read from now on; the timeouts apply at
-    /// once, also to open connections.
+    /// \brief Sets the limits, also for open connections. The size limits apply to requests whose first byte arrives
+    /// from now on, the timeouts at once.
     void setLimits(const ConnectionLimits &limits);
 
     /// \brief Sets the hooks that decide when long responses are written; without them they are written at once.
--- a/src/http/async_server.cpp
+++ b/src/http/async_server.cpp
@@ -135,7 +135,11 @@
 
 void AsyncHttpServer::setLimits(const ConnectionLimits &limits)
 {
+    if (m_state->limits == limits)
+        return;
     m_state->limits = limits;
+    for (const auto &session : m_state->sessions)
+        session->applyLimits();
 }
 
 void AsyncHttpServer::setTransferHooks(TransferHooks hooks)
--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -74,9 +74,7 @@
 void ServerSession::readHead()
 {
     m_parser = std::make_unique<Parser>();
-    m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits.maxHeaderBytes.value()));
-    m_parser->body_limit(m_server->limits.maxBodyBytes.value());
-    m_buffer.max_size(std::max<std::size_t>(minUnparsedLimit, 2 * m_server->limits.maxHeaderBytes.value()));
+    setParserLimits();
     m_readState = ReadState::Head;
     m_partialHeadSince.reset();
     m_isReading = true;
@@ -85,6 +83,20 @@
             [self = shared_from_this()](const error_code &error, std::size_t) { self->onHeadRead(error); });
 }
 
+void ServerSession::setParserLimits()
+{
+    m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits.maxHeaderBytes.value()));
+    m_parser->body_limit(m_server->limits.maxBodyBytes.value());
+    m_buffer.max_size(std::max<std::size_t>(minUnparsedLimit, 2 * m_server->limits.maxHeaderBytes.value()));
+}
+
+void ServerSession::applyLimits()
+{
+    const bool hasArrived = m_buffer.size() > 0 || (m_parser && m_parser->got_some());
+    if (m_parser && m_readState == ReadState::Head && !hasArrived)
+        setParserLimits();
+}
+
 void ServerSession::onHeadRead(const error_code &error)
 {
     m_isReading = false;
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -43,6 +43,9 @@
     void respond(const SessionRequest *request, HttpResponse response);
     void abort(const SessionRequest *request);
 
+    /// \brief Applies the limits of the server to the next request, unless some of it has arrived.
+    void applyLimits();
+
     /// \brief Closes the connection if no request is being read or handled and no response is being written.
     void closeIfIdle();
 
@@ -69,6 +72,7 @@
     };
 
     void readHead();
+    void setParserLimits();
     void onHeadRead(const error_code &error);
     [[nodiscard]] bool mayReadBody() const;
     void startBody();
--- a/tests/http/async_server_test.cpp
+++ b/tests/http/async_server_test.cpp
@@ -105,6 +105,36 @@
     CHECK(handled == 0);
 }
 
+// Guards against a connection that keeps the limits which were in force when its last request ended.
+TEST_CASE("limits that change apply to the next request of an idle connection", "[http]")
+{
+    TestServer server(respondWithEcho);
+    const auto setLimits = [&server](std::uint64_t body, std::uint64_t head) {
+        ConnectionLimits limits;
+        limits.maxBodyBytes = ByteCount(body);
+        limits.maxHeaderBytes = ByteCount(head);
+        server.thread().run([&] { server.httpServer().setLimits(limits); });
+    };
+    const std::string post = "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 11\r\n\r\n01234567890";
+    const std::string longHead = "GET /a HTTP/1.1\r\nHost: h\r\nX: " + std::string(300, 'x') + "\r\n\r\n";
+    setLimits(10, 200);
+    RawConnection raised(server.port());
+    RawConnection withHead(server.port());
+    RawConnection lowered(server.port());
+    for (RawConnection *connection : {&raised, &withHead, &lowered}) {
+        connection->write("GET /a HTTP/1.1\r\nHost: h\r\n\r\n");
+        CHECK_THAT(connection->readUntil("/a "), Catch::Contains("200 OK"));
+    }
+    setLimits(11, 400);
+    raised.write(post);
+    CHECK_THAT(raised.readUntil("01234567890"), Catch::Contains("200 OK"));
+    withHead.write(longHead);
+    CHECK_THAT(withHead.readUntil("/a "), Catch::Contains("200 OK"));
+    setLimits(10, 200);
+    lowered.write(post);
+    CHECK_THAT(lowered.readAll(), Catch::Contains("413 "));
+}
+
 // Guards against callers whose bytes are kept without a limit because their request never becomes complete.
 TEST_CASE("endless lines of a chunked body are rejected early", "[http]")
 {
