Keep the limits of the newest configuration

What callers would see: after the store came back from an older copy, or after an older configuration was read in any other way, the limits of that configuration came into force beside the routes of the newer one, so that bodies within the newer limit got 413.

Cause: TrafficDuty gave the limits to the callers' listener before the forwarder compared the revisions.

Change: a configuration that the forwarder does not accept changes nothing.

Evidence: "the limits of an older configuration do not come into force" failed before with 413 and passes now.

--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -137,8 +137,11 @@
 void TrafficDuty::apply(ControlUpdate update)
 {
     if (auto *config = std::get_if<ProxyConfigPtr>(&update)) {
-        m_callerServer.setLimits((*config)->limits);
+        const ProxyConfigPtr inForce = m_forwarder.config();
         m_forwarder.setConfig(std::move(*config));
+        if (m_forwarder.config() == inForce)
+            return; // an older one, such as that of an older copy of the table
+        m_callerServer.setLimits(m_forwarder.config()->limits);
         const Service *service = m_forwarder.config()->state->service(m_settings.service);
         m_inbound.refuseDisallowed();
         m_inbound.setService(service != nullptr ? *service : Service());
--- a/tests/platform/proxy_test.cpp
+++ b/tests/platform/proxy_test.cpp
@@ -500,6 +500,22 @@
         CHECK(deployment.eventually([&] { return deployment.serves(*instance, "/c/1"); }));
 }
 
+// Guards against limits of an older configuration, which the table holds again after its return from an older copy,
+// beside the routes of a newer one.
+TEST_CASE("the limits of an older configuration do not come into force", "[platform]")
+{
+    Deployment deployment;
+    REQUIRE(deployment.announce(deployment.first, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.first); }));
+    deployment.store.put("op", "config", configText(5, "/b/"));
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.first, "/b/1"); }));
+    std::string older = configText(4, "/a/");
+    older.replace(older.find("\"limits\":{}"), 11, R"("limits":{"max_body_bytes":2})");
+    deployment.store.put("op", "config", older);
+    std::this_thread::sleep_for(Seconds(1));
+    CHECK(deployment.callProxy(deployment.first, "/order/1", "POST").status == 200);
+}
+
 // Guards against changes that are missed when the store has dropped its history of changes.
 TEST_CASE("a change that the store has dropped from its history is found by a full read of the table", "[platform]")
 {
