Generalize the lease on keys to a lease on the configuration

KeyLease knows nothing of keys: it decides whether the last confirmation of the configuration is recent enough. Final refusals need the same decision with another bound, so that the type moves from accounts/ to config/ as ConfigLease. No behaviour changes.

--- a/include/dandeliondock/proxy/confirmation_probe.h
+++ b/include/dandeliondock/proxy/confirmation_probe.h
@@ -24,7 +24,7 @@
 {
     EventLoop *loop = nullptr;
     MetricsRegistry *metrics = nullptr;
-    std::optional<Milliseconds> bound; ///< KeyLease's bound; empty: no probes
+    std::optional<Milliseconds> bound; ///< ConfigLease's bound; empty: no probes
     /// Whether confirmations are needed at present.
     std::function<bool()> isNeeded;
     /// Returns the number of known serving proxies.
--- a/include/dandeliondock/proxy/key_check.h
+++ b/include/dandeliondock/proxy/key_check.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <dandeliondock/accounts/authentication.h>
-#include <dandeliondock/accounts/key_lease.h>
+#include <dandeliondock/config/config_lease.h>
 #include <dandeliondock/config/resources.h>
 #include <dandeliondock/core/log_event.h>
 #include <dandeliondock/core/metrics.h>
@@ -49,7 +49,7 @@
     void logLease(LogLevel level, absl::string_view event, BootTime now) const;
 
     KeyCheckDependencies m_dependencies;
-    KeyLease m_lease;
+    ConfigLease m_lease;
 };
 
 } // namespace dandeliondock
--- a/src/accounts/key_lease.cpp
+++ b/src/config/config_lease.cpp
@@ -1,13 +1,13 @@
-#include <dandeliondock/accounts/key_lease.h>
+#include <dandeliondock/config/config_lease.h>
 
 #include <algorithm>
 #include <utility>
 
 namespace dandeliondock {
 
-Milliseconds keyLeaseDuration(Milliseconds bound) noexcept
+Milliseconds configLeaseDuration(Milliseconds bound) noexcept
 {
-    const Milliseconds reserve = std::max(minKeyLeaseReserve, bound / keyLeaseReserveDivisor);
+    const Milliseconds reserve = std::max(minConfigLeaseReserve, bound / configLeaseReserveDivisor);
     return std::max(Milliseconds{0}, bound - reserve);
 }
 
@@ -16,13 +16,13 @@
     return !confirmedAt || now - *confirmedAt > bound * oldConfirmationTenths / 10;
 }
 
-KeyLease::KeyLease(std::optional<Milliseconds> bound)
+ConfigLease::ConfigLease(std::optional<Milliseconds> bound)
 {
     if (bound)
-        m_duration = keyLeaseDuration(*bound);
+        m_duration = configLeaseDuration(*bound);
 }
 
-bool KeyLease::confirm(BootTime confirmedAt, BootTime now)
+bool ConfigLease::confirm(BootTime confirmedAt, BootTime now)
 {
     const BootTime confirmed = std::min(confirmedAt, now);
     if (!m_confirmedAt || confirmed > *m_confirmedAt)
@@ -30,12 +30,12 @@
     return isHeld(now) && std::exchange(m_isLossRecorded, false);
 }
 
-bool KeyLease::isHeld(BootTime now) const
+bool ConfigLease::isHeld(BootTime now) const
 {
     return !m_duration || (m_confirmedAt && now - *m_confirmedAt < *m_duration);
 }
 
-bool KeyLease::recordLoss()
+bool ConfigLease::recordLoss()
 {
     return !std::exchange(m_isLossRecorded, true);
 }
--- a/src/proxy/confirmation_probe.cpp
+++ b/src/proxy/confirmation_probe.cpp
@@ -1,4 +1,4 @@
-#include <dandeliondock/accounts/key_lease.h>
+#include <dandeliondock/config/config_lease.h>
 #include <dandeliondock/proxy/confirmation_probe.h>
 
 #include <algorithm>
--- a/tests/proxy/key_check_test.cpp
+++ b/tests/proxy/key_check_test.cpp
@@ -80,7 +80,7 @@
     test.check.confirm({RevisionNumber(7), test.now}, *config);
     CHECK(test.verdictOf(config, "Bearer " + key) == KeyVerdict::Accepted);
     CHECK(test.verdictOf(config, "Bearer other") == KeyVerdict::Unknown);
-    test.now += keyLeaseDuration(bound) - Milliseconds(1);
+    test.now += configLeaseDuration(bound) - Milliseconds(1);
     CHECK(test.verdictOf(config, "Bearer " + key) == KeyVerdict::Accepted);
     test.now += Milliseconds(1);
     for (int request = 0; request < 100; ++request)
