Refuse unknown routes and keys with 503 while the configuration is unconfirmed

Callers got 404 or 401, which they must not repeat, for routes and keys that the operator had added more than config_apply_ms before: a proxy that misses configurations (its region is left behind, or its way to the store fails) decided by the configuration that it had, however old that was. For 404 nothing compared its age. For 401 the lease on withdrawn keys did, which lasts 4.75 s where a configuration must be in force after 3 s.

A final refusal now needs a lease on the configuration (ConfigLease) of config_apply_ms. It begins at a time at which the platform certainly held no later configuration, so that whatever was acknowledged later is still within its time to come into force. Without the lease the response is 503 with Retry-After, and the request was not run. Confirmations are therefore published in deployments without client accounts too; the test that expected none there now expects the same few in both.

--- a/include/dandeliondock/proxy/forwarder.h
+++ b/include/dandeliondock/proxy/forwarder.h
@@ -3,6 +3,7 @@
 #include <dandeliondock/admission/attempt_gate.h>
 #include <dandeliondock/attempts/attempt_plan.h>
 #include <dandeliondock/attempts/retry_budget.h>
+#include <dandeliondock/config/config_lease.h>
 #include <dandeliondock/core/log_event.h>
 #include <dandeliondock/core/log_rate_limiter.h>
 #include <dandeliondock/core/metrics.h>
@@ -57,6 +58,7 @@
     ServiceName callerService; ///< service of the target on this instance
     RetryBudgetLimits retries;
     std::optional<Milliseconds> keyWithdrawalBound; ///< time after which a withdrawn key must not be accepted
+    Milliseconds configApplyBound{3'000};           ///< time in which a configuration must be followed
     /// Decides whether the quota of a client account admits a request.
     std::function<QuotaDecision(const AccountName &, MonotonicTime now)> admitRequest;
     /// Called for a request that admitRequest() admitted at \c admittedAt and that no target has run.
@@ -79,7 +81,8 @@
 
     /// \brief Sets the configuration unless its revision is not newer than the current one.
     void setConfig(ProxyConfigPtr config);
-    /// \brief Extends the time for which the keys of the configuration are accepted.
+    /// \brief Extends the time for which the configuration may be relied on. Has no effect if the one in force is older
+    /// than the confirmed one.
     void confirmConfig(const ConfigConfirmed &confirmed);
     /// \brief Replaces the versions of one service.
     void setVersions(const ServiceVersions &versions);
@@ -101,6 +104,10 @@
 
     [[nodiscard]] const ProxyConfigPtr &config() const noexcept { return m_config; }
 
+    /// \brief Whether the configuration in force may decide that a request is refused finally. Without a recent
+    /// confirmation a later one may allow the request, and its caller is told to try again.
+    [[nodiscard]] bool mayRefuseFinally() const;
+
     /// \brief Returns when a request to another service last failed or was refused. Calls made by the local target are
     /// among these requests.
     [[nodiscard]] MonotonicTime lastDependencyFailure() const noexcept { return m_lastDependencyFailure; }
@@ -129,6 +136,7 @@
     ForwarderCounters m_counters;
     ProxyConfigPtr m_config;
     KeyCheck m_keyCheck;
+    ConfigLease m_refusalLease;
     RegionRules m_regionRules; ///< of m_config
     TargetBalancer m_balancer;
     AttemptGate m_attemptGate;
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -305,7 +305,7 @@
 // Follows the configuration itself, which the traffic duty receives first.
 void ControlDuty::publishConfirmation(const TableReadResult &result)
 {
-    if (!result.confirmedAt || !m_config || m_config->accounts.isEmpty())
+    if (!result.confirmedAt || !m_config)
         return;
     m_confirmationProbe.recordConfirmation(*result.confirmedAt);
     const ConfigConfirmed confirmed{m_config->state->revision(), *result.confirmedAt};
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -25,7 +25,7 @@
 constexpr int gatewayTimeout = 504;
 constexpr Milliseconds noConfigRetryDelay{300};
 // The table is polled again within about half a second when a read of it has failed.
-constexpr Milliseconds keysUnconfirmedRetryDelay{400};
+constexpr Milliseconds unconfirmedRetryDelay{400};
 
 TargetFeedback feedbackFor(const InboundResult &result)
 {
@@ -97,6 +97,8 @@
     void logEnd(int status, absl::string_view reason);
     void refuse(absl::string_view reason, Microseconds retryHint);
     void rejectKey();
+    /// Refuses a request that the configuration in force does not allow, finally if that is certainly the current one.
+    void refuseByConfig(int status, absl::string_view reason);
     void respondWithStatus(int status, absl::string_view reason);
     void handleCancellation();
     [[nodiscard]] MetricsRegistry &metrics() { return *m_owner.m_dependencies.metrics; }
@@ -145,7 +147,7 @@
     m_request.id = RequestId(std::string(*id));
     m_match = m_config->routes.match(request.headers.first("Host").value_or(""), request.target);
     if (m_match.route == nullptr) {
-        respondWithStatus(notFound, "no_route");
+        refuseByConfig(notFound, "no_route");
         return false;
     }
     const Route &route = *m_match.route;
@@ -434,9 +436,17 @@
 {
     const char *reason = keyVerdictName(m_authentication.verdict);
     if (m_authentication.verdict == KeyVerdict::Unconfirmed)
-        refuse(reason, keysUnconfirmedRetryDelay);
+        refuse(reason, unconfirmedRetryDelay);
     else
-        respondWithStatus(unauthorized, reason);
+        refuseByConfig(unauthorized, reason);
+}
+
+void Forwarder::Session::refuseByConfig(int status, absl::string_view reason)
+{
+    if (m_owner.mayRefuseFinally())
+        respondWithStatus(status, reason);
+    else
+        refuse("config_unconfirmed", unconfirmedRetryDelay);
 }
 
 void Forwarder::Session::respondWithStatus(int status, absl::string_view reason)
@@ -470,7 +480,7 @@
 
 Forwarder::Forwarder(ForwarderDependencies dependencies)
     : m_dependencies(std::move(dependencies)), m_counters(*m_dependencies.metrics), m_keyCheck(keyCheckDependencies()),
-      m_balancer(m_dependencies.self, m_dependencies.random)
+      m_refusalLease(m_dependencies.configApplyBound), m_balancer(m_dependencies.self, m_dependencies.random)
 {
 }
 
@@ -502,8 +512,15 @@
 
 void Forwarder::confirmConfig(const ConfigConfirmed &confirmed)
 {
-    if (m_config)
-        m_keyCheck.confirm(confirmed, *m_config);
+    if (!m_config || m_config->state->revision() < confirmed.revision)
+        return;
+    m_keyCheck.confirm(confirmed, *m_config);
+    m_refusalLease.confirm(confirmed.at, BootClock::now());
+}
+
+bool Forwarder::mayRefuseFinally() const
+{
+    return m_refusalLease.isHeld(BootClock::now());
 }
 
 void Forwarder::setEvacuated(std::set<DataCentreName> dataCentres)
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -97,6 +97,7 @@
     dependencies.callerService = m_settings.service;
     dependencies.retries = m_settings.retries;
     dependencies.keyWithdrawalBound = m_settings.keyWithdrawalBound;
+    dependencies.configApplyBound = m_settings.configApplyBound;
     dependencies.admitRequest = [this](const AccountName &account, MonotonicTime now) {
         return m_quotas.admit(account, now);
     };
--- a/tests/proxy/confirmation_test.cpp
+++ b/tests/proxy/confirmation_test.cpp
@@ -17,8 +17,8 @@
 
 } // namespace
 
-// Guards against confirmations that wake the traffic duty for each response, precede the configuration that they
-// confirm, or are sent in a deployment without accounts.
+// Guards against confirmations that wake the traffic duty for each response or precede the configuration that they
+// confirm, and against a deployment without accounts that gets none.
 TEST_CASE("the control duty publishes confirmations after the configuration, and few of them", "[proxy]")
 {
     const auto run = [](bool hasAccounts) {
@@ -80,23 +80,23 @@
         });
         return updates;
     };
-    std::size_t confirmations = 0;
-    bool hasConfig = false;
-    bool isSynced = false;
-    for (const ControlUpdate &update : run(true)) {
-        hasConfig = hasConfig || std::holds_alternative<ProxyConfigPtr>(update);
-        isSynced = isSynced || std::holds_alternative<InitialSyncDone>(update);
-        if (const auto *confirmed = std::get_if<ConfigConfirmed>(&update)) {
-            ++confirmations;
-            CHECK(hasConfig);
-            CHECK(confirmed->revision == RevisionNumber(7));
-            CHECK((confirmations > 1 || !isSynced));
+    for (const bool hasAccounts : {true, false}) {
+        std::size_t confirmations = 0;
+        bool hasConfig = false;
+        bool isSynced = false;
+        for (const ControlUpdate &update : run(hasAccounts)) {
+            hasConfig = hasConfig || std::holds_alternative<ProxyConfigPtr>(update);
+            isSynced = isSynced || std::holds_alternative<InitialSyncDone>(update);
+            if (const auto *confirmed = std::get_if<ConfigConfirmed>(&update)) {
+                ++confirmations;
+                CHECK(hasConfig);
+                CHECK(confirmed->revision == RevisionNumber(7));
+                CHECK((confirmations > 1 || !isSynced));
+            }
         }
+        CHECK(confirmations > 1);
+        CHECK(confirmations <= (coldStartSpread + Milliseconds(1'500)) / confirmationInterval + 1);
     }
-    CHECK(confirmations > 1);
-    CHECK(confirmations <= (coldStartSpread + Milliseconds(1'500)) / confirmationInterval + 1);
-    for (const ControlUpdate &update : run(false))
-        CHECK_FALSE(std::holds_alternative<ConfigConfirmed>(update));
 }
 
 } // namespace dandeliondock::testing
