Refuse long requests with 503 while the configuration is unconfirmed

Callers got 413 or 431, which they must not repeat, for sizes that the operator had allowed more than config_apply_ms before, and from a proxy that had not read a configuration yet. The HTTP server applied the limits that it had, whatever their age, or its preset ones; it is the same cause as for unknown routes and keys, at the one place outside the forwarder.

A server may now be given a hook that tells whether its limits are certainly the current ones. While they are not, a request above them gets 503 with Retry-After; it was not passed on. The callers' listener uses the lease of the forwarder.

Evidence: before the change the two new tests failed (413 and 431 in 98 of 108 assertions of the first one, both assertions of the second one); they pass.

--- a/include/dandeliondock/http/async_server.h
+++ b/include/dandeliondock/http/async_server.h
@@ -97,6 +97,11 @@
     /// from now on, the timeouts at once.
     void setLimits(const ConnectionLimits &limits);
 
+    /// \brief Sets the hook that tells whether the size limits are certainly the current ones; called on the loop's
+    /// thread. While it returns false, a request above a limit gets status 503 instead of 413 or 431.
+    /// \pre No request has been accepted.
+    void setLimitsConfirmed(std::function<bool()> areConfirmed);
+
     /// \brief Sets the hooks that decide when long responses are written; without them they are written at once.
     /// \pre No request has been accepted.
     void setTransferHooks(TransferHooks hooks);
--- a/src/http/async_server.cpp
+++ b/src/http/async_server.cpp
@@ -142,6 +142,11 @@
         session->applyLimits();
 }
 
+void AsyncHttpServer::setLimitsConfirmed(std::function<bool()> areConfirmed)
+{
+    m_state->areLimitsConfirmed = std::move(areConfirmed);
+}
+
 void AsyncHttpServer::setTransferHooks(TransferHooks hooks)
 {
     m_state->transferHooks = std::move(hooks);
--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -19,8 +19,8 @@
 // Long responses are written in pieces, so that their progress is known.
 constexpr std::size_t writePieceSize = 65'536;
 constexpr std::size_t maxBodyReadSize = 65'536;
-// Time after which a client may repeat a request that was refused because connections hold too much. Stalled ones are
-// closed within this time.
+// Time after which a client may repeat a request that was refused because connections hold too much, or because the
+// limits may have changed. Stalled connections are closed within this time, and limits that have changed are read.
 constexpr absl::string_view refusalRetryAfter = "1";
 
 http::status statusForError(const error_code &error)
@@ -32,6 +32,11 @@
     return http::status::bad_request;
 }
 
+bool isSizeLimit(http::status status)
+{
+    return status == http::status::payload_too_large || status == http::status::request_header_fields_too_large;
+}
+
 // Written instead of a response whose status is invalid. The status 502 promises nothing about the request.
 HttpResponse invalidStatusReplacement()
 {
@@ -237,10 +242,15 @@
         m_closesAfterResponse = true;
         return;
     }
-    if (m_closesAfterResponse)
+    if (m_closesAfterResponse) {
         close();
+        return;
+    }
+    const http::status status = statusForError(error);
+    if (isSizeLimit(status) && m_server->areLimitsConfirmed && !m_server->areLimitsConfirmed())
+        reject(http::status::service_unavailable, refusalRetryAfter);
     else
-        reject(statusForError(error));
+        reject(status);
 }
 
 void ServerSession::onRequestRead()
--- a/src/http/server_state.h
+++ b/src/http/server_state.h
@@ -30,7 +30,8 @@
     TransferHooks transferHooks;
     ConcurrencyHook isConcurrent; ///< null if a connection has one request in progress
     std::function<void(ConcurrencyEvent)> onConcurrencyEvent;
-    std::shared_ptr<ReceiveAccount> account; ///< may be null
+    std::function<bool()> areLimitsConfirmed; ///< null if the limits are always current
+    std::shared_ptr<ReceiveAccount> account;  ///< may be null
     HttpHeaders refusalHeaders;
     bool isDraining = false;
     bool isClosed = false;
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -124,6 +124,7 @@
     limits.idleTimeout = std::chrono::minutes(1);
     limits.maxBodyBytes = ByteCount(67'108'864);
     m_inboundServer.setLimits(limits);
+    m_callerServer.setLimitsConfirmed([this] { return m_forwarder.mayRefuseFinally(); });
     m_callerServer.setConcurrency([this](const HttpRequest &request) { return isConcurrent(request); });
     m_callerServer.onConcurrencyEvent([this](ConcurrencyEvent event) { recordConcurrencyEvent(event); });
     m_client.setReceiveAccount(m_receiveAccount);
--- a/tests/platform/outdated_refusals_test.cpp
+++ b/tests/platform/outdated_refusals_test.cpp
@@ -1,4 +1,5 @@
 #include "support/accounts_deployment.h"
+#include "support/raw_socket.h"
 
 #include <dandeliondock/core/boot_clock.h>
 
@@ -20,6 +21,7 @@
 const std::string newRoute =
         R"("new":{"host":"h","prefix":"/new/","kind":"safe","timeout_ms":2000,"priority":2,"service":"s",)"
         R"("auth_exempt":true},)";
+const std::string smallLimits = R"({"max_header_bytes":4096,"max_body_bytes":1000})";
 
 FakeStoreFaults unresponsive()
 {
@@ -28,6 +30,20 @@
     return faults;
 }
 
+/// Returns the status line of the response to a request with the given header lines and body.
+std::string statusLine(std::uint16_t port, const std::string &lines, const std::string &body = {})
+{
+    const RawConnection connection(port);
+    connection.write(absl::StrCat("POST /a/1 HTTP/1.1\r\nHost: h\r\nX-Dandeliondock-Attempt-Id: x\r\nContent-Length: ",
+                                  body.size(), "\r\nAuthorization: Bearer ", millKey, "\r\n", lines, "\r\n", body));
+    return connection.readUntil("\r\n").substr(0, 12);
+}
+
+std::string longHeader()
+{
+    return absl::StrCat("X-Note: ", std::string(6'000, 'n'), "\r\n");
+}
+
 /// Calls \c check from the end of the bound until the key lease ends as well, and some time later.
 template <typename Check>
 void checkAfterBound(BootTime writtenAt, const Check &check)
@@ -70,4 +86,36 @@
     }
 }
 
+// Guards against 413 and 431 for sizes that a later configuration allows.
+TEST_CASE("a proxy without a recent confirmation refuses long requests with 503", "[platform]")
+{
+    AccountsDeployment deployment;
+    const std::string body(2'000, 'b');
+    deployment.startServing();
+    deployment.store.put("op", "config", configText(2, quoted(millKey), {}, smallLimits));
+    const std::uint16_t port = deployment.callersPort();
+    REQUIRE(deployment.eventually([&] { return statusLine(port, {}, body) == "HTTP/1.1 413"; }));
+    REQUIRE(statusLine(port, longHeader()) == "HTTP/1.1 431");
+
+    deployment.store.setFaults(unresponsive());
+    deployment.store.put("op", "config", configText(3, quoted(millKey)));
+    checkAfterBound(BootClock::now(), [&] {
+        CHECK(statusLine(port, {}, body) == "HTTP/1.1 503");
+        CHECK(statusLine(port, longHeader()) == "HTTP/1.1 503");
+    });
+
+    deployment.store.setFaults({});
+    CHECK(deployment.eventually([&] { return statusLine(port, {}, body) == "HTTP/1.1 200"; }));
+    CHECK(statusLine(port, longHeader()) == "HTTP/1.1 200");
+}
+
+// Guards against 413 and 431 by preset limits of a proxy that has not read a configuration.
+TEST_CASE("a proxy without a configuration refuses long requests with 503", "[platform]")
+{
+    AccountsDeployment deployment;
+    CHECK(statusLine(deployment.callersPort(), absl::StrCat("X-Note: ", std::string(20'000, 'n'), "\r\n"))
+          == "HTTP/1.1 503");
+    CHECK(statusLine(deployment.callersPort(), {}, std::string(9'000'000, 'b')) == "HTTP/1.1 503");
+}
+
 } // namespace dandeliondock::testing
