Count and log the requests that the HTTP server rejects

The server answered requests that it could not read with 400, 413 or 431, and those that the account refused with 503, without a line or a counter, so that operators could not tell such responses from those of the forwarder.

A hook of the server gets the status, the error of the parser and the number of earlier requests of the connection. No bytes of the request are logged.

--- a/include/dandeliondock/http/async_server.h
+++ b/include/dandeliondock/http/async_server.h
@@ -9,8 +9,10 @@
 #include <absl/status/status.h>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace dandeliondock {
 
@@ -70,6 +72,14 @@
     ResponsesDropped  ///< ready responses exceeded their bound; the last requests were cancelled, the connection ends
 };
 
+/// \brief A request to which the server itself responded because it could not be read, or because of the account.
+struct RequestRejection
+{
+    int status = 0;
+    std::string error;                 ///< error of the parser; empty if the account refused the request
+    std::uint64_t earlierRequests = 0; ///< requests of the same connection that were passed to the handler before
+};
+
 namespace impl {
 class ServerState;
 } // namespace impl
@@ -115,6 +125,10 @@
     /// \brief Sets the hook that is told of concurrent requests; called on the loop's thread.
     void onConcurrencyEvent(std::function<void(ConcurrencyEvent)> hook);
 
+    /// \brief Sets the hook that is told of each request that the server rejects with a response of its own; called on
+    /// the loop's thread, before the response is written.
+    void onRejected(std::function<void(const RequestRejection &)> hook);
+
     /// \brief Sets the account of the memory and descriptors that connections use; without one they are not limited in
     /// common with others. A request that is refused because of the account gets status 503.
     /// \param refusalHeaders sent with this status besides Retry-After.
--- a/src/http/async_server.cpp
+++ b/src/http/async_server.cpp
@@ -162,6 +162,11 @@
     m_state->onConcurrencyEvent = std::move(hook);
 }
 
+void AsyncHttpServer::onRejected(std::function<void(const RequestRejection &)> hook)
+{
+    m_state->onRejected = std::move(hook);
+}
+
 void AsyncHttpServer::setReceiveAccount(std::shared_ptr<ReceiveAccount> account, HttpHeaders refusalHeaders)
 {
     m_state->account = std::move(account);
--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -248,9 +248,9 @@
     }
     const http::status status = statusForError(error);
     if (isSizeLimit(status) && m_server->areLimitsConfirmed && !m_server->areLimitsConfirmed())
-        reject(http::status::service_unavailable, refusalRetryAfter);
+        reject(http::status::service_unavailable, error, refusalRetryAfter);
     else
-        reject(status);
+        reject(status, error);
 }
 
 void ServerSession::onRequestRead()
@@ -303,6 +303,7 @@
     request->begin(shared_from_this(), isConcurrent);
     m_requests.push_back(request);
     ++m_server->activeRequests;
+    ++m_handledRequests;
     if (isBesideOthers)
         m_server->notify(ConcurrencyEvent::RunsBesideOthers);
     shrinkBuffer(m_buffer);
@@ -428,8 +429,10 @@
         close();
 }
 
-void ServerSession::reject(http::status status, absl::string_view retryAfter)
+void ServerSession::reject(http::status status, const error_code &error, absl::string_view retryAfter)
 {
+    if (m_server->onRejected)
+        m_server->onRejected({static_cast<int>(status), error ? error.message() : std::string(), m_handledRequests});
     m_parser.reset();
     m_isRejected = true;
     http::response<http::string_body> message(status, 11);
@@ -705,7 +708,7 @@
     openEntry(); // the one that was shed does not count the connection any more
     if (isIdle()) {
         m_readState = ReadState::Done;
-        reject(http::status::service_unavailable, refusalRetryAfter);
+        reject(http::status::service_unavailable, {}, refusalRetryAfter);
         return;
     }
     m_readState = ReadState::HeadDone; // the rest of the request is discarded after the last response
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -9,6 +9,7 @@
 #include <boost/beast/core/flat_buffer.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 #include <optional>
 
@@ -89,7 +90,7 @@
     void handleNext();
     void resumeReading();
     void discardInput();
-    void reject(http::status status, absl::string_view retryAfter = {});
+    void reject(http::status status, const error_code &error, absl::string_view retryAfter = {});
     [[nodiscard]] Requests::iterator find(const SessionRequest *request);
     void limitReadyResponses();
     [[nodiscard]] Requests takeRequestsFrom(std::size_t index);
@@ -128,6 +129,7 @@
     bool m_isAwaitingGrant = false;
     Requests m_requests;                    ///< passed on, and their responses not being written; oldest first
     std::shared_ptr<SessionRequest> m_next; ///< read completely, and not passed on
+    std::uint64_t m_handledRequests = 0;    ///< passed to the handler so far
     std::size_t m_discardedBytes = 0;
     ReadState m_readState = ReadState::Idle;
     MonotonicTime m_lastActivity;
--- a/src/http/server_state.h
+++ b/src/http/server_state.h
@@ -30,6 +30,7 @@
     TransferHooks transferHooks;
     ConcurrencyHook isConcurrent; ///< null if a connection has one request in progress
     std::function<void(ConcurrencyEvent)> onConcurrencyEvent;
+    std::function<void(const RequestRejection &)> onRejected;
     std::function<bool()> areLimitsConfirmed; ///< null if the limits are always current
     std::shared_ptr<ReceiveAccount> account;  ///< may be null
     HttpHeaders refusalHeaders;
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -109,12 +109,20 @@
 
 absl::Status TrafficDuty::listen()
 {
-    const std::pair<AsyncHttpServer *, Address> listeners[] = {{&m_callerServer, m_settings.callers},
-                                                               {&m_inboundServer, m_settings.inbound},
-                                                               {&m_healthServer, m_settings.health},
-                                                               {&m_announcementServer, m_settings.announcements},
-                                                               {&m_metricsServer, m_settings.metrics}};
-    for (const auto &[server, address] : listeners) {
+    struct Listener
+    {
+        AsyncHttpServer *server;
+        Address address;
+        const char *name;
+    };
+    const Listener listeners[] = {{&m_callerServer, m_settings.callers, "callers"},
+                                  {&m_inboundServer, m_settings.inbound, "inbound"},
+                                  {&m_healthServer, m_settings.health, "health"},
+                                  {&m_announcementServer, m_settings.announcements, "announcements"},
+                                  {&m_metricsServer, m_settings.metrics, "metrics"}};
+    for (const auto &[server, address, name] : listeners) {
+        server->onRejected(
+                [this, name = name](const RequestRejection &rejection) { recordRejection(name, rejection); });
         if (absl::Status status = server->listen(address); !status.ok())
             return status;
     }
@@ -394,6 +402,18 @@
             .write(m_log);
 }
 
+void TrafficDuty::recordRejection(const char *listener, const RequestRejection &rejection)
+{
+    m_metrics.counter("http_rejections_total", absl::StrCat(listener, "_", rejection.status)).add();
+    if (!m_rejectionLogLimiter.allow(EventLoop::now(), m_log))
+        return;
+    LogEvent event(LogLevel::Info, "http.request_rejected");
+    event.field("listener", listener).field("status", rejection.status);
+    if (!rejection.error.empty())
+        event.field("error", rejection.error);
+    event.field("earlier_requests", rejection.earlierRequests).write(m_log);
+}
+
 void TrafficDuty::handleMetrics(const HttpRequestContextPtr &context)
 {
     HttpResponse response;
--- a/src/proxy/traffic_duty.h
+++ b/src/proxy/traffic_duty.h
@@ -111,6 +111,7 @@
     void reportUsage();
     void addLoadFields(LogEvent &event);
     void recordShed(const ShedHolder &holder);
+    void recordRejection(const char *listener, const RequestRejection &rejection);
     [[nodiscard]] InboundHandlerDependencies inboundDependencies();
     [[nodiscard]] ForwarderDependencies forwarderDependencies();
     [[nodiscard]] Endpoint localEndpoint() const;
@@ -137,6 +138,7 @@
     LogRateLimiter m_concurrencyLogLimiter;
     LoopMonitor m_loopMonitor;
     LogRateLimiter m_shedLogLimiter;
+    LogRateLimiter m_rejectionLogLimiter;
     RolloutAttempts m_batchedAttempts;
     LoopTimer m_batchTimer;
     LoopTimer m_usageTimer; ///< runs while the configuration has quotas
--- a/tests/http/async_server_test.cpp
+++ b/tests/http/async_server_test.cpp
@@ -105,6 +105,48 @@
     CHECK(handled == 0);
 }
 
+// Guards against rejections of the server itself that no metric shows, or whose cause and place on the connection are
+// unknown.
+TEST_CASE("the hook for rejections gets the status, the error and the number of earlier requests", "[http]")
+{
+    ConnectionLimits limits;
+    limits.maxBodyBytes = ByteCount(10);
+    limits.maxHeaderBytes = ByteCount(200);
+    TestServer server(respondWithEcho, limits);
+    std::vector<RequestRejection> rejections; // used on the loop's thread only
+    server.thread().run([&] {
+        server.httpServer().onRejected([&](const RequestRejection &rejection) { rejections.push_back(rejection); });
+    });
+    const std::string proper = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    const auto rejectionOf = [&](int earlierRequests, const std::string &request) {
+        RawConnection connection(server.port());
+        for (int earlier = 0; earlier < earlierRequests; ++earlier) {
+            connection.write(proper);
+            CHECK_THAT(connection.readUntil("/a "), Catch::Contains("200 OK"));
+        }
+        connection.write(request);
+        const std::string response = connection.readAll();
+        RequestRejection last;
+        server.thread().run([&] {
+            REQUIRE(!rejections.empty());
+            last = rejections.back();
+        });
+        CHECK_THAT(response, Catch::StartsWith("HTTP/1.1 " + std::to_string(last.status)));
+        CHECK(last.earlierRequests == static_cast<std::uint64_t>(earlierRequests));
+        return last;
+    };
+    const auto malformed = rejectionOf(2, "GET /secret path HTTP/1.1\r\n\r\n");
+    CHECK(malformed.status == 400);
+    CHECK_THAT(malformed.error, Catch::Contains("version") && !Catch::Contains("secret"));
+    const auto longHead = rejectionOf(0, "GET /a HTTP/1.1\r\nX: " + std::string(300, 'x') + "\r\n\r\n");
+    CHECK(longHead.status == 431);
+    CHECK_THAT(longHead.error, Catch::Contains("header"));
+    const auto longBody = rejectionOf(1, "POST /a HTTP/1.1\r\nContent-Length: 11\r\n\r\n01234567890");
+    CHECK(longBody.status == 413);
+    CHECK_THAT(longBody.error, Catch::Contains("body"));
+    server.thread().run([&] { CHECK(rejections.size() == 3); });
+}
+
 // Guards against a connection that keeps the limits which were in force when its last request ended.
 TEST_CASE("limits that change apply to the next request of an idle connection", "[http]")
 {
