Count the proxy's own 4xx by the revision that decided

A 401 or 404 from a proxy whose configuration is out of date could not be told from a justified one: failures_total has the reason only, and request.ended had no age of the configuration.

client_errors_total has the reason, the status and the revision.

--- a/include/dandeliondock/proxy/forwarder.h
+++ b/include/dandeliondock/proxy/forwarder.h
@@ -11,6 +11,7 @@
 #include <dandeliondock/http/async_client.h>
 #include <dandeliondock/http/async_server.h>
 #include <dandeliondock/places/region_rules.h>
+#include <dandeliondock/proxy/client_error_counters.h>
 #include <dandeliondock/proxy/forwarder_counters.h>
 #include <dandeliondock/proxy/header_names.h>
 #include <dandeliondock/proxy/inbound_handler.h>
@@ -108,6 +109,10 @@
     /// confirmation a later one may allow the request, and its caller is told to try again.
     [[nodiscard]] bool mayRefuseFinally() const;
 
+    /// \brief Responses with a status from 300 to 499 that no target gave. Those of the HTTP server itself are not
+    /// included.
+    [[nodiscard]] const ClientErrorCounters &clientErrors() const noexcept { return m_clientErrors; }
+
     /// \brief Returns when a request to another service last failed or was refused. Calls made by the local target are
     /// among these requests.
     [[nodiscard]] MonotonicTime lastDependencyFailure() const noexcept { return m_lastDependencyFailure; }
@@ -134,6 +139,7 @@
 
     ForwarderDependencies m_dependencies;
     ForwarderCounters m_counters;
+    ClientErrorCounters m_clientErrors;
     ProxyConfigPtr m_config;
     KeyCheck m_keyCheck;
     ConfigLease m_refusalLease;
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -18,6 +18,7 @@
 constexpr int badRequest = 400;
 constexpr int unauthorized = 401;
 constexpr int notFound = 404;
+constexpr int firstRedirection = 300;
 constexpr int firstServerError = 500;
 constexpr int badGateway = 502;
 constexpr int tooManyRequests = 429;
@@ -69,6 +70,11 @@
            || refusal == InboundRefusal::LinkFull;
 }
 
+bool isClientError(int status)
+{
+    return status >= firstRedirection && status < firstServerError;
+}
+
 } // namespace
 
 /// \brief One caller's request; keeps itself alive until the response is sent or the caller disconnects.
@@ -94,7 +100,7 @@
     void respond(HttpResponse response);
     void fail();
     void logAttempt(const InboundResult &result, MonotonicTime now);
-    void logEnd(int status, absl::string_view reason);
+    void recordEnd(int status, absl::string_view reason);
     void refuse(absl::string_view reason, Microseconds retryHint);
     void rejectKey();
     /// Refuses a request that the configuration in force does not allow, finally if that is certainly the current one.
@@ -204,7 +210,7 @@
     }
     m_isDone = true;
     metrics().counter("refusals_total", "over_quota").add();
-    logEnd(tooManyRequests, "over_quota");
+    recordEnd(tooManyRequests, "over_quota");
     HttpResponse response;
     response.status = tooManyRequests;
     response.headers.add("Retry-After",
@@ -387,14 +393,20 @@
             .write(m_owner.m_dependencies.log);
 }
 
-void Forwarder::Session::logEnd(int status, absl::string_view reason)
+void Forwarder::Session::recordEnd(int status, absl::string_view reason)
 {
+    if (isClientError(status) && m_config)
+        m_owner.m_clientErrors.add(reason, status, m_config->state->revision());
     if (!m_owner.m_endLogLimiter.allow(EventLoop::now(), m_owner.m_dependencies.log))
         return;
     LogEvent event(LogLevel::Info, "request.ended");
     event.field("request", m_request.id).field("route", m_request.route).field("status", status);
     if (m_config)
         event.field("revision", m_config->state->revision());
+    const auto confirmedAt = m_owner.m_refusalLease.confirmedAt();
+    if (isClientError(status) && confirmedAt)
+        event.field("confirmed_age_ms",
+                    std::chrono::duration_cast<Milliseconds>(BootClock::now() - *confirmedAt).count());
     event.field("reason", reason).write(m_owner.m_dependencies.log);
 }
 
@@ -425,7 +437,7 @@
     m_owner.recordFailure(m_request.service);
     const Milliseconds wait = m_owner.retryAfter(retryHint);
     metrics().counter("refusals_total", reason).add();
-    logEnd(unavailable, reason);
+    recordEnd(unavailable, reason);
     HttpResponse response;
     response.status = unavailable;
     response.headers.add("Retry-After", absl::StrFormat("%.3f", std::chrono::duration<double>(wait).count()));
@@ -455,7 +467,7 @@
     if (status >= firstServerError)
         m_owner.recordFailure(m_request.service);
     metrics().counter("failures_total", reason).add();
-    logEnd(status, reason);
+    recordEnd(status, reason);
     HttpResponse response;
     response.status = status;
     if (status == unauthorized)
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -419,6 +419,7 @@
     HttpResponse response;
     response.headers.add("Content-Type", "text/plain; version=0.0.4");
     response.body = m_metrics.renderPrometheus();
+    m_forwarder.clientErrors().renderPrometheus(response.body);
     context->respond(std::move(response));
 }
 
--- a/tests/platform/accounts_test.cpp
+++ b/tests/platform/accounts_test.cpp
@@ -105,6 +105,34 @@
     CHECK(statusLine(bearer) == "HTTP/1.1 200");
 }
 
+// Guards against refusals of the proxy itself of which nobody can tell what decided them: the configuration and its
+// age, or the HTTP server.
+TEST_CASE("the log and the metrics tell why the proxy itself refused a request", "[platform]")
+{
+    AccountsDeployment deployment;
+    deployment.startServing();
+    std::this_thread::sleep_for(Milliseconds(1'100)); // the requests before have used up the log lines of their second
+    CHECK(deployment.callWithKey(millKey + "x").status == 401);
+    CHECK(deployment.callProxy(0, "/none/").status == 404);
+    const RawConnection connection(deployment.callersPort());
+    connection.write("GET /a/k3y HTTP/9.9\r\n\r\n");
+    CHECK_THAT(connection.readAll(), Catch::StartsWith("HTTP/1.1 400"));
+    const std::string log = deployment.log();
+    for (const char *reason : {"status=401 revision=1 confirmed_age_ms=", "status=404 revision=1 confirmed_age_ms="}) {
+        const std::size_t found = log.find(reason);
+        REQUIRE(found != std::string::npos);
+        const std::string line = log.substr(found, log.find('\n', found) - found);
+        CHECK_THAT(line, Catch::Matches(std::string(reason) + "[0-9]+ reason=(key_unknown|no_route)"));
+    }
+    CHECK_THAT(log, Catch::Contains("http.request_rejected listener=callers status=400 error=")
+                            && Catch::Contains("earlier_requests=0") && !Catch::Contains("k3y"));
+    CHECK_THAT(
+            deployment.metricsPage(),
+            Catch::Contains("client_errors_total{reason=\"no_route\",status=\"404\",revision=\"1\"} 1\n")
+                    && Catch::Contains("client_errors_total{reason=\"key_unknown\",status=\"401\",revision=\"1\"} 1\n")
+                    && Catch::Contains("http_rejections_total{reason=\"callers_400\"} 1\n"));
+}
+
 // Guards against a change of keys alone that does not take effect, and against keys that are lost with a configuration
 // that is refused.
 TEST_CASE("a configuration that differs in keys only takes effect", "[platform]")
