Refuse unknown routes with 503 at a node without recent contact

Callers of a node got 404 for a route that had been added while the node had no contact with its parent: Router::match() checked that the process had not been paused, not that its configuration is recent.

Routes that the configuration has are served as before.

Evidence: the new test failed before the change (NotFound instead of NotReady) and passes; the other tests of routing and node pass unchanged.

--- a/include/dandeliondock/routing/router.h
+++ b/include/dandeliondock/routing/router.h
@@ -62,7 +62,8 @@
     void recordParentContact();
 
     /// \brief Returns the route of a request.
-    /// \return NotReady without a current configuration, NotFound when no route matches.
+    /// \return NotReady without a current configuration, or when no route matches and the last contact with the parent
+    /// is so old that a route may have been added since; NotFound when no route matches otherwise.
     [[nodiscard]] absl::StatusOr<RouteMatch> match(absl::string_view host, absl::string_view path) const;
 
     /// \brief Selects a target and reserves a slot on it; may block until the deadline.
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -90,6 +90,10 @@
         return makeError(ErrorKind::NotReady, "the node holds no current configuration");
     }
     RouteMatch match = routes->match(host, path);
+    if (match.route == nullptr && m_freshness.load().isStale(m_hooks.time.monotonic())) {
+        m_counters.notReady.add();
+        return makeError(ErrorKind::NotReady, "no route matches the request, and the configuration may be out of date");
+    }
     if (match.route == nullptr) {
         m_counters.noRoute.add();
         return makeError(ErrorKind::NotFound, "no route matches the request");
--- a/tests/routing/router_test.cpp
+++ b/tests/routing/router_test.cpp
@@ -186,6 +186,18 @@
     CHECK(fixture.refusalCount("not_ready") == 1);
 }
 
+// Guards against the final refusal of a route that was added while the node had no contact with its parent.
+TEST_CASE("a router without recent contact does not refuse an unknown route finally", "[routing]")
+{
+    RouterFixture fixture;
+    fixture.now = fixture.now.load() + viewTtl;
+    CHECK(errorKind(fixture.router->match("", "/absent").status()) == ErrorKind::NotReady);
+    CHECK(fixture.refusalCount("not_ready") == 1);
+    CHECK(fixture.router->match("", "/orders").ok());
+    fixture.router->recordParentContact();
+    CHECK(errorKind(fixture.router->match("", "/absent").status()) == ErrorKind::NotFound);
+}
+
 // Guards against a request that is the first to run after a pause of the process and is routed before the pause is
 // detected.
 TEST_CASE("a router refuses requests when its last heartbeat is too old", "[routing]")
