Test crowds on all listeners and faulty targets against real processes

The tests of uncontrolled clients send each kind of crowd to one listener. The new ones send all kinds to all listeners of a process at once, heads and trailers without end, large requests that are sent to another target, and let a target respond without end, in very small chunks or just short of the end.

--- /dev/null
+++ b/tests/overload_process/crowds_on_all_listeners_test.cpp
@@ -0,0 +1,208 @@
+#include "support/crowd.h"
+#include "support/hostile_target.h"
+#include "support/overload_deployment.h"
+
+#include <absl/strings/match.h>
+#include <absl/strings/str_cat.h>
+
+#include <catch2/catch.hpp>
+
+#include <string>
+#include <thread>
+#include <vector>
+
+// Clients, targets, other machines and a store that nobody controls, on all listeners of real processes with lowered
+// limits. As in uncontrolled_clients_test.cpp, each test checks that both processes live within the memory and the
+// descriptors of their settings and answer an ordinary request while the connections of the clients are still open.
+
+namespace dandeliondock::testing {
+namespace {
+
+constexpr std::size_t mebibyte = 1'048'576;
+constexpr std::size_t largePiece = 262'144;
+constexpr std::size_t smallPiece = 8'192;
+constexpr std::size_t legalBody = 8'388'608; // within the limits of every listener
+constexpr int smallReceiveBuffer = 16'384;
+
+// Time for the proxies to take what the system's socket buffers still hold.
+void settle()
+{
+    std::this_thread::sleep_for(Milliseconds(500));
+}
+
+void checkStillServing(const OverloadDeployment &deployment, const std::string &title)
+{
+    settle();
+    deployment.checkUsage(title);
+    CHECK(deployment.answersOrdinaryRequest());
+    deployment.checkUsage(title + ", later");
+}
+
+std::string get(const std::string &path)
+{
+    return uploadHead(path, "Content-Length: 0\r\n");
+}
+
+std::string announcedUpload(const std::string &path, std::size_t length)
+{
+    return uploadHead(path, absl::StrCat("Content-Length: ", length, "\r\n"));
+}
+
+std::string chunkedUpload(const std::string &path)
+{
+    return uploadHead(path, "Transfer-Encoding: chunked\r\n");
+}
+
+void sendStalledBody(const CrowdClient &client)
+{
+    if (client.send(announcedUpload("/a/1", legalBody)))
+        client.sendFiller(legalBody - 1, largePiece);
+}
+
+void sendStalledPieces(const CrowdClient &client)
+{
+    if (client.send(announcedUpload("/a/1", legalBody)))
+        client.sendFiller(legalBody - 1, smallPiece);
+}
+
+void sendLargeChunks(const CrowdClient &client)
+{
+    if (client.send(chunkedUpload("/a/1")))
+        client.sendChunks(legalBody, largePiece);
+}
+
+void sendTinyChunks(const CrowdClient &client)
+{
+    if (client.send(chunkedUpload("/a/1")))
+        client.sendChunks(2 * mebibyte, 1);
+}
+
+void sendTrailers(const CrowdClient &client)
+{
+    if (client.send(chunkedUpload("/a/1") + "5\r\nhello\r\n0\r\n"))
+        client.sendLines("t: x\r\n", 2 * mebibyte);
+}
+
+void sendEndlessHead(const CrowdClient &client)
+{
+    if (client.send("GET /a/1 HTTP/1.1\r\nHost: h\r\n"))
+        client.sendLines("a: x\r\n", 2 * mebibyte);
+}
+
+void sendCompleteBody(const CrowdClient &client)
+{
+    if (client.send(announcedUpload("/a/slow", 4 * mebibyte)))
+        client.sendFiller(4 * mebibyte, largePiece);
+}
+
+// The responses to complete requests are not read.
+void sendMixed(const CrowdClient &client, int kind)
+{
+    switch (kind % 8) {
+    case 0:
+        sendStalledBody(client);
+        return;
+    case 1:
+        sendStalledPieces(client);
+        return;
+    case 2:
+        sendLargeChunks(client);
+        return;
+    case 3:
+        sendTinyChunks(client);
+        return;
+    case 4:
+        sendTrailers(client);
+        return;
+    case 5:
+        sendEndlessHead(client);
+        return;
+    case 6:
+        sendCompleteBody(client);
+        return;
+    default:
+        client.send(get("/a/large"));
+        return;
+    }
+}
+
+} // namespace
+
+// Guards against trailers, which follow the body and which the limit on the body does not cover, without a bound.
+TEST_CASE("trailers without end stay within the limits on the listeners for callers and other proxies",
+          "[overload_process]")
+{
+    const OverloadDeployment deployment;
+    const std::vector<std::uint16_t> ports = {deployment.callers.callersPort(), deployment.callers.inboundPort()};
+    const Crowd crowd(ports, 48, [](const CrowdClient &client, int) { sendTrailers(client); });
+    checkStillServing(deployment, "trailers");
+}
+
+// Guards against heads without a bound, on every listener.
+TEST_CASE("heads without end stay within the limits on all listeners", "[overload_process]")
+{
+    const OverloadDeployment deployment;
+    const Crowd crowd(deployment.callers.ports(), 50, [](const CrowdClient &client, int) { sendEndlessHead(client); });
+    checkStillServing(deployment, "heads");
+}
+
+// Guards against a bound that holds for each listener only.
+TEST_CASE("mixed crowds on all listeners of the callers' proxy stay within the limits", "[overload_process]")
+{
+    const OverloadDeployment deployment;
+    const Crowd crowd(
+            deployment.callers.ports(), 50,
+            [](const CrowdClient &client, int number) { sendMixed(client, number / 5); }, smallReceiveBuffer);
+    checkStillServing(deployment, "all listeners of the callers' proxy");
+}
+
+// Guards against a bound that does not include what other proxies send and what the client of the target receives.
+TEST_CASE("mixed crowds on all listeners of the target's proxy and of callers stay within the limits",
+          "[overload_process]")
+{
+    const OverloadDeployment deployment;
+    std::vector<std::uint16_t> ports = deployment.inbound.ports();
+    ports.push_back(deployment.callers.callersPort());
+    const Crowd crowd(
+            ports, 54, [](const CrowdClient &client, int number) { sendMixed(client, number / 6); },
+            smallReceiveBuffer);
+    checkStillServing(deployment, "all listeners of the target's proxy");
+}
+
+// Guards against responses that hold memory before they are recorded, for as long as the target sends them.
+TEST_CASE("responses of a faulty target without end stay within the memory limit", "[overload_process]")
+{
+    const HostileTarget target;
+    const OverloadDeployment deployment(target.address());
+    const std::vector<std::string> paths = {"/a/short", "/a/chunks", "/a/tiny", "/a/trailers", "/a/head", "/a/endless"};
+    const Crowd crowd(deployment.callers.callersPort(), 36, [&](const CrowdClient &client, int number) {
+        client.send(get(paths[static_cast<std::size_t>(number) % paths.size()]));
+    });
+    std::this_thread::sleep_for(Seconds(3));
+    checkStillServing(deployment, "faulty target");
+}
+
+// Guards against a response in very small chunks that is recorded only after all of it was received.
+TEST_CASE("responses of a faulty target in very small chunks stay within the memory limit", "[overload_process]")
+{
+    const HostileTarget target;
+    const OverloadDeployment deployment(target.address());
+    const Crowd crowd(deployment.callers.callersPort(), 48,
+                      [](const CrowdClient &client, int) { client.send(get("/a/tiny")); });
+    std::this_thread::sleep_for(Seconds(3));
+    checkStillServing(deployment, "responses in very small chunks");
+}
+
+// Guards against bodies that leave the account while they wait for another attempt.
+TEST_CASE("large requests that are sent to another target stay within the memory limit", "[overload_process]")
+{
+    const OverloadDeployment deployment;
+    deployment.callers.announceTarget();
+    const Crowd crowd(deployment.callers.callersPort(), 32, [](const CrowdClient &client, int) {
+        if (client.send(announcedUpload("/a/busy", 4 * mebibyte)))
+            client.sendFiller(4 * mebibyte, largePiece);
+    });
+    checkStillServing(deployment, "requests for another target");
+}
+
+} // namespace dandeliondock::testing
--- a/tests/support/crowd.cpp
+++ b/tests/support/crowd.cpp
@@ -82,22 +82,44 @@
     return true;
 }
 
+bool CrowdClient::sendLines(const std::string &line, std::size_t count) const
+{
+    std::string batch;
+    while (batch.size() < chunkBatchSize)
+        batch += line;
+    for (std::size_t sent = 0; sent < count; sent += batch.size()) {
+        if (!send(batch))
+            return false;
+    }
+    return true;
+}
+
+std::string CrowdClient::receiveSome() const
+{
+    std::array<char, 65'536> buffer{};
+    const ssize_t count = recv(m_socket, buffer.data(), buffer.size(), 0);
+    return count <= 0 ? std::string() : std::string(buffer.data(), static_cast<std::size_t>(count));
+}
+
 std::string CrowdClient::readAll() const
 {
     std::string received;
-    std::array<char, 65'536> buffer{};
-    while (true) {
-        const ssize_t count = recv(m_socket, buffer.data(), buffer.size(), 0);
-        if (count <= 0)
-            return received;
-        received.append(buffer.data(), static_cast<std::size_t>(count));
-    }
+    for (std::string bytes = receiveSome(); !bytes.empty(); bytes = receiveSome())
+        received += bytes;
+    return received;
 }
 
 Crowd::Crowd(std::uint16_t port, int size, const Script &script, int receiveBuffer)
+    : Crowd(std::vector<std::uint16_t>{port}, size, script, receiveBuffer)
 {
-    for (int number = 0; number < size; ++number)
+}
+
+Crowd::Crowd(const std::vector<std::uint16_t> &ports, int size, const Script &script, int receiveBuffer)
+{
+    for (int number = 0; number < size; ++number) {
+        const std::uint16_t port = ports[static_cast<std::size_t>(number) % ports.size()];
         m_clients.push_back(std::make_unique<CrowdClient>(port, receiveBuffer));
+    }
     std::vector<std::thread> threads;
     for (int number = 0; number < size; ++number)
         threads.emplace_back([this, &script, number] { script(*m_clients[static_cast<std::size_t>(number)], number); });
--- a/tests/support/crowd.h
+++ b/tests/support/crowd.h
@@ -30,6 +30,12 @@
     /// \brief Sends chunks with \c count bytes in total, without the last chunk; returns false as send() does.
     bool sendChunks(std::size_t count, std::size_t chunkSize) const;
 
+    /// \brief Sends \c line again and again until at least \c count bytes are sent; returns false as send() does.
+    bool sendLines(const std::string &line, std::size_t count) const;
+
+    /// \brief Returns the bytes that arrive next; empty when the peer has closed the connection or sends none for 6 s.
+    [[nodiscard]] std::string receiveSome() const;
+
     /// \brief Reads until the peer closes the connection or no byte arrives for 6 s, and returns what was received.
     [[nodiscard]] std::string readAll() const;
 
@@ -46,6 +52,9 @@
     /// \brief Opens \c size connections, runs \c script for each on a thread of its own and waits for all.
     Crowd(std::uint16_t port, int size, const Script &script, int receiveBuffer = 0);
 
+    /// \brief Opens \c size connections, to the ports in turn, and does the same.
+    Crowd(const std::vector<std::uint16_t> &ports, int size, const Script &script, int receiveBuffer = 0);
+
 private:
     std::vector<std::unique_ptr<CrowdClient>> m_clients;
 };
--- a/tests/support/fake_store.cpp
+++ b/tests/support/fake_store.cpp
@@ -165,6 +165,10 @@
         respond(context, 503);
         return;
     }
+    if (!m_faults.body.empty()) {
+        respond(context, 200, m_faults.body);
+        return;
+    }
     const std::pair<std::string, std::string> pathAndQuery =
             absl::StrSplit(context->request().target, absl::MaxSplits('?', 1));
     Query query;
--- a/tests/support/fake_store.h
+++ b/tests/support/fake_store.h
@@ -23,6 +23,7 @@
     bool isUnresponsive = false;      ///< never responds to a call
     bool losesWriteResponses = false; ///< applies writes, then closes their connection without a response
     bool hasNoHistory = false;        ///< responds with 410 to every call for changes
+    std::string body{};               ///< if not empty, responds with it to every call, with status 200
 };
 
 /// \brief Stand-in for the platform's metadata store; it serves the store's published protocol on a loopback port.
--- a/tests/support/overload_deployment.cpp
+++ b/tests/support/overload_deployment.cpp
@@ -11,6 +11,8 @@
 #include <filesystem>
 #include <fstream>
 #include <iostream>
+#include <mutex>
+#include <set>
 #include <sstream>
 #include <thread>
 #include <unistd.h>
@@ -32,20 +34,30 @@
     return absl::StrCat(R"({"version":"r1","routes":{"upload":{"host":"h","prefix":"/a/","kind":"safe",)",
                         R"("timeout_ms":15000,"priority":1,"service":"s","max_attempts":2}},)",
                         R"("services":{"s":{"health_path":"/health","max_connections":130}},)",
-                        R"("limits":{"max_header_bytes":16384,"max_body_bytes":)", OverloadDeployment::maxBodyBytes,
-                        R"(,"header_timeout_ms":3000,"idle_timeout_ms":15000}})");
+                        R"("limits":{"max_header_bytes":)", OverloadDeployment::maxHeaderBytes, R"(,"max_body_bytes":)",
+                        OverloadDeployment::maxBodyBytes, R"(,"header_timeout_ms":3000,"idle_timeout_ms":15000}})");
 }
 
-std::string settingsText(const std::string &name, std::uint16_t callers, std::uint16_t inbound,
-                         std::uint16_t announcements, const Address &target, const Address &store)
+// Whether this is the first attempt of the request with this id at any target.
+bool isFirstAttempt(const HttpRequest &request)
 {
-    return absl::StrCat(
-            R"({"node":")", name, R"(","region":"east","data_centre":"a","callers":")", localAddress(callers),
-            R"(","door":")", localAddress(inbound), R"(","health":")", localAddress(freePort()),
-            R"(","announcements":")", localAddress(announcements), R"(","metrics":")", localAddress(freePort()),
-            R"(","target":")", target.value(), R"(","service":"s","store":")", store.value(),
-            R"(","grace_s":2,"log_level":"error","memory_mb":)", OverloadDeployment::memoryLimit / 1'000'000,
-            R"(,"max_fds":)", OverloadDeployment::descriptorLimit, "}");
+    static std::mutex mutex;
+    static std::set<std::string> ids;
+    const std::scoped_lock lock(mutex);
+    return ids.emplace(request.headers.first("X-Dandeliondock-Attempt-Id").value_or("")).second;
+}
+
+// The ports are those of ProxyProcess::ports().
+std::string settingsText(const std::string &name, const std::vector<std::uint16_t> &ports, const Address &target,
+                         const Address &store)
+{
+    return absl::StrCat(R"({"node":")", name, R"(","region":"east","data_centre":"a","callers":")",
+                        localAddress(ports[0]), R"(","door":")", localAddress(ports[1]), R"(","health":")",
+                        localAddress(ports[2]), R"(","announcements":")", localAddress(ports[3]), R"(","metrics":")",
+                        localAddress(ports[4]), R"(","target":")", target.value(), R"(","service":"s","store":")",
+                        store.value(), R"(","grace_s":2,"log_level":"error","memory_mb":)",
+                        OverloadDeployment::memoryLimit / 1'000'000, R"(,"max_fds":)",
+                        OverloadDeployment::descriptorLimit, "}");
 }
 
 std::uint64_t statusKilobytes(const std::string &line)
@@ -91,6 +103,7 @@
         m_server = std::make_unique<AsyncHttpServer>(m_thread.loop(),
                                                      [this](const HttpRequestContextPtr &context) { handle(context); });
         ConnectionLimits limits;
+        limits.maxHeaderBytes = ByteCount(2 * OverloadDeployment::maxHeaderBytes);
         limits.maxBodyBytes = ByteCount(2 * OverloadDeployment::maxBodyBytes);
         limits.requestReadTimeout = Milliseconds(60'000);
         m_server->setLimits(limits);
@@ -123,26 +136,47 @@
     response.body = absl::StrCat("length ", request.body.size());
     if (request.target == "/a/large")
         response.body = std::string(largeResponseSize, 'x');
-    if (request.target != "/a/slow") {
+    if (request.target == "/a/slow") {
+        respondAfter(slowWorkTime, context, std::move(response));
+    } else if (request.target == "/a/delay") {
+        respondAfter(shortWorkTime, context, std::move(response));
+    } else if (request.target != "/a/fail" && request.target != "/a/busy") {
         context->respond(std::move(response));
-        return;
+    } else if (!isFirstAttempt(request)) {
+        respondAfter(slowWorkTime, context, std::move(response));
+    } else if (request.target == "/a/fail") {
+        response.status = 500;
+        response.body = std::string(failureSize, 'x');
+        context->respond(std::move(response));
+    } else {
+        response.status = 503;
+        response.headers.add("X-Dandeliondock-Not-Executed", "1");
+        respondAfter(shortWorkTime, context, std::move(response));
     }
-    m_timers.push_back(m_thread.loop().after(
-            slowWorkTime, [context, response = std::move(response)] { context->respond(response); }));
 }
 
-ProxyProcess::ProxyProcess(const std::string &name, const Address &store)
-    : m_name(name), m_callersPort(freePort()), m_inboundPort(freePort()), m_announcementsPort(freePort()),
+void OverloadTarget::respondAfter(Milliseconds time, const HttpRequestContextPtr &context, HttpResponse response)
+{
+    m_timers.push_back(
+            m_thread.loop().after(time, [context, response = std::move(response)] { context->respond(response); }));
+}
+
+ProxyProcess::ProxyProcess(const std::string &name, const Address &store, const Address &otherTarget)
+    : m_name(name), m_target(otherTarget.value().empty() ? target.address() : otherTarget), m_callersPort(freePort()),
+      m_inboundPort(freePort()), m_healthPort(freePort()), m_announcementsPort(freePort()), m_metricsPort(freePort()),
       m_process("dandeliondock-proxy",
-                {"--settings",
-                 writeTemporary(name + ".json", settingsText(name, m_callersPort, m_inboundPort, m_announcementsPort,
-                                                             target.address(), store))})
+                {"--settings", writeTemporary(name + ".json", settingsText(name, ports(), m_target, store))})
+{
+}
+
+std::vector<std::uint16_t> ProxyProcess::ports() const
 {
+    return {m_callersPort, m_inboundPort, m_healthPort, m_announcementsPort, m_metricsPort};
 }
 
 void ProxyProcess::announceTarget() const
 {
-    const std::string body = absl::StrCat(R"({"service":"s","address":")", target.address().value(),
+    const std::string body = absl::StrCat(R"({"service":"s","address":")", m_target.value(),
                                           R"(","zone":"a","version":"v1",)", R"("slots":)", targetSlots,
                                           R"(,"state":"ready","cold_remaining_ms":0,"sequence":1,"born":1000})");
     const CrowdClient client(m_announcementsPort);
@@ -152,7 +186,8 @@
     static_cast<void>(client.readAll());
 }
 
-OverloadDeployment::OverloadDeployment() : callers("one", store.address()), inbound("two", store.address())
+OverloadDeployment::OverloadDeployment(const Address &otherTarget)
+    : callers("one", store.address()), inbound("two", store.address(), otherTarget)
 {
     store.put("op", "config", configText());
     const auto end = std::chrono::steady_clock::now() + convergenceLimit;
