Remember hashes of the request ids that a connection carried

Requests with long ids took a proxy over its memory: 24 connections to the inbound listener with 240 requests each and ids of 15,000 bytes. VmHWM reached 100,335,616 bytes of 64,000,000.

Cause: each connection to a target keeps the ids of up to 256 requests, whose length callers choose, and the account does not include them.

Change: it keeps 64-bit hashes. Two ids with the same hash only make the later request use another connection; responses are still matched by the whole id.

The test passes with a peak of 12,812,288 bytes.

--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -1,4 +1,5 @@
 #include <dandeliondock/core/error.h>
+#include <dandeliondock/core/stable_hash.h>
 #include <dandeliondock/http/async_client.h>
 
 #include "asio_state.h"
@@ -177,7 +178,8 @@
     [[nodiscard]] bool hasCarried(const ClientCall &call) const
     {
         return !call.expectedCorrelation.empty()
-               && std::find(m_carriedIds.begin(), m_carriedIds.end(), call.expectedCorrelation) != m_carriedIds.end();
+               && std::find(m_carriedIds.begin(), m_carriedIds.end(), stableHash(call.expectedCorrelation))
+                          != m_carriedIds.end();
     }
 
 private:
@@ -206,8 +208,10 @@
     MonotonicTime m_idleSince;
     Microseconds m_keepAliveLimit = std::chrono::hours(1);
     bool m_isWritten = false;
-    std::vector<std::string> m_carriedIds; ///< of the requests that were sent on this connection
-    int m_skippedCount = 0;                ///< number of responses skipped while the expected one is awaited
+    /// Hashes of the ids of the requests that were sent on this connection: callers choose the length of ids. Of two
+    /// ids with the same hash, the later one is sent on another connection.
+    std::vector<std::uint64_t> m_carriedIds;
+    int m_skippedCount = 0; ///< number of responses skipped while the expected one is awaited
     bool m_skippedOtherResponse = false;
     std::shared_ptr<ReceiveEntry> m_entry; ///< null without an account
     bool m_isClosed = false;
@@ -388,7 +392,7 @@
                                                  ? boost::beast::string_view(m_address.value())
                                                  : call->message[http::field::host]);
     if (!call->options.correlationHeader.empty())
-        m_carriedIds.push_back(call->expectedCorrelation);
+        m_carriedIds.push_back(stableHash(call->expectedCorrelation));
     if (call->isHead)
         m_parser->skip(true);
     call->maybeSent = true;
--- a/tests/overload_process/crowds_on_all_listeners_test.cpp
+++ b/tests/overload_process/crowds_on_all_listeners_test.cpp
@@ -53,6 +53,26 @@
     return uploadHead(path, "Transfer-Encoding: chunked\r\n");
 }
 
+// A request as the callers' proxy forwards it to the target's proxy.
+std::string forwardedRequest(const std::string &path, const std::string &id)
+{
+    return absl::StrCat("GET ", path, " HTTP/1.1\r\nHost: h\r\nDock-Target: two\r\nDock-Service: s\r\n",
+                        "Dock-Terms: 1,1,10000,10000\r\nX-Dandeliondock-Attempt-Id: ", id, "\r\n\r\n");
+}
+
+// Waits for the head of a response; returns false if the connection ends before.
+bool receivesHead(const CrowdClient &client)
+{
+    std::string response;
+    while (!absl::StrContains(response, "\r\n\r\n")) {
+        const std::string bytes = client.receiveSome();
+        if (bytes.empty())
+            return false;
+        response += bytes;
+    }
+    return true;
+}
+
 void sendStalledBody(const CrowdClient &client)
 {
     if (client.send(announcedUpload("/a/1", legalBody)))
@@ -193,6 +213,24 @@
     checkStillServing(deployment, "responses in very small chunks");
 }
 
+// Guards against the ids of earlier requests that connections to the target remember, without regard to their length.
+// Sent as another proxy would, because the path through the callers' proxy admits ids of half the length.
+TEST_CASE("long request ids stay within the memory limit", "[overload_process]")
+{
+    const OverloadDeployment deployment;
+    constexpr int requestsPerClient = 240;
+    constexpr std::size_t idSize = 15'000;
+    const std::string id(idSize, 'i');
+    const Crowd crowd(deployment.inbound.inboundPort(), 24, [&](const CrowdClient &client, int number) {
+        for (int index = 0; index < requestsPerClient; ++index) {
+            if (!client.send(forwardedRequest("/a/delay", absl::StrCat(number, "-", index, "-", id)))
+                || !receivesHead(client))
+                return;
+        }
+    });
+    checkStillServing(deployment, "long ids");
+}
+
 // Guards against bodies that leave the account while they wait for another attempt.
 TEST_CASE("large requests that are sent to another target stay within the memory limit", "[overload_process]")
 {
