Limit bodies at the listeners for health, announcements and metrics

Eight announcements of 8 MiB, each a list of numbers, took a proxy to 176,578,560 bytes of 64,000,000: the body is parsed into objects of many times its length, which no account includes.

Bodies at these listeners are limited to 64 KiB. A heartbeat has a few hundred bytes, and the other two listeners expect no body. A longer one gets 413 before it is read.

--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -16,6 +16,10 @@
 constexpr int notFound = 404;
 constexpr int unavailable = 503;
 
+// Messages of a target have a few hundred bytes; their JSON takes up to 30 times its length when it is parsed. Requests
+// for health and metrics have no body.
+constexpr ByteCount maxLocalBodyBytes{65'536};
+
 // Nothing was sent when no connection could be opened, so a short timeout lets another target be tried soon.
 AsyncClientLimits clientLimits()
 {
@@ -133,6 +137,10 @@
     limits.maxBodyBytes = ByteCount(67'108'864);
     m_inboundServer.setLimits(limits);
     m_callerServer.setLimitsConfirmed([this] { return m_forwarder.mayRefuseFinally(); });
+    ConnectionLimits localLimits;
+    localLimits.maxBodyBytes = maxLocalBodyBytes;
+    for (AsyncHttpServer *server : {&m_healthServer, &m_announcementServer, &m_metricsServer})
+        server->setLimits(localLimits);
     m_callerServer.setConcurrency([this](const HttpRequest &request) { return isConcurrent(request); });
     m_callerServer.onConcurrencyEvent([this](ConcurrencyEvent event) { recordConcurrencyEvent(event); });
     m_client.setReceiveAccount(m_receiveAccount);
--- a/tests/overload_process/crowds_on_all_listeners_test.cpp
+++ b/tests/overload_process/crowds_on_all_listeners_test.cpp
@@ -73,6 +73,15 @@
     return true;
 }
 
+std::string repeated(const std::string &text, std::size_t size)
+{
+    std::string result;
+    result.reserve(size + text.size());
+    while (result.size() < size)
+        result += text;
+    return result;
+}
+
 void sendStalledBody(const CrowdClient &client)
 {
     if (client.send(announcedUpload("/a/1", legalBody)))
@@ -243,4 +252,17 @@
     checkStillServing(deployment, "requests for another target");
 }
 
+// Guards against announcements that take a multiple of their length when they are decoded.
+TEST_CASE("large announcements stay within the memory limit", "[overload_process]")
+{
+    const OverloadDeployment deployment;
+    const std::string body = "[" + repeated("0,", legalBody - 4) + "0]";
+    const Crowd crowd(deployment.callers.announcementsPort(), 8, [&](const CrowdClient &client, int) {
+        if (client.send(absl::StrCat("POST /api/rpc?call=instances.heartbeat&of=one HTTP/1.1\r\nHost: h\r\n",
+                                     "Content-Length: ", body.size(), "\r\n\r\n")))
+            client.send(body);
+    });
+    checkStillServing(deployment, "announcements");
+}
+
 } // namespace dandeliondock::testing
