Limit messages between proxies and keep them in the account

Sixteen messages of 8 MiB at the inbound listener, half of them complete, took a proxy to 321,773,568 bytes of 64,000,000. A quota report of empty entries takes up to 40 times its length when it is decoded, before the number of entries is checked, and the body was copied on its way to the control duty, outside the account.

Messages over 256 KiB get 413. The longest one in use is a quota report with all accounts of a configuration, whose names fit into a row of 64 KiB. The control duty gets the shared body, so that its bytes stay in the account until both duties have released it. Bytes that another thread releases are returned to the account on its own loop.

--- a/include/dandeliondock/http/receive_account.h
+++ b/include/dandeliondock/http/receive_account.h
@@ -28,7 +28,8 @@
     /// of this class.
     [[nodiscard]] std::shared_ptr<ReceiveEntry> open(std::function<void()> shed);
 
-    /// \brief Accounts for the bytes of a complete request until the result is destroyed.
+    /// \brief Accounts for the bytes of a complete request until the result is destroyed, on any thread.
+    /// \pre The loop exists until then.
     [[nodiscard]] std::shared_ptr<const void> charge(ByteCount bytes);
 
     [[nodiscard]] const ReceiveBudget &budget() const noexcept { return m_budget; }
--- a/include/dandeliondock/proxy/peer_message.h
+++ b/include/dandeliondock/proxy/peer_message.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <dandeliondock/core/units.h>
 #include <dandeliondock/http/message.h>
 
 #include <absl/status/statusor.h>
@@ -9,6 +10,11 @@
 
 namespace dandeliondock {
 
+/// \brief Largest body of a message to the control duty of another proxy. Decoding takes up to 40 times the length of a
+/// message of empty entries. The longest one in use is a quota report with all accounts of a configuration, whose names
+/// fit into a row of 64 KiB.
+inline constexpr ByteCount maxPeerMessageSize{262'144};
+
 /// \brief What a message between the proxies themselves is for. The receiver tells such messages from forwarded
 /// requests by a header of its own, which no caller or target can send through a proxy; paths belong to the callers.
 enum class PeerMessageKind {
--- a/src/http/receive_account.cpp
+++ b/src/http/receive_account.cpp
@@ -1,5 +1,6 @@
 #include <dandeliondock/http/receive_account.h>
 
+#include <thread>
 #include <utility>
 
 namespace dandeliondock {
@@ -19,7 +20,12 @@
 {
     m_budget.charge(bytes);
     // The result carries no object, only the release of the bytes.
-    return {nullptr, [account = shared_from_this(), bytes](const void *) { account->m_budget.release(bytes); }};
+    return {nullptr, [account = shared_from_this(), bytes, thread = std::this_thread::get_id()](const void *) {
+                if (std::this_thread::get_id() == thread)
+                    account->m_budget.release(bytes);
+                else
+                    account->m_loop.post([account, bytes] { account->m_budget.release(bytes); });
+            }};
 }
 
 // The hooks are posted, so that a connection that records its bytes is not closed, and no call fails, within its call.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -103,7 +103,7 @@
         else if (auto *usage = std::get_if<AccountUsages>(&update))
             m_control.reportUsage(std::move(*usage));
         else if (auto *call = std::get_if<PeerCall>(&update))
-            m_control.handle(call->kind, call->body, std::move(call->respond));
+            m_control.handle(call->kind, call->body.text(), std::move(call->respond));
     }
 
     const ProxySettings m_settings;
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -14,6 +14,7 @@
 constexpr int ok = 200;
 constexpr int badRequest = 400;
 constexpr int notFound = 404;
+constexpr int payloadTooLarge = 413;
 constexpr int unavailable = 503;
 
 // Messages of a target have a few hundred bytes; their JSON takes up to 30 times its length when it is parsed. Requests
@@ -331,9 +332,13 @@
         context->respond(statusOnly(badRequest));
         return;
     }
+    if (*messageKind && context->request().body.size() > maxPeerMessageSize.value()) {
+        m_metrics.counter("peer_messages_refused_total").add();
+        context->respond(statusOnly(payloadTooLarge));
+        return;
+    }
     if (*messageKind) {
-        m_publish(PeerCall{**messageKind, std::move(context->request().body),
-                           [this, context](int status, std::string body) {
+        m_publish(PeerCall{**messageKind, context->request().body, [this, context](int status, std::string body) {
                                m_loop.post([context, status, body = std::move(body)]() mutable {
                                    HttpResponse response;
                                    response.status = status;
--- a/src/proxy/traffic_duty.h
+++ b/src/proxy/traffic_duty.h
@@ -38,7 +38,7 @@
 struct PeerCall
 {
     PeerMessageKind kind;
-    std::string body;
+    HttpBody body; ///< counts in the account of the traffic duty until both duties have released it
     std::function<void(int, std::string)> respond;
 };
 
--- a/tests/overload_process/crowds_on_all_listeners_test.cpp
+++ b/tests/overload_process/crowds_on_all_listeners_test.cpp
@@ -53,6 +53,12 @@
     return uploadHead(path, "Transfer-Encoding: chunked\r\n");
 }
 
+std::string peerMessageHead(const std::string &kind, std::size_t length)
+{
+    return absl::StrCat("POST / HTTP/1.1\r\nHost: h\r\nDock-Message: ", kind, "\r\nContent-Length: ", length,
+                        "\r\n\r\n");
+}
+
 // A request as the callers' proxy forwards it to the target's proxy.
 std::string forwardedRequest(const std::string &path, const std::string &id)
 {
@@ -252,6 +258,26 @@
     checkStillServing(deployment, "requests for another target");
 }
 
+// Guards against messages that take a multiple of their length when they are decoded, and against copies of their
+// bodies that leave the account on their way to the control duty.
+TEST_CASE("large messages of other proxies stay within the memory limit", "[overload_process]")
+{
+    const OverloadDeployment deployment;
+    // Lists of empty entries: each takes two bytes.
+    const std::string reports = repeated(std::string("\x22\x00", 2), legalBody);
+    const std::string sums = repeated(std::string("\x2a\x00", 2), legalBody);
+    const std::string batch = repeated(std::string("\x12\x00", 2), legalBody);
+    const Crowd crowd(deployment.inbound.inboundPort(), 16, [&](const CrowdClient &client, int number) {
+        const std::vector<std::pair<std::string, const std::string *>> messages = {
+                {"quota_report", &reports}, {"quota_sums", &sums}, {"outcomes", &batch}, {"table", &reports}};
+        const auto &[kind, body] = messages[static_cast<std::size_t>(number) % messages.size()];
+        const bool isStalled = number >= 8;
+        if (client.send(peerMessageHead(kind, body->size())))
+            client.send(isStalled ? body->substr(1) : *body);
+    });
+    checkStillServing(deployment, "messages of other proxies");
+}
+
 // Guards against announcements that take a multiple of their length when they are decoded.
 TEST_CASE("large announcements stay within the memory limit", "[overload_process]")
 {
