Bound what responses of the store hold

A store that responds with a page of 30 MiB of numbers took both proxies to 311,013,376 bytes of 64,000,000. The client of the control duty received up to 32 MiB, and each value of the JSON text takes up to 100 bytes when it is parsed.

The control duty receives at most 4 MiB at once; a page of the store has 1.4 MB.

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -16,6 +16,17 @@
 // again after the next full read.
 constexpr std::size_t controlUpdateCapacity = 65'536;
 constexpr std::size_t trafficUpdateCapacity = 4'096;
+// Bound on the responses that the control duty receives at once. A page of the store has at most 1 MB of values, which
+// take 1.4 MB as base64, and copies of tables are compressed.
+constexpr ByteCount maxControlResponseBytes{4'194'304};
+
+AsyncClientLimits controlClientLimits()
+{
+    AsyncClientLimits limits;
+    limits.maxResponseBytes = maxControlResponseBytes;
+    limits.maxBufferedBytes = maxControlResponseBytes;
+    return limits;
+}
 
 } // namespace
 
@@ -23,7 +34,8 @@
 {
 public:
     Impl(const ProxySettings &settings, PlatformAdapter adapter, LogSink log)
-        : m_settings(settings), m_adapter(std::move(adapter)), m_log(std::move(log)), m_controlClient(m_controlLoop),
+        : m_settings(settings), m_adapter(std::move(adapter)), m_log(std::move(log)),
+          m_controlClient(m_controlLoop, controlClientLimits()),
           m_trafficUpdates(m_controlLoop, trafficUpdateCapacity,
                            [this](TrafficUpdate update) { applyTrafficUpdate(update); }),
           m_controlUpdates(m_trafficLoop, controlUpdateCapacity,
--- a/tests/overload_process/crowds_on_all_listeners_test.cpp
+++ b/tests/overload_process/crowds_on_all_listeners_test.cpp
@@ -291,4 +291,17 @@
     checkStillServing(deployment, "announcements");
 }
 
+// Guards against responses of the store that take a multiple of their length when they are decoded.
+TEST_CASE("large responses of a faulty store stay within the memory limit", "[overload_process]")
+{
+    OverloadDeployment deployment;
+    FakeStoreFaults faults;
+    faults.body = R"({"rows":[)" + repeated("0,", 30 * mebibyte) + "0]}";
+    deployment.store.setFaults(faults);
+    std::this_thread::sleep_for(Seconds(3));
+    deployment.checkUsage("faulty store");
+    deployment.store.setFaults({});
+    checkStillServing(deployment, "faulty store");
+}
+
 } // namespace dandeliondock::testing
--- a/tests/platform/strict_json_test.cpp
+++ b/tests/platform/strict_json_test.cpp
@@ -2,6 +2,8 @@
 
 #include <catch2/catch.hpp>
 
+#include <string>
+
 namespace dandeliondock::platform {
 
 // Guards against one odd row after which a proxy no longer follows the table.
@@ -39,4 +41,23 @@
     }
 }
 
+// Guards against a short text whose values take many times its length when they are parsed.
+TEST_CASE("a text with very many values is refused, a page of rows is not", "[platform]")
+{
+    const auto pageWith = [](const std::string &row, int count) {
+        std::string text = R"({"ver":9,"now_ms":1,"has_more":false,"rows":[)" + row;
+        for (int index = 1; index < count; ++index)
+            text += "," + row;
+        return text + "]}";
+    };
+    wire::Rows page;
+    const std::string row = R"({"table":"t","part":"","key":"k","value":"","ver":1})";
+    CHECK(parseStrictRows(pageWith(row, 500), page).ok());
+    CHECK(page.rows_size() == 500);
+    wire::Rows odd;
+    CHECK_FALSE(parseStrictRows(pageWith("0", 100'000), odd).ok());
+    CHECK_FALSE(parseStrictRows(pageWith("{}", 100'000), odd).ok());
+    CHECK_FALSE(parseStrictRows(pageWith("[]", 100'000), odd).ok());
+}
+
 } // namespace dandeliondock::platform
