Let the inbound listener accept every head that callers may send

A caller's request with a head just within max_header_bytes did not get status 200: the proxy adds its own headers before it forwards the request, and the inbound listener of the next proxy accepts 16 KiB whatever the configuration says. The test sends one line of 16,240 bytes with a limit of 16,384.

The inbound listener now accepts twice max_header_bytes and 4 KiB, because the id of a request is repeated in a header of the protocol between proxies. The test passes.

--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -21,6 +21,19 @@
 // for health and metrics have no body.
 constexpr ByteCount maxLocalBodyBytes{65'536};
 
+// A forwarded request has the headers of the callers' request, its id once more, and those of the protocol between
+// proxies, whose names of routes, services and targets are short.
+constexpr std::uint64_t addedHeaderBytes = 4'096;
+
+ConnectionLimits inboundLimits(const ConnectionLimits &callers)
+{
+    ConnectionLimits limits;
+    limits.idleTimeout = std::chrono::minutes(1); // keeps rarely used connections between proxies open
+    limits.maxHeaderBytes = ByteCount(2 * callers.maxHeaderBytes.value() + addedHeaderBytes);
+    limits.maxBodyBytes = ByteCount(67'108'864);
+    return limits;
+}
+
 // Nothing was sent when no connection could be opened, so a short timeout lets another target be tried soon.
 AsyncClientLimits clientLimits()
 {
@@ -132,12 +145,8 @@
             return status;
     }
     m_loopMonitor.start();
-    // Keeps rarely used connections between proxies open.
-    ConnectionLimits limits;
-    limits.idleTimeout = std::chrono::minutes(1);
-    limits.maxBodyBytes = ByteCount(67'108'864);
-    m_inboundServer.setLimits(limits);
     m_callerServer.setLimitsConfirmed([this] { return m_forwarder.mayRefuseFinally(); });
+    m_inboundServer.setLimits(inboundLimits({}));
     ConnectionLimits localLimits;
     localLimits.maxBodyBytes = maxLocalBodyBytes;
     for (AsyncHttpServer *server : {&m_healthServer, &m_announcementServer, &m_metricsServer})
@@ -161,6 +170,7 @@
         if (m_forwarder.config() == inForce)
             return; // an older one, such as that of an older copy of the table
         m_callerServer.setLimits(m_forwarder.config()->limits);
+        m_inboundServer.setLimits(inboundLimits(m_forwarder.config()->limits));
         const Service *service = m_forwarder.config()->state->service(m_settings.service);
         m_inbound.refuseDisallowed();
         m_inbound.setService(service != nullptr ? *service : Service());
--- a/tests/overload_process/crowds_on_all_listeners_test.cpp
+++ b/tests/overload_process/crowds_on_all_listeners_test.cpp
@@ -246,6 +246,17 @@
     checkStillServing(deployment, "long ids");
 }
 
+// Guards against a limit of the inbound listener below what callers may send, with the headers that a proxy adds.
+TEST_CASE("a head of almost the largest legal size is served", "[overload_process]")
+{
+    const OverloadDeployment deployment;
+    constexpr std::size_t lineSize = 16'240; // of 16,384 for the whole head
+    const CrowdClient client(deployment.callers.callersPort());
+    client.send(uploadHead("/a/1", absl::StrCat("Content-Length: 0\r\nConnection: close\r\nlong: ",
+                                                std::string(lineSize, 'x'), "\r\n")));
+    CHECK(absl::StartsWith(client.readAll(), "HTTP/1.1 200"));
+}
+
 // Guards against bodies that leave the account while they wait for another attempt.
 TEST_CASE("large requests that are sent to another target stay within the memory limit", "[overload_process]")
 {
