Account for the memory of heads

Cause: the account includes bodies only. A line of four bytes takes hundreds of bytes as objects, with the copies for an attempt.

A head now counts as three times its text and 320 bytes for each line: while its body is received, until the request has its response, and while a response is received, waits or is written. Before a request without a body is passed on, the account may refuse it like one with a body. The copy that a growing response body makes is recorded as well.

--- a/include/dandeliondock/http/message.h
+++ b/include/dandeliondock/http/message.h
@@ -1,15 +1,32 @@
 #pragma once
 
+#include <dandeliondock/core/units.h>
 #include <dandeliondock/http/body.h>
 
 #include <absl/strings/string_view.h>
 
+#include <cstddef>
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <vector>
 
 namespace dandeliondock {
 
+/// \brief Memory of one header line regardless of its length, with its copies: two objects in lists that grow by
+/// doubling and a node in the message that is sent.
+inline constexpr std::uint64_t headerLineMemory = 320;
+/// \brief Number of copies of the text of a header line that exist at once.
+inline constexpr std::uint64_t headerTextCopies = 3;
+
+/// \brief Returns the memory of a head and of its copies while its message is processed. Short lines take many times
+/// their length. Thread-safe.
+/// \param text bytes of all names and values.
+[[nodiscard]] constexpr ByteCount headMemory(std::size_t lines, ByteCount text) noexcept
+{
+    return ByteCount(lines * headerLineMemory + text.value() * headerTextCopies);
+}
+
 /// \brief One header line.
 struct HttpHeader
 {
@@ -40,6 +57,9 @@
 
     [[nodiscard]] const std::vector<HttpHeader> &lines() const noexcept { return m_lines; }
 
+    /// \brief Returns the memory of these lines and of their copies on the way through a process; see headMemory().
+    [[nodiscard]] ByteCount memory() const noexcept;
+
 private:
     std::vector<HttpHeader> m_lines;
 };
--- a/src/http/async_client.cpp
+++ b/src/http/async_client.cpp
@@ -187,6 +187,7 @@
     void read();
     void onHeadRead(const error_code &error);
     void readBody();
+    void recordResponse();
     void onReadDone(const error_code &error);
     void skipResponse();
     void onWriteDone(const error_code &error, std::size_t bytes);
@@ -213,6 +214,7 @@
     std::vector<std::uint64_t> m_carriedIds;
     int m_skippedCount = 0; ///< number of responses skipped while the expected one is awaited
     bool m_skippedOtherResponse = false;
+    ByteCount m_headMemory;                ///< of the response in progress
     std::shared_ptr<ReceiveEntry> m_entry; ///< null without an account
     bool m_isClosed = false;
 };
@@ -433,8 +435,11 @@
         onReadDone(error);
         return;
     }
+    m_headMemory = headMemoryOf(m_parser->get());
     reserveForBody(*m_parser, m_buffer);
-    readBody();
+    recordResponse();
+    if (!m_isClosed)
+        readBody();
 }
 
 void ClientConnection::readBody()
@@ -445,14 +450,21 @@
                                   self->onReadDone(error);
                                   return;
                               }
-                              const std::size_t buffered = self->m_parser->get().body().size();
-                              self->record(HolderActivity::ReceivingResponse, buffered);
-                              self->m_client->recordBuffered(self, buffered);
+                              self->recordResponse();
                               if (!self->m_isClosed)
                                   self->readBody();
                           });
 }
 
+// May close the connection.
+void ClientConnection::recordResponse()
+{
+    const std::uint64_t bound = m_parser->content_length().value_or(m_client->limits.maxResponseBytes.value());
+    const std::size_t buffered = memoryOfBody(m_parser->get().body(), bound) + m_headMemory.value();
+    record(HolderActivity::ReceivingResponse, buffered);
+    m_client->recordBuffered(shared_from_this(), buffered);
+}
+
 // Bounded, since a peer that sends such responses endlessly would be read until the call's deadline.
 void ClientConnection::skipResponse()
 {
--- a/src/http/beast_message.h
+++ b/src/http/beast_message.h
@@ -42,6 +42,19 @@
     buffer.reserve(headReadSize);
 }
 
+/// \brief Returns the memory of a head that was read; see dandeliondock::headMemory().
+template <bool IsRequest>
+[[nodiscard]] ByteCount headMemoryOf(const beast::http::header<IsRequest> &head)
+{
+    std::size_t lines = 0;
+    std::size_t text = 0;
+    for (const auto &line : head) {
+        ++lines;
+        text += line.name_string().size() + line.value().size();
+    }
+    return headMemory(lines, ByteCount(text));
+}
+
 /// \brief Appends the header lines to \c to in order.
 template <bool IsRequest>
 void copyHeaders(const beast::http::header<IsRequest> &from, HttpHeaders &to)
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -67,6 +67,14 @@
     m_lines.push_back({std::string(name), std::string(value)});
 }
 
+ByteCount HttpHeaders::memory() const noexcept
+{
+    std::size_t text = 0;
+    for (const HttpHeader &line : m_lines)
+        text += line.name.size() + line.value.size();
+    return headMemory(m_lines.size(), ByteCount(text));
+}
+
 void HttpHeaders::set(absl::string_view name, absl::string_view value)
 {
     remove(name);
--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -117,16 +117,18 @@
     }
     if (!m_isWriting)
         m_lastActivity = EventLoop::now();
+    m_readState = ReadState::HeadDone;
+    m_headMemory = headMemoryOf(m_parser->get());
+    updateAccount();
     if (m_closesAfterResponse) {
-        m_readState = ReadState::HeadDone;
         if (isIdle())
             discardInput();
+    } else if (isShed()) {
+        refuse();
     } else if (m_parser->is_done()) {
         onRequestRead();
     } else if (mayReadBody()) {
         startBody();
-    } else {
-        m_readState = ReadState::HeadDone;
     }
 }
 
@@ -274,7 +276,9 @@
     const ByteCount bodySize(message.body().size());
     request.body =
             HttpBody(std::move(message.body()), m_server->account ? m_server->account->charge(bodySize) : nullptr);
-    return std::make_shared<SessionRequest>(std::move(request), message.keep_alive(), message.version());
+    auto headCharge = m_server->account ? m_server->account->charge(m_headMemory) : nullptr;
+    return std::make_shared<SessionRequest>(std::move(request), m_headMemory, std::move(headCharge),
+                                            message.keep_alive(), message.version());
 }
 
 // A request that does not permit others beside it is the only one in progress, and one that closes the connection is
@@ -363,6 +367,7 @@
 {
     const bool isLast = m_requests.empty() && (m_server->isDraining || m_closesAfterResponse);
     const bool keepAlive = request.keepAlive() && !isLast;
+    m_messageHeadMemory = response.headers.memory();
     http::response<http::string_body> message(static_cast<http::status>(response.status), request.version());
     copyHeaders(response.headers, message);
     message.keep_alive(keepAlive);
@@ -511,6 +516,7 @@
     m_transfer.reset();
     m_serializer.reset();
     m_message.reset();
+    m_messageHeadMemory = ByteCount();
 }
 
 void ServerSession::onWritten(const error_code &error)
@@ -668,14 +674,14 @@
         return;
     std::size_t bytes = connectionOverhead.value() + m_buffer.capacity();
     if (m_isWriting)
-        bytes += m_message->body().size();
+        bytes += m_message->body().size() + m_messageHeadMemory.value();
     for (const auto &request : m_requests) {
         if (request->hasResponse())
             bytes += request->heldBytes();
     }
     if (m_parser && m_parser->is_header_done()) {
         const std::uint64_t bound = m_parser->content_length().value_or(m_server->limits.maxBodyBytes.value());
-        bytes += memoryOfBody(m_parser->get().body(), bound);
+        bytes += memoryOfBody(m_parser->get().body(), bound) + m_headMemory.value();
     }
     const bool isInHead = m_readState == ReadState::Head && !m_isWriting;
     m_entry->record(
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -136,6 +136,8 @@
     std::optional<MonotonicTime> m_partialHeadSince; ///< set when a part of a head was noticed
     MonotonicTime m_bodySince;                       ///< when the head before the body was complete
     std::size_t m_bodyBytesRead = 0;                 ///< of the body in progress, with its framing
+    ByteCount m_headMemory;                          ///< of the head that was read last
+    ByteCount m_messageHeadMemory;                   ///< of the response that is being written
     std::shared_ptr<ReceiveEntry> m_entry;           ///< null without an account
     bool m_isReading = false;                        ///< a read, or the write of a status 100 before it, is in progress
     bool m_isRejected = false; ///< a request was rejected before it was read; its rest is not read
--- a/src/http/session_request.h
+++ b/src/http/session_request.h
@@ -4,6 +4,7 @@
 
 #include <dandeliondock/http/async_server.h>
 
+#include <algorithm>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -22,9 +23,13 @@
 class SessionRequest : public HttpRequestContext
 {
 public:
-    SessionRequest(HttpRequest request, bool keepAlive, unsigned version)
-        : m_request(std::move(request)), m_receivedBytes(m_request.body.size() + headReadSize), m_keepAlive(keepAlive),
-          m_version(version), m_isHead(m_request.method == "HEAD")
+    /// \param headCharge accounts for \c headMemory as long as the request or its handler refers to this object.
+    SessionRequest(HttpRequest request, ByteCount headMemory, std::shared_ptr<const void> headCharge, bool keepAlive,
+                   unsigned version)
+        : m_request(std::move(request)),
+          m_receivedBytes(m_request.body.size() + std::max<std::size_t>(headReadSize, headMemory.value())),
+          m_headCharge(std::move(headCharge)), m_keepAlive(keepAlive), m_version(version),
+          m_isHead(m_request.method == "HEAD")
     {
     }
 
@@ -58,16 +63,15 @@
     {
         m_request.headers = {};
         m_request.body = {};
+        m_headCharge.reset();
+        m_responseBytes = response.body.size() + std::max(assumedHeadSize, response.headers.memory().value());
         m_response = std::move(response);
     }
 
     [[nodiscard]] HttpResponse takeResponse() { return *std::exchange(m_response, std::nullopt); }
 
     [[nodiscard]] bool hasResponse() const noexcept { return m_response.has_value(); }
-    [[nodiscard]] std::size_t heldBytes() const noexcept
-    {
-        return m_response ? m_response->body.size() + assumedHeadSize : m_receivedBytes;
-    }
+    [[nodiscard]] std::size_t heldBytes() const noexcept { return m_response ? m_responseBytes : m_receivedBytes; }
     [[nodiscard]] bool isConcurrent() const noexcept { return m_isConcurrent; }
     [[nodiscard]] bool keepAlive() const noexcept { return m_keepAlive; }
     [[nodiscard]] unsigned version() const noexcept { return m_version; }
@@ -79,6 +83,8 @@
     HttpRequest m_request;
     std::optional<HttpResponse> m_response; ///< ready, and waiting for the responses before it
     std::size_t m_receivedBytes;
+    std::size_t m_responseBytes = 0;
+    std::shared_ptr<const void> m_headCharge;
     MonotonicTime m_arrivedAt;
     bool m_isConcurrent = false;
     bool m_keepAlive;
--- a/tests/overload_process/crowds_on_all_listeners_test.cpp
+++ b/tests/overload_process/crowds_on_all_listeners_test.cpp
@@ -88,6 +88,12 @@
     return result;
 }
 
+// Header lines of at least \c size bytes, each as short as possible.
+std::string shortLines(std::size_t size)
+{
+    return repeated("a:\r\n", size);
+}
+
 void sendStalledBody(const CrowdClient &client)
 {
     if (client.send(announcedUpload("/a/1", legalBody)))
@@ -228,6 +234,41 @@
     checkStillServing(deployment, "responses in very small chunks");
 }
 
+// Guards against response heads of many short lines, which need several times their length, beside bodies that use up
+// the account.
+TEST_CASE("responses with many header lines stay within the memory limit", "[overload_process]")
+{
+    const HostileTarget target;
+    const OverloadDeployment deployment(target.address());
+    const Crowd uploads(deployment.inbound.inboundPort(), 6,
+                        [](const CrowdClient &client, int) { sendStalledBody(client); });
+    constexpr int requestsPerClient = 16;
+    const Crowd crowd(
+            deployment.callers.callersPort(), 22,
+            [](const CrowdClient &client, int) {
+                for (int index = 0; index < requestsPerClient; ++index)
+                    client.send(get("/a/lines"));
+            },
+            smallReceiveBuffer);
+    checkStillServing(deployment, "response heads");
+}
+
+// Guards against request heads of many short lines, which need several times their length while the requests wait,
+// beside bodies that use up the account.
+TEST_CASE("requests with many header lines stay within the memory limit", "[overload_process]")
+{
+    const OverloadDeployment deployment;
+    const Crowd uploads(deployment.callers.callersPort(), 6,
+                        [](const CrowdClient &client, int) { sendStalledBody(client); });
+    constexpr int requestsPerClient = 16;
+    constexpr std::size_t linesSize = 13'000;
+    const Crowd crowd(deployment.callers.callersPort(), 24, [](const CrowdClient &client, int) {
+        for (int index = 0; index < requestsPerClient; ++index)
+            client.send(uploadHead("/a/slow", "Content-Length: 0\r\n" + shortLines(linesSize)));
+    });
+    checkStillServing(deployment, "request heads");
+}
+
 // Guards against the ids of earlier requests that connections to the target remember, without regard to their length.
 // Sent as another proxy would, because the path through the callers' proxy admits ids of half the length.
 TEST_CASE("long request ids stay within the memory limit", "[overload_process]")
@@ -315,4 +356,22 @@
     checkStillServing(deployment, "faulty store");
 }
 
+// Guards against memory that the allocator keeps after messages were released and that no account includes: many small
+// blocks, and large ones that have mappings of their own.
+TEST_CASE("large bodies after many header lines stay within the memory limit", "[overload_process]")
+{
+    const OverloadDeployment deployment;
+    constexpr int requestsPerClient = 16;
+    constexpr std::size_t linesSize = 13'000;
+    const Crowd heads(deployment.callers.callersPort(), 28, [](const CrowdClient &client, int) {
+        for (int index = 0; index < requestsPerClient; ++index)
+            client.send(uploadHead("/a/slow", "Content-Length: 0\r\n" + shortLines(linesSize)));
+    });
+    std::this_thread::sleep_for(2 * OverloadTarget::slowWorkTime);
+    deployment.checkUsage("after header lines");
+    const Crowd large(deployment.callers.callersPort(), 12,
+                      [](const CrowdClient &client, int) { sendStalledBody(client); });
+    checkStillServing(deployment, "large bodies after header lines");
+}
+
 } // namespace dandeliondock::testing
