Account for failure responses that are kept during another attempt

Twelve requests whose first target fails with 8 MiB took a proxy to 72,048,640 bytes of 64,000,000: the failure is kept until the other target has responded, and no account includes it.

The response is charged to the account while it is kept. If it does not fit, the caller gets it without another attempt.

--- a/include/dandeliondock/http/receive_account.h
+++ b/include/dandeliondock/http/receive_account.h
@@ -32,6 +32,9 @@
     /// \pre The loop exists until then.
     [[nodiscard]] std::shared_ptr<const void> charge(ByteCount bytes);
 
+    /// \brief Does the same if the bytes fit into the bound, and returns null otherwise.
+    [[nodiscard]] std::shared_ptr<const void> chargeIfFits(ByteCount bytes);
+
     [[nodiscard]] const ReceiveBudget &budget() const noexcept { return m_budget; }
 
 private:
--- a/include/dandeliondock/http/receive_budget.h
+++ b/include/dandeliondock/http/receive_budget.h
@@ -105,6 +105,9 @@
     void charge(ByteCount bytes);
     void release(ByteCount bytes);
 
+    /// \brief Whether the limit of the memory still holds with this many more bytes.
+    [[nodiscard]] bool fits(ByteCount bytes) const noexcept;
+
     /// \brief Whether a limit is exceeded.
     [[nodiscard]] bool isExceeded() const noexcept;
 
--- a/include/dandeliondock/proxy/forwarder.h
+++ b/include/dandeliondock/proxy/forwarder.h
@@ -64,6 +64,9 @@
     std::function<QuotaDecision(const AccountName &, MonotonicTime now)> admitRequest;
     /// Called for a request that admitRequest() admitted at \c admittedAt and that no target has run.
     std::function<void(const AccountName &, MonotonicTime admittedAt)> requestDidNotRun;
+    /// Accounts for a response that is kept during another attempt, until the result is destroyed; returns null if
+    /// there is no memory for it. Without this hook, responses are kept without a limit.
+    std::function<std::shared_ptr<const void>(ByteCount)> keepResponse;
 };
 
 /// \brief Forwards the requests of callers on this instance, each to one target at a time.
--- a/src/http/receive_account.cpp
+++ b/src/http/receive_account.cpp
@@ -19,8 +19,9 @@
 std::shared_ptr<const void> ReceiveAccount::charge(ByteCount bytes)
 {
     m_budget.charge(bytes);
-    // The result carries no object, only the release of the bytes.
-    return {nullptr, [account = shared_from_this(), bytes, thread = std::this_thread::get_id()](const void *) {
+    // The result carries no object, only the release of the bytes. It is not null, so that callers can tell it from
+    // none.
+    return {this, [account = shared_from_this(), bytes, thread = std::this_thread::get_id()](const void *) {
                 if (std::this_thread::get_id() == thread)
                     account->m_budget.release(bytes);
                 else
@@ -28,6 +29,11 @@
             }};
 }
 
+std::shared_ptr<const void> ReceiveAccount::chargeIfFits(ByteCount bytes)
+{
+    return m_budget.fits(bytes) ? charge(bytes) : nullptr;
+}
+
 // The hooks are posted, so that a connection that records its bytes is not closed, and no call fails, within its call.
 void ReceiveAccount::enforce()
 {
--- a/src/http/receive_budget.cpp
+++ b/src/http/receive_budget.cpp
@@ -86,6 +86,11 @@
     m_chargedBytes -= bytes.value();
 }
 
+bool ReceiveBudget::fits(ByteCount bytes) const noexcept
+{
+    return m_heldBytes + m_chargedBytes + bytes.value() <= m_limits.memory.value();
+}
+
 bool ReceiveBudget::isExceeded() const noexcept
 {
     return m_heldBytes + m_chargedBytes > m_limits.memory.value() || m_connections > m_limits.connections.value();
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -97,6 +97,7 @@
     void handleResponse(AsyncCallResult callResult);
     void recordMissingResponse();
     void handleResult(InboundResult result);
+    [[nodiscard]] bool keepFailure(HttpResponse &response);
     void respond(HttpResponse response);
     void fail();
     void logAttempt(const InboundResult &result, MonotonicTime now);
@@ -119,6 +120,7 @@
     std::optional<ForwardPlan> m_plan;
     std::optional<BalancerClaim> m_claim;
     std::optional<HttpResponse> m_targetFailure; ///< failure response of a target, kept while another target is tried
+    std::shared_ptr<const void> m_failureCharge; ///< of m_targetFailure
     InboundJobPtr m_job;
     AsyncHttpCall m_call;
     std::optional<MonotonicTime> m_quotaAdmittedAt; ///< when the quota admitted the request, until it is refunded
@@ -359,9 +361,10 @@
     }
     switch (step) {
     case ForwardStep::Send:
-        if (result.outcome == ForwardOutcome::Failed)
-            m_targetFailure = std::move(result.response);
-        attempt();
+        if (result.outcome == ForwardOutcome::Failed && !keepFailure(result.response))
+            respond(std::move(result.response));
+        else
+            attempt();
         return;
     case ForwardStep::Respond:
         respond(std::move(result.response));
@@ -377,6 +380,21 @@
     }
 }
 
+// Moves the response if there is memory to keep it. Otherwise the caller gets it instead of another attempt.
+bool Forwarder::Session::keepFailure(HttpResponse &response)
+{
+    m_targetFailure.reset();
+    m_failureCharge.reset();
+    if (m_owner.m_dependencies.keepResponse) {
+        m_failureCharge = m_owner.m_dependencies.keepResponse(
+                ByteCount(response.body.size() + response.headers.memory().value()));
+        if (!m_failureCharge)
+            return false;
+    }
+    m_targetFailure = std::move(response);
+    return true;
+}
+
 void Forwarder::Session::logAttempt(const InboundResult &result, MonotonicTime now)
 {
     if (!m_owner.m_attemptLogLimiter.allow(now, m_owner.m_dependencies.log))
--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -122,6 +122,7 @@
     dependencies.requestDidNotRun = [this](const AccountName &account, MonotonicTime admittedAt) {
         m_quotas.refund(account, admittedAt, EventLoop::now());
     };
+    dependencies.keepResponse = [this](ByteCount bytes) { return m_receiveAccount->chargeIfFits(bytes); };
     return dependencies;
 }
 
--- a/tests/http/receive_budget_test.cpp
+++ b/tests/http/receive_budget_test.cpp
@@ -44,6 +44,17 @@
     CHECK(receiveLimitsFor(ByteCount(64'000'000), DescriptorCount(256)).connections == ConnectionCount(56));
 }
 
+// Guards against a response that is kept although the account has no room for it, or refused although it has.
+TEST_CASE("bytes fit up to the limit of the memory, with those that are held and charged", "[http][receive_budget]")
+{
+    ReceiveBudget budget(limits);
+    addHolder(budget, HolderActivity::Receiving, 30 * kilobyte, start);
+    budget.charge(ByteCount(50 * kilobyte));
+    CHECK(budget.fits(ByteCount(20 * kilobyte)));
+    CHECK_FALSE(budget.fits(ByteCount(20 * kilobyte + 1)));
+    CHECK_FALSE(budget.isExceeded());
+}
+
 // Guards against ordinary callers that pay for clients which stall just short of the end of their bodies.
 TEST_CASE("stalled senders are shed before slow ones, slow ones before others, large before small",
           "[http][receive_budget]")
--- a/tests/overload_process/crowds_on_all_listeners_test.cpp
+++ b/tests/overload_process/crowds_on_all_listeners_test.cpp
@@ -298,6 +298,21 @@
     CHECK(absl::StartsWith(client.readAll(), "HTTP/1.1 200"));
 }
 
+// Guards against failure responses that are kept while another target is tried and that no account includes. The
+// requests follow one another, so that the responses are received completely.
+TEST_CASE("large failure responses that are kept during another attempt stay within the memory limit",
+          "[overload_process]")
+{
+    const OverloadDeployment deployment;
+    deployment.callers.announceTarget();
+    constexpr Milliseconds interval{100};
+    const Crowd crowd(deployment.callers.callersPort(), 12, [&](const CrowdClient &client, int number) {
+        std::this_thread::sleep_for(number * interval);
+        client.send(get("/a/fail"));
+    });
+    checkStillServing(deployment, "kept failure responses");
+}
+
 // Guards against bodies that leave the account while they wait for another attempt.
 TEST_CASE("large requests that are sent to another target stay within the memory limit", "[overload_process]")
 {
