--- a/include/dandeliondock/core/metrics.h
+++ b/include/dandeliondock/core/metrics.h
@@ -73,6 +73,13 @@
     std::atomic<std::int64_t> m_sumMicroseconds{0};
 };
 
+/// \brief Name and value of a label of a metric.
+struct MetricLabel
+{
+    absl::string_view name;
+    absl::string_view value;
+};
+
 /// \brief Registry of the counters, gauges and histograms of a process.
 ///
 /// \remark Every method is thread-safe. Returned references stay valid as long as the registry exists.
@@ -84,6 +91,11 @@
     /// \pre \c name is in snake case and ends in _total.
     [[nodiscard]] Counter &counter(absl::string_view name, absl::string_view reason = {});
 
+    /// \brief Returns the counter \c name with a label; created by the first call.
+    /// \pre \c name is in snake case and ends in _total; the value of the label has no quotes, backslashes or line
+    /// ends.
+    [[nodiscard]] Counter &counter(absl::string_view name, const MetricLabel &label);
+
     [[nodiscard]] Gauge &gauge(absl::string_view name);
 
     [[nodiscard]] LatencyHistogram &histogram(absl::string_view name);
@@ -93,7 +105,7 @@
 
 private:
     mutable std::mutex m_mutex;
-    std::map<std::pair<std::string, std::string>, std::unique_ptr<Counter>> m_counters;
+    std::map<std::pair<std::string, std::string>, std::unique_ptr<Counter>> m_counters; ///< by name and label
     std::map<std::string, std::unique_ptr<Gauge>> m_gauges;
     std::map<std::string, std::unique_ptr<LatencyHistogram>> m_histograms;
 };
--- a/include/dandeliondock/proxy/table_relay_client.h
+++ b/include/dandeliondock/proxy/table_relay_client.h
@@ -25,7 +25,7 @@
 /// \brief Time allowed for the rest of a response that has begun to arrive.
 inline constexpr Milliseconds relayTransferTimeout{1'000};
 /// \brief Most sources that one poll for changes calls: the parent, and a second one when the parent is overdue.
-inline constexpr int maxChangeSources = 2;
+inline constexpr std::size_t maxChangeSources = 2;
 /// \brief Failed attempts to read a full table through peers after which it is read from the platform. A full table is
 /// long, and hundreds of proxies that start together would saturate a link between regions with copies of it.
 inline constexpr int maxFullReadAttempts = 3;
--- a/include/dandeliondock/proxy/table_relay_server.h
+++ b/include/dandeliondock/proxy/table_relay_server.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliondock/core/log_event.h>
+#include <dandeliondock/core/metrics.h>
 #include <dandeliondock/http/event_loop.h>
 #include <dandeliondock/proxy/relay_protocol.h>
 #include <dandeliondock/proxy/table_cache.h>
@@ -23,6 +24,7 @@
 {
     EventLoop *loop = nullptr;
     LogSink log;
+    MetricsRegistry *metrics = nullptr;
     /// Returns the number of known serving proxies.
     std::function<std::size_t()> fleetSize;
 };
@@ -55,6 +57,7 @@
     /// A child's poll for changes that has no response yet.
     struct HeldPoll
     {
+        TableName table;
         TableVersion after;
         MonotonicTime heldSince;
         std::function<void(int, std::string)> respond;
@@ -77,6 +80,8 @@
     /// Age of the confirmation of a table's state, rounded up; empty if none is known.
     [[nodiscard]] static std::optional<Milliseconds> confirmedAgeOf(const Table &table);
     void respondTo(Table &table, std::uint64_t pollId);
+    /// Encodes a copy of a table for a child and counts its bytes.
+    [[nodiscard]] std::string encodeCopy(const TableName &table, const TableReadResult &result, bool isFull) const;
 
     TableRelayServerDependencies m_dependencies;
     absl::flat_hash_map<TableName, Table> m_tables;
--- a/include/dandeliondock/proxy/table_watch.h
+++ b/include/dandeliondock/proxy/table_watch.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <dandeliondock/core/log_event.h>
+#include <dandeliondock/core/log_rate_limiter.h>
 #include <dandeliondock/core/random_source.h>
 #include <dandeliondock/http/event_loop.h>
 #include <dandeliondock/store/async_table.h>
@@ -78,6 +79,7 @@
     WatchTiming m_timing;
     RandomSource m_random;
     LogSink m_log;
+    LogRateLimiter m_failureLimiter;
     Handler m_handler;
     CurrentHandler m_onCurrentChanged;
     LoopTimer m_timer;
--- a/src/core/metrics.cpp
+++ b/src/core/metrics.cpp
@@ -70,8 +70,14 @@
 
 Counter &MetricsRegistry::counter(absl::string_view name, absl::string_view reason)
 {
+    return counter(name, MetricLabel{"reason", reason});
+}
+
+Counter &MetricsRegistry::counter(absl::string_view name, const MetricLabel &label)
+{
+    const std::string labelText = label.value.empty() ? "" : absl::StrCat(label.name, "=\"", label.value, "\"");
     const std::scoped_lock lock(m_mutex);
-    std::unique_ptr<Counter> &entry = m_counters[{std::string(name), std::string(reason)}];
+    std::unique_ptr<Counter> &entry = m_counters[{std::string(name), labelText}];
     if (!entry)
         entry = std::make_unique<Counter>();
     return *entry;
@@ -101,14 +107,14 @@
     std::string out;
     std::string lastName;
     for (const auto &[key, counter] : m_counters) {
-        const auto &[name, reason] = key;
+        const auto &[name, label] = key;
         if (name != lastName)
             absl::StrAppend(&out, "# TYPE ", name, " counter\n");
         lastName = name;
-        if (reason.empty())
+        if (label.empty())
             absl::StrAppend(&out, name, " ", counter->value(), "\n");
         else
-            absl::StrAppend(&out, name, "{reason=\"", reason, "\"} ", counter->value(), "\n");
+            absl::StrAppend(&out, name, "{", label, "} ", counter->value(), "\n");
     }
     for (const auto &[name, gauge] : m_gauges)
         absl::StrAppend(&out, "# TYPE ", name, " gauge\n", name, " ", gauge->value(), "\n");
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -75,6 +75,7 @@
     TableRelayServerDependencies dependencies;
     dependencies.loop = m_dependencies.loop;
     dependencies.log = m_dependencies.log;
+    dependencies.metrics = m_dependencies.metrics;
     dependencies.fleetSize = [this] { return servingPeers().size(); };
     return dependencies;
 }
--- a/src/proxy/table_relay_client.cpp
+++ b/src/proxy/table_relay_client.cpp
@@ -3,6 +3,7 @@
 #include <dandeliondock/core/log_rate_limiter.h>
 #include <dandeliondock/proxy/peer_message.h>
 #include <dandeliondock/proxy/relay_peer_health.h>
+#include <dandeliondock/proxy/relay_read_log.h>
 #include <dandeliondock/proxy/table_relay_client.h>
 
 #include <algorithm>
@@ -47,7 +48,7 @@
 {
 public:
     explicit RelayClientState(TableRelayClientDependencies clientDependencies)
-        : dependencies(std::move(clientDependencies))
+        : dependencies(std::move(clientDependencies)), readLog(*dependencies.metrics, dependencies.log)
     {
     }
 
@@ -61,13 +62,14 @@
                            AsyncCallHandler handler) const;
     void readPlatform(const TablePoll &poll, Milliseconds hold, TableReadHandler handler) const;
     void recordRoundTrip(const Address &peer, const TablePoll &poll, Milliseconds roundTrip,
-                         const TableReadResult &result);
+                         const TableReadResult &result, ByteCount bytes);
     /// Logs an exclusion and lets this proxy poll the platform for a time when it may read there.
     void recordExclusion(const PeerExclusion &exclusion, const absl::Status &status);
     void recordUnresponsivePeers(const std::vector<PeerExclusion> &exclusions);
 
     const TableRelayClientDependencies dependencies;
     RelayPeerHealth peerHealth;
+    RelayReadLog readLog;
     int fullReadFailures = 0; ///< consecutive
     bool isStopped = false;
 
@@ -137,7 +139,7 @@
 }
 
 void RelayClientState::recordRoundTrip(const Address &peer, const TablePoll &poll, Milliseconds roundTrip,
-                                       const TableReadResult &result)
+                                       const TableReadResult &result, ByteCount bytes)
 {
     dependencies.metrics->histogram("relay_way_seconds").record(roundTrip);
     if (roundTrip < slowRelayRoundTrip || !m_slowRelayLogLimiter.allow(EventLoop::now(), dependencies.log))
@@ -145,6 +147,8 @@
     LogEvent(LogLevel::Info, "relay.slow_way")
             .field("door", peer)
             .field("table", poll.table)
+            .field("full", poll.isFull)
+            .field("bytes", bytes)
             .field("way_ms", roundTrip.count())
             .field("held_ms", result.holdTime.count())
             .field("age_ms", result.age.count())
@@ -206,7 +210,8 @@
     void handlePeerResult(const Address &peer, RelayCallId id, const CallStart &start,
                           const AsyncCallResult &callResult);
     void handlePeerFailure(const PeerExclusion &exclusion, const absl::Status &status);
-    void finish(absl::StatusOr<TableReadResult> result);
+    /// \param source that returned the result; empty for the platform
+    void finish(absl::StatusOr<TableReadResult> result, const Address &source = Address());
 
     /// Longest time for which a peer holds the call.
     [[nodiscard]] Milliseconds hold() const { return m_poll.isFull ? Milliseconds{0} : relayHold; }
@@ -222,7 +227,8 @@
     TableReadHandler m_handler; ///< null once the read has ended
     AsyncHttpCall m_latestCall;
     LoopTimer m_overdueTimer;
-    int m_callsSent = 0;
+    MonotonicTime m_startedAt = EventLoop::now();
+    std::vector<Address> m_sources; ///< that were called; an empty address is the platform
     int m_callsInProgress = 0;
     bool m_isTransferTimeGranted = false;
     bool m_hasCalledPlatform = false;
@@ -248,7 +254,7 @@
     const MonotonicTime now = EventLoop::now();
     const Milliseconds dueAfter = hold() + relayHedgeDelay;
     const RelayCallId id = m_state->peerHealth.callSent(peer, now, now + dueAfter);
-    ++m_callsSent;
+    m_sources.push_back(peer);
     ++m_callsInProgress;
     const CallStart start{now, BootClock::now()};
     m_latestCall = m_state->sendPoll(peer, m_poll, hold(),
@@ -260,7 +266,7 @@
 
 void RelayedTableRead::callPlatform(Milliseconds hold)
 {
-    ++m_callsSent;
+    m_sources.emplace_back();
     ++m_callsInProgress;
     m_hasCalledPlatform = true;
     m_overdueTimer.cancel();
@@ -305,7 +311,7 @@
 
 void RelayedTableRead::callNextSource()
 {
-    if (!m_poll.isFull && m_callsSent >= maxChangeSources)
+    if (!m_poll.isFull && m_sources.size() >= maxChangeSources)
         return;
     const std::optional<Address> peer = isPlatformNext() ? std::nullopt : m_state->selectParent(m_poll);
     if (peer)
@@ -343,13 +349,16 @@
         rejectResponse(makeError(ErrorKind::StoreUnavailable, "the parent proxy cannot serve the table"));
         return;
     }
+    const ByteCount bytes(callResult.response.body.size());
+    relayedBytes(*m_state->dependencies.metrics, RelayDirection::Received, m_poll.table, m_poll.isFull)
+            .add(bytes.value());
     auto result = decodeTableReadResult(callResult.response.body);
     if (!result.ok()) {
         rejectResponse(result.status());
         return;
     }
     const Milliseconds roundTrip = elapsedSince(start.monotonic) - result->holdTime;
-    m_state->recordRoundTrip(peer, m_poll, roundTrip, *result);
+    m_state->recordRoundTrip(peer, m_poll, roundTrip, *result, bytes);
     if (result->age > maxRelayedAge) {
         rejectResponse(makeError(ErrorKind::StoreUnavailable, "the data of the parent proxy is too old"));
         return;
@@ -359,7 +368,7 @@
     m_state->recordUnresponsivePeers(m_state->peerHealth.callSucceeded(id, EventLoop::now()));
     if (m_poll.isFull)
         m_state->fullReadFailures = 0;
-    finish(*std::move(result));
+    finish(*std::move(result), peer);
 }
 
 void RelayedTableRead::handlePeerFailure(const PeerExclusion &exclusion, const absl::Status &status)
@@ -375,12 +384,18 @@
         finish(makeError(ErrorKind::StoreUnavailable, "the parent proxy has failed"));
 }
 
-void RelayedTableRead::finish(absl::StatusOr<TableReadResult> result)
+void RelayedTableRead::finish(absl::StatusOr<TableReadResult> result, const Address &source)
 {
     m_overdueTimer.cancel();
     const TableReadHandler handler = std::exchange(m_handler, nullptr);
-    if (handler && !m_state->isStopped)
-        handler(std::move(result));
+    if (!handler || m_state->isStopped)
+        return;
+    const RelayRead read{m_poll.table, m_poll.isFull, m_sources, elapsedSince(m_startedAt)};
+    if (result.ok())
+        m_state->readLog.recordSuccess(read, source, *result, EventLoop::now());
+    else
+        m_state->readLog.recordFailure(read, result.status(), EventLoop::now());
+    handler(std::move(result));
 }
 
 } // namespace impl
--- a/src/proxy/table_relay_server.cpp
+++ b/src/proxy/table_relay_server.cpp
@@ -1,4 +1,5 @@
 #include <dandeliondock/codec/table_codec.h>
+#include <dandeliondock/proxy/relay_read_log.h>
 #include <dandeliondock/proxy/table_relay_server.h>
 
 #include <algorithm>
@@ -75,11 +76,12 @@
         TableReadResult result = table.cache.fullTable();
         result.age = ageOf(table);
         result.confirmedAge = confirmedAgeOf(table);
-        respond(statusOk, encodeTableReadResult(result));
+        respond(statusOk, encodeCopy(poll->table, result, true));
         return;
     }
     const std::uint64_t id = ++m_lastPollId;
     HeldPoll &heldPoll = table.heldPolls[id];
+    heldPoll.table = poll->table;
     heldPoll.after = poll->after;
     heldPoll.heldSince = EventLoop::now();
     heldPoll.respond = std::move(respond);
@@ -92,6 +94,13 @@
             m_dependencies.loop->after(relayHold, [this, name = poll->table, id] { respondTo(m_tables[name], id); });
 }
 
+std::string TableRelayServer::encodeCopy(const TableName &table, const TableReadResult &result, bool isFull) const
+{
+    std::string copy = encodeTableReadResult(result);
+    relayedBytes(*m_dependencies.metrics, RelayDirection::Sent, table, isFull).add(copy.size());
+    return copy;
+}
+
 Milliseconds TableRelayServer::ageOf(const Table &table)
 {
     return std::chrono::duration_cast<Milliseconds>(EventLoop::now() - table.confirmedAt);
@@ -117,7 +126,7 @@
         changes->holdTime = std::chrono::duration_cast<Milliseconds>(EventLoop::now() - heldPoll.heldSince);
         // Read after the hold time: a pause of the process between the two makes the data look older, not newer.
         changes->confirmedAge = confirmedAgeOf(table);
-        heldPoll.respond(statusOk, encodeTableReadResult(*changes));
+        heldPoll.respond(statusOk, encodeCopy(heldPoll.table, *changes, false));
     } else {
         heldPoll.respond(statusGone, {});
     }
--- a/src/proxy/table_watch.cpp
+++ b/src/proxy/table_watch.cpp
@@ -124,6 +124,13 @@
     if (m_failures == 0) {
         LogEvent(LogLevel::Warn, "table.lost").field("table", m_name).error(status).write(m_log);
         m_onCurrentChanged(false);
+    } else if (m_failureLimiter.allow(EventLoop::now(), m_log)) {
+        LogEvent(LogLevel::Info, "table.still_lost")
+                .field("table", m_name)
+                .field("version", m_asOfVersion)
+                .field("failures", m_failures + 1)
+                .error(status)
+                .write(m_log);
     }
     const Milliseconds baseDelay = std::min(
             m_timing.maxRetryDelay, m_timing.initialRetryDelay * (1 << std::min(m_failures, maxRetryDoublings)));
--- a/tests/core/metrics_test.cpp
+++ b/tests/core/metrics_test.cpp
@@ -22,6 +22,19 @@
              "children 3\n");
 }
 
+// Guards against labels that are rendered under the name of another one.
+TEST_CASE("a counter keeps the name of its label", "[core]")
+{
+    MetricsRegistry metrics;
+    metrics.counter("bytes_total", MetricLabel{"table", "op"}).add(3);
+    metrics.counter("bytes_total", MetricLabel{"table", "shared"}).add(4);
+    CHECK(metrics.counter("bytes_total", MetricLabel{"table", "op"}).value() == 3);
+    CHECK(metrics.renderPrometheus()
+          == "# TYPE bytes_total counter\n"
+             "bytes_total{table=\"op\"} 3\n"
+             "bytes_total{table=\"shared\"} 4\n");
+}
+
 // Guards against a quantile that is wrong by more than one bucket; latency figures depend on it.
 TEST_CASE("a quantile is the upper edge of the bucket that contains it", "[core]")
 {
--- a/tests/proxy/relay_confirmation_test.cpp
+++ b/tests/proxy/relay_confirmation_test.cpp
@@ -117,7 +117,9 @@
 // Guards against a copy that looks fresher than it is because the proxy that relays it has had it for a while.
 TEST_CASE("a relayed copy carries the age of its confirmation", "[proxy]")
 {
+    MetricsRegistry metrics;
     TableRelayServerDependencies dependencies;
+    dependencies.metrics = &metrics;
     dependencies.fleetSize = [] { return 2; };
     TableRelayServer server(std::move(dependencies));
     server.setCurrent(table, true);
@@ -145,7 +147,9 @@
 // Guards against a proxy of an earlier version, which reports no confirmation, that is taken for one with a fresh copy.
 TEST_CASE("a copy without a confirmation confirms nothing at the next proxy", "[proxy]")
 {
+    MetricsRegistry metrics;
     TableRelayServerDependencies dependencies;
+    dependencies.metrics = &metrics;
     dependencies.fleetSize = [] { return 2; };
     TableRelayServer server(std::move(dependencies));
     server.setCurrent(table, true);
--- a/tests/proxy/table_relay_server_test.cpp
+++ b/tests/proxy/table_relay_server_test.cpp
@@ -52,6 +52,7 @@
             m_relayClient = std::make_unique<TableRelayClient>(std::move(dependencies));
             TableRelayServerDependencies serverDependencies;
             serverDependencies.loop = &m_thread.loop();
+            serverDependencies.metrics = &m_metrics;
             serverDependencies.fleetSize = [size = peers.size()] { return size; };
             m_relayServer = std::make_unique<TableRelayServer>(std::move(serverDependencies));
         });
--- a/tests/proxy/table_watch_test.cpp
+++ b/tests/proxy/table_watch_test.cpp
@@ -5,9 +5,12 @@
 #include <dandeliondock/core/random_source.h>
 #include <dandeliondock/proxy/table_watch.h>
 
+#include <absl/strings/match.h>
+
 #include <catch2/catch.hpp>
 
 #include <memory>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -110,4 +113,35 @@
     CHECK(appliedVersions == std::vector<std::uint64_t>{7});
 }
 
+// Guards against a table that stays lost for a reason that no log line names.
+TEST_CASE("each failure of a lost table is logged with its cause", "[proxy]")
+{
+    LoopThread thread;
+    std::vector<std::string> lines;
+    AsyncTableHooks hooks;
+    hooks.list = [&](const TableName &, const TableReadHandler &handler) {
+        const bool isFirst = lines.empty();
+        thread.loop().post([handler, isFirst] {
+            handler(makeError(ErrorKind::StoreUnavailable, isFirst ? "refused" : "HTTP status 429"));
+        });
+    };
+    std::unique_ptr<TableWatch> watch;
+    thread.run([&] {
+        watch = std::make_unique<TableWatch>(
+                thread.loop(), hooks, table, shortTiming, seededRandom(1),
+                [&lines](LogLevel, const std::string &line) { lines.push_back(line); },
+                [](const TableReadResult &, bool) {}, [](bool) {});
+        watch->start();
+    });
+    std::this_thread::sleep_for(Milliseconds(200));
+    thread.stop();
+    watch.reset();
+    REQUIRE(lines.size() >= 2);
+    CHECK(absl::StrContains(lines[0], "table.lost"));
+    CHECK(absl::StrContains(lines[0], "refused"));
+    CHECK(absl::StrContains(lines[1], "table.still_lost"));
+    CHECK(absl::StrContains(lines[1], "HTTP status 429"));
+    CHECK(absl::StrContains(lines[1], "failures=2"));
+}
+
 } // namespace dandeliondock::testing
--- a/tests/support/relay_fleet.cpp
+++ b/tests/support/relay_fleet.cpp
@@ -29,6 +29,7 @@
     m_thread.run([this] {
         TableRelayServerDependencies dependencies;
         dependencies.loop = &m_thread.loop();
+        dependencies.metrics = &m_metrics;
         dependencies.fleetSize = [] { return fleetSize; };
         m_relayServer = std::make_unique<TableRelayServer>(std::move(dependencies));
         m_relayServer->setCurrent(operatorTable, true);
--- a/tests/support/relay_fleet.h
+++ b/tests/support/relay_fleet.h
@@ -60,6 +60,9 @@
 
     [[nodiscard]] const std::vector<RelayPeer> &peers() const noexcept { return m_peers; }
 
+    /// \brief Returns the metrics of the proxies. Thread-safe.
+    [[nodiscard]] MetricsRegistry &metrics() noexcept { return m_metrics; }
+
     /// \brief Returns the rows of a table as the platform knows them. Thread-safe.
     [[nodiscard]] TableReadResult platformRows();
 
@@ -70,6 +73,7 @@
     void runDelayed(std::function<void()> work);
 
     LoopThread m_thread;
+    MetricsRegistry m_metrics;
     std::vector<RelayPeer> m_peers;
     std::vector<std::unique_ptr<AsyncHttpServer>> m_servers;
     std::unique_ptr<TableRelayServer> m_relayServer;
@@ -103,6 +107,9 @@
     /// \brief Returns the log lines of one event.
     std::vector<std::string> lines(const std::string &event);
 
+    /// \brief Returns the metrics of the proxy. Thread-safe.
+    [[nodiscard]] MetricsRegistry &metrics() noexcept { return m_metrics; }
+
     std::atomic<int> platformPolls{0};
     std::atomic<int> platformLists{0};
 
