Test heads up to the limit at the server and between two proxies

Guards against a head within max_header_bytes that is refused, at the HTTP server in whatever pieces it arrives, or at the proxy of the target, which receives it with added headers and the id a second time.

--- a/tests/http/async_server_test.cpp
+++ b/tests/http/async_server_test.cpp
@@ -147,6 +147,31 @@
     server.thread().run([&] { CHECK(rejections.size() == 3); });
 }
 
+// Guards against a head within its limit that is refused or never read, whatever its length and the pieces in which it
+// arrives.
+TEST_CASE("a head is accepted up to its limit", "[http]")
+{
+    for (const std::size_t limit : {200U, 16'384U, 65'536U, 100'000U, 300'000U}) {
+        ConnectionLimits limits;
+        limits.maxHeaderBytes = ByteCount(limit);
+        TestServer server(respondWithEcho, limits);
+        std::string head = "GET /a HTTP/1.1\r\nHost: h\r\n";
+        while (head.size() + 8'000 < limit)
+            head += "Y: " + std::string(4'000, 'y') + "\r\n";
+        head += "X: " + std::string(limit - head.size() - endOfHead.size() - 3, 'x') + endOfHead;
+        REQUIRE(head.size() == limit);
+        for (const std::size_t cut : {limit, std::size_t{1}, limit / 2, limit - 3, limit - 1}) {
+            INFO("limit " << limit << ", first piece " << cut);
+            const RawConnection connection(server.port());
+            connection.write(head.substr(0, cut));
+            if (cut < limit)
+                std::this_thread::sleep_for(Milliseconds(20));
+            connection.write(head.substr(cut));
+            CHECK_THAT(connection.readUntil("/a "), Catch::Contains("200 OK"));
+        }
+    }
+}
+
 // Guards against a connection that keeps the limits which were in force when its last request ended.
 TEST_CASE("limits that change apply to the next request of an idle connection", "[http]")
 {
--- a/tests/platform/proxy_test.cpp
+++ b/tests/platform/proxy_test.cpp
@@ -44,6 +44,9 @@
         m_thread.run([this] {
             m_server = std::make_unique<AsyncHttpServer>(
                     m_thread.loop(), [this](const HttpRequestContextPtr &activeRequest) { run(activeRequest); });
+            ConnectionLimits limits;
+            limits.maxHeaderBytes = ByteCount(1'048'576);
+            m_server->setLimits(limits);
             REQUIRE(m_server->listen(address()).ok());
         });
     }
@@ -516,6 +519,36 @@
     CHECK(deployment.callProxy(deployment.first, "/order/1", "POST").status == 200);
 }
 
+// Guards against proper requests that the proxy of their target refuses because of limits of its own: the configuration
+// bounds the head that callers send, and the caller's proxy adds headers, one of which repeats the id.
+TEST_CASE("a request with the longest permitted head reaches the target of another proxy", "[platform]")
+{
+    constexpr std::size_t headLimit = 100'000;
+    Deployment deployment;
+    std::string config = configText(2, "/a/");
+    config.replace(config.find("\"limits\":{}"), 11, absl::StrCat(R"("limits":{"max_header_bytes":)", headLimit, "}"));
+    deployment.store.put("op", "config", config);
+    REQUIRE(deployment.announce(deployment.second, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.first); }));
+    const std::string &callers = deployment.first.settings.callers.value();
+    const auto port = static_cast<std::uint16_t>(std::stoi(callers.substr(callers.rfind(':') + 1)));
+    const auto statusOf = [&](std::size_t idLength, std::size_t headLength) {
+        std::string head = absl::StrCat(
+                "GET /a/1 HTTP/1.1\r\nHost:h\r\nX-Dandeliondock-Attempt-Id:", std::string(idLength, 'i'), "\r\n");
+        while (head.size() + 8'000 < headLength)
+            absl::StrAppend(&head, "Y:", std::string(4'000, 'y'), "\r\n");
+        absl::StrAppend(&head, "X:", std::string(headLength - head.size() - 6, 'x'), "\r\n\r\n");
+        const RawConnection connection(port);
+        connection.write(head);
+        return connection.readUntil("\r\n").substr(0, 12);
+    };
+    CHECK(statusOf(8, 16'000) == "HTTP/1.1 200");
+    CHECK(statusOf(8, 16'384) == "HTTP/1.1 200");
+    CHECK(statusOf(20'000, 40'000) == "HTTP/1.1 200");
+    CHECK(statusOf(8, headLimit) == "HTTP/1.1 200");
+    CHECK(statusOf(8, headLimit + 200) == "HTTP/1.1 431");
+}
+
 // Guards against changes that are missed when the store has dropped its history of changes.
 TEST_CASE("a change that the store has dropped from its history is found by a full read of the table", "[platform]")
 {
