Accept targets in absolute form

A request such as "GET http://host/path HTTP/1.1" matched no route and got 404, because routes were looked up by the whole target. Servers must accept this form (RFC 9112, section 3.2.2).

The forwarder now replaces such a target by its path and query and the Host header by its host, before it looks up the route. The path is not changed.

--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -1,6 +1,7 @@
 #include <dandeliondock/attempts/deadline.h>
 #include <dandeliondock/core/error.h>
 #include <dandeliondock/proxy/forwarder.h>
+#include <dandeliondock/proxy/origin_form.h>
 
 #include <absl/strings/match.h>
 #include <absl/strings/str_cat.h>
@@ -153,6 +154,7 @@
         return false;
     }
     m_request.id = RequestId(std::string(*id));
+    useOriginForm(request);
     m_match = m_config->routes.match(request.headers.first("Host").value_or(""), request.target);
     if (m_match.route == nullptr) {
         refuseByConfig(notFound, "no_route");
--- a/tests/platform/proxy_test.cpp
+++ b/tests/platform/proxy_test.cpp
@@ -549,6 +549,60 @@
     CHECK(statusOf(8, headLimit + 200) == "HTTP/1.1 431");
 }
 
+// Guards against proper requests in an unusual form that the proxy itself refuses.
+TEST_CASE("proper requests in unusual forms reach a target", "[platform]")
+{
+    Deployment deployment;
+    std::string config = configText(2, "/a/");
+    config.replace(config.find("\"limits\":{}"), 11, R"("limits":{"max_body_bytes":1000})");
+    deployment.store.put("op", "config", config);
+    REQUIRE(deployment.announce(deployment.second, "ready", 1) == 200);
+    REQUIRE(deployment.eventually([&] { return deployment.serves(deployment.first); }));
+    const std::string &callers = deployment.first.settings.callers.value();
+    const auto port = static_cast<std::uint16_t>(std::stoi(callers.substr(callers.rfind(':') + 1)));
+    const std::string id = "X-Dandeliondock-Attempt-Id: x\r\n";
+    const auto responseTo = [&](const std::string &request) {
+        const RawConnection connection(port);
+        connection.write(request);
+        return connection.readUntil("\r\n").substr(0, 12);
+    };
+    const auto get = [&](const std::string &target, const std::string &host) {
+        return absl::StrCat("GET ", target, " HTTP/1.1\r\nHost: ", host, "\r\n", id, "\r\n");
+    };
+    const auto post = [&](const std::string &framing, const std::string &body) {
+        return absl::StrCat("POST /order/1 HTTP/1.1\r\nHost: h\r\n", id, framing, "\r\n\r\n", body);
+    };
+    std::string smallChunks;
+    for (int byte = 0; byte < 1'000; ++byte)
+        smallChunks += "1;x=y\r\nb\r\n";
+    const std::string body(1'000, 'b');
+    const std::string requests[] = {
+            get("/a/1", "h:80"),
+            get("/a/1", "H"),
+            get("/a/1", "h:"),
+            get("/a/", "h"),
+            get("/a/1?", "h"),
+            get("/a/?a=/b/../c&d=%00?", "h"),
+            get("/a/%2e%2E/%2f%C3%A4+;x=1,@:!$&'()*", "h"),
+            get("/a/../a//1", "h"),
+            get("http://h/a/1", "h"),
+            get("http://H:80/a/1?x", "h:80"),
+            absl::StrCat("GET /a/1 HTTP/1.1\r\nhOsT:h\r\nx-dandeliondock-ATTEMPT-id:\t x \t\r\n\r\n"),
+            post("CONTENT-length: 1000", body),
+            post("Content-Length: 0", ""),
+            post("transfer-encoding: Chunked", "3e8\r\n" + body + "\r\n0\r\n\r\n"),
+            post("Transfer-Encoding: chunked", "0003E8 ; a=\"b;c\"\r\n" + body + "\r\n000\r\nX-T: y\r\n\r\n"),
+            post("Transfer-Encoding: chunked", smallChunks + "0\r\n\r\n"),
+            post("Expect: 100-Continue\r\nContent-Length: 0", ""),
+    };
+    for (const std::string &request : requests) {
+        INFO(request.substr(0, 200));
+        CHECK(responseTo(request) == "HTTP/1.1 200");
+    }
+    CHECK(responseTo(post("Content-Length: 1001", body + "b")) == "HTTP/1.1 413");
+    CHECK(responseTo(get("/none/", "h")) == "HTTP/1.1 404");
+}
+
 // Guards against changes that are missed when the store has dropped its history of changes.
 TEST_CASE("a change that the store has dropped from its history is found by a full read of the table", "[platform]")
 {
