Keep the size limits of requests that arrived before a change

Requests that waited behind another one of their connection when a configuration lowered max_header_bytes or max_body_bytes fell under the lower limit, although they had been sent before: a connection took its limits when it began to read a request, not when the request arrived. In the test the connection was then closed without a response; a request that is read when the earlier responses are written gets 413 or 431 (from the code, not seen in a run).

A connection now notes how many bytes had arrived at the change, in its buffer and in the socket. Requests that begin within them may have the size that either limits permit; later ones fall under the new limits, also on a connection that is never idle. A client that keeps to all limits that may be in force is thus never refused.

--- a/src/http/async_server.cpp
+++ b/src/http/async_server.cpp
@@ -137,9 +137,9 @@
 {
     if (m_state->limits == limits)
         return;
-    m_state->limits = limits;
+    const ConnectionLimits earlier = std::exchange(m_state->limits, limits);
     for (const auto &session : m_state->sessions)
-        session->applyLimits();
+        session->applyLimits(earlier);
 }
 
 void AsyncHttpServer::setLimitsConfirmed(std::function<bool()> areConfirmed)
--- a/src/http/server_session.cpp
+++ b/src/http/server_session.cpp
@@ -83,28 +83,48 @@
     m_readState = ReadState::Head;
     m_partialHeadSince.reset();
     m_isReading = true;
-    http::async_read_header(
-            m_socket, m_buffer, *m_parser,
-            [self = shared_from_this()](const error_code &error, std::size_t) { self->onHeadRead(error); });
+    http::async_read_header(m_socket, m_buffer, *m_parser,
+                            [self = shared_from_this()](const error_code &error, std::size_t parsed) {
+                                self->onHeadRead(error, parsed);
+                            });
 }
 
 void ServerSession::setParserLimits()
 {
-    m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits.maxHeaderBytes.value()));
-    m_parser->body_limit(m_server->limits.maxBodyBytes.value());
-    m_buffer.max_size(std::max<std::size_t>(minUnparsedLimit, 2 * m_server->limits.maxHeaderBytes.value()));
+    ByteCount head = m_server->limits.maxHeaderBytes;
+    ByteCount body = m_server->limits.maxBodyBytes;
+    if (m_earlierBytes > 0) {
+        head = std::max(head, m_earlierLimits.maxHeaderBytes);
+        body = std::max(body, m_earlierLimits.maxBodyBytes);
+    }
+    m_parser->header_limit(static_cast<std::uint32_t>(head.value()));
+    m_parser->body_limit(body.value());
+    m_buffer.max_size(std::max<std::size_t>(minUnparsedLimit, 2 * head.value()));
 }
 
-void ServerSession::applyLimits()
+void ServerSession::applyLimits(const ConnectionLimits &earlier)
 {
-    const bool hasArrived = m_buffer.size() > 0 || (m_parser && m_parser->got_some());
-    if (m_parser && m_readState == ReadState::Head && !hasArrived)
+    error_code ignored;
+    const bool hadEarlier = m_earlierBytes > 0;
+    m_earlierBytes = m_buffer.size() + m_socket.available(ignored);
+    m_earlierLimits.maxHeaderBytes =
+            hadEarlier ? std::max(m_earlierLimits.maxHeaderBytes, earlier.maxHeaderBytes) : earlier.maxHeaderBytes;
+    m_earlierLimits.maxBodyBytes =
+            hadEarlier ? std::max(m_earlierLimits.maxBodyBytes, earlier.maxBodyBytes) : earlier.maxBodyBytes;
+    if (!m_parser || m_readState != ReadState::Head)
+        return;
+    m_isHeadSplitByChange = m_parser->got_some();
+    if (!m_isHeadSplitByChange && m_buffer.size() == 0)
         setParserLimits();
 }
 
-void ServerSession::onHeadRead(const error_code &error)
+void ServerSession::onHeadRead(const error_code &error, std::size_t parsed)
 {
     m_isReading = false;
+    // How much of a split head was parsed before the change is unknown; none of it is counted, so that no request that
+    // had arrived falls under the new limits.
+    if (!std::exchange(m_isHeadSplitByChange, false))
+        m_earlierBytes -= std::min(parsed, m_earlierBytes);
     if (m_isClosed)
         return;
     if (isShed()) {
@@ -213,6 +233,7 @@
     error_code error;
     const std::size_t parsed = m_parser->put(m_buffer.data(), error);
     m_buffer.consume(parsed);
+    m_earlierBytes -= std::min(parsed, m_earlierBytes);
     m_bodyBytesRead += parsed;
     if (error == http::error::need_more)
         error = {};
--- a/src/http/server_session.h
+++ b/src/http/server_session.h
@@ -44,8 +44,9 @@
     void respond(const SessionRequest *request, HttpResponse response);
     void abort(const SessionRequest *request);
 
-    /// \brief Applies the limits of the server to the next request, unless some of it has arrived.
-    void applyLimits();
+    /// \brief Applies the limits of the server to the requests whose first byte has not arrived. Those that have
+    /// arrived may have the size that either these limits or the earlier ones permit.
+    void applyLimits(const ConnectionLimits &earlier);
 
     /// \brief Closes the connection if no request is being read or handled and no response is being written.
     void closeIfIdle();
@@ -74,7 +75,7 @@
 
     void readHead();
     void setParserLimits();
-    void onHeadRead(const error_code &error);
+    void onHeadRead(const error_code &error, std::size_t parsed);
     [[nodiscard]] bool mayReadBody() const;
     void startBody();
     void readBody();
@@ -129,7 +130,12 @@
     bool m_isAwaitingGrant = false;
     Requests m_requests;                    ///< passed on, and their responses not being written; oldest first
     std::shared_ptr<SessionRequest> m_next; ///< read completely, and not passed on
-    std::uint64_t m_handledRequests = 0;    ///< passed to the handler so far
+    /// Bytes that had arrived when the limits changed and are not parsed; requests that begin there may have the size
+    /// that m_earlierLimits permit.
+    std::size_t m_earlierBytes = 0;
+    ConnectionLimits m_earlierLimits;
+    bool m_isHeadSplitByChange = false;  ///< a part of the head in progress was parsed when the limits changed
+    std::uint64_t m_handledRequests = 0; ///< passed to the handler so far
     std::size_t m_discardedBytes = 0;
     ReadState m_readState = ReadState::Idle;
     MonotonicTime m_lastActivity;
--- a/tests/http/async_server_test.cpp
+++ b/tests/http/async_server_test.cpp
@@ -202,6 +202,50 @@
     CHECK_THAT(lowered.readAll(), Catch::Contains("413 "));
 }
 
+// Guards against requests that are refused under a limit that did not hold when they arrived, because they waited
+// behind another one, and against a limit that never holds for a connection with pipelined requests.
+TEST_CASE("a lowered limit applies to the requests that arrive after it", "[http]")
+{
+    std::vector<HttpRequestContextPtr> held; // used on the loop's thread only
+    TestServer server([&held](const HttpRequestContextPtr &request) {
+        if (request->request().target == "/hold")
+            held.push_back(request);
+        else
+            respondWithEcho(request);
+    });
+    const auto setLimits = [&server](std::uint64_t body, std::uint64_t head) {
+        ConnectionLimits limits;
+        limits.maxBodyBytes = ByteCount(body);
+        limits.maxHeaderBytes = ByteCount(head);
+        server.thread().run([&] { server.httpServer().setLimits(limits); });
+    };
+    const std::string hold = "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string get = "GET /a HTTP/1.1\r\nHost: h\r\n\r\n";
+    const std::string longBody =
+            "POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 2000\r\n\r\n" + std::string(2'000, 'b');
+    const std::string longHead = "GET /c HTTP/1.1\r\nHost: h\r\nX: " + std::string(300, 'x') + "\r\n\r\n";
+    for (const std::string &late : {longBody, longHead}) {
+        setLimits(2'000, 1'000);
+        const RawConnection connection(server.port());
+        connection.write(hold + get + longBody + longHead + longBody + longHead);
+        std::this_thread::sleep_for(Milliseconds(100)); // all bytes have arrived
+        setLimits(10, 200);
+        connection.write(late);
+        std::this_thread::sleep_for(Milliseconds(100));
+        server.thread().run([&held] {
+            REQUIRE(held.size() == 1);
+            respondWithEcho(held.front());
+            held.clear();
+        });
+        const std::string received = connection.readAll();
+        std::size_t accepted = 0;
+        for (std::size_t found = received.find("200 OK"); found != std::string::npos;
+             found = received.find("200 OK", found + 1))
+            ++accepted;
+        CHECK(accepted == 6);
+    }
+}
+
 // Guards against callers whose bytes are kept without a limit because their request never becomes complete.
 TEST_CASE("endless lines of a chunked body are rejected early", "[http]")
 {
