Let the inbound listener accept 128 KiB of head whatever its configuration

Callers got 502 for heads that a raised max_header_bytes allows when the proxy of the target had not read the configuration yet: its inbound listener followed its own configuration, and the proxy of the caller was ahead by up to the time in which a configuration comes into force. The test of the longest head failed in one of two runs for that reason.

The listener now accepts at least 128 KiB, which a connection buffers anyway; what connections hold together stays bounded by the account.

--- a/src/proxy/traffic_duty.cpp
+++ b/src/proxy/traffic_duty.cpp
@@ -24,12 +24,16 @@
 // A forwarded request has the headers of the callers' request, its id once more, and those of the protocol between
 // proxies, whose names of routes, services and targets are short.
 constexpr std::uint64_t addedHeaderBytes = 4'096;
+// The proxy of the caller may have read a raised limit before this one. A connection reads this many bytes of a head in
+// any case.
+constexpr std::uint64_t minInboundHeaderBytes = 131'072;
 
 ConnectionLimits inboundLimits(const ConnectionLimits &callers)
 {
     ConnectionLimits limits;
     limits.idleTimeout = std::chrono::minutes(1); // keeps rarely used connections between proxies open
-    limits.maxHeaderBytes = ByteCount(2 * callers.maxHeaderBytes.value() + addedHeaderBytes);
+    limits.maxHeaderBytes =
+            ByteCount(std::max(minInboundHeaderBytes, 2 * callers.maxHeaderBytes.value() + addedHeaderBytes));
     limits.maxBodyBytes = ByteCount(67'108'864);
     return limits;
 }
