Bound the memory of a node's listeners against uncontrolled clients

Callers, other nodes and operators saw: clients that send large bodies and stop short of their end took all the memory of dandeliondock-node. ulfius holds each body whole, with a second copy for the handler, and nothing bounded the sum over all connections. Bodies announced over the limit were held up to the limit, and each listener took 1,024 connections.

HttpServer now uses Boost.Beast's parser with a thread for each connection behind the same interface. All three listeners share one account, in which ReceiveBudget chooses what is refused (503 with Retry-After, not passed to the handler) or closed. Heads, chunk framing and trailers are limited, and reads have time limits (408). Refusals of the callers' listener carry the outcome not-run. OperatorServer remains on ulfius; a connection that receives is accounted for with its largest body, which is 1 MiB instead of 16 MiB: a ticket is one row of at most 64 KiB. max_fds and the memory of a node have defaults of 4100 and 160 MB. Connections that wait to be accepted when a server stops accepting are served.

It works because every byte that a client can make the process hold is recorded before more is read, and a connection that would exceed the limit waits until shed ones have freed theirs.

--- a/include/dandeliondock/dandeliondock.h
+++ b/include/dandeliondock/dandeliondock.h
@@ -52,7 +52,9 @@
 #include <dandeliondock/http/client.h>
 #include <dandeliondock/http/event_loop.h>
 #include <dandeliondock/http/message.h>
+#include <dandeliondock/http/operator_server.h>
 #include <dandeliondock/http/server.h>
+#include <dandeliondock/http/shared_receive_account.h>
 #include <dandeliondock/membership/child_liveness.h>
 #include <dandeliondock/membership/endpoint.h>
 #include <dandeliondock/membership/endpoint_announcer.h>
--- a/include/dandeliondock/forward_declarations.h
+++ b/include/dandeliondock/forward_declarations.h
@@ -42,6 +42,8 @@
 class Node;
 class OperatorApi;
 class OperatorClient;
+class OperatorServer;
+class OperatorServerBuilder;
 class OutcomeAggregator;
 class Proxy;
 class RetryBudget;
--- a/include/dandeliondock/http/server.h
+++ b/include/dandeliondock/http/server.h
@@ -3,6 +3,7 @@
 #include <dandeliondock/core/units.h>
 #include <dandeliondock/http/call.h>
 #include <dandeliondock/http/message.h>
+#include <dandeliondock/http/shared_receive_account.h>
 
 #include <absl/status/status.h>
 #include <absl/status/statusor.h>
@@ -39,6 +40,9 @@
 
 /// \brief An HTTP/1.1 server with a thread for each connection.
 ///
+/// A request that is refused while it is received gets status 408, 413, 431, 400 or, if all connections of the account
+/// hold too much, 503 with Retry-After. It is not passed to the handler, and the connection is closed.
+///
 /// \remark Every method is thread-safe.
 class HttpServer
 {
@@ -99,8 +103,14 @@
 
     HttpServerBuilder &maxConnections(ConnectionCount limit);
 
+    /// \brief Sets the account that bounds what connections hold; without one, nothing bounds them together.
+    HttpServerBuilder &account(std::shared_ptr<SharedReceiveAccount> account);
+
+    /// \brief Sets header lines of the responses to requests that are refused while they are received.
+    HttpServerBuilder &refusalHeaders(HttpHeaders headers);
+
     /// \brief Starts the server.
-    /// \return InvalidSettings when the address cannot be used; Internal when the HTTP library fails.
+    /// \return InvalidSettings when the address cannot be used.
     /// \pre listen() and handler() or streamingHandler() were called.
     [[nodiscard]] absl::StatusOr<std::unique_ptr<HttpServer>> start();
 
@@ -110,6 +120,8 @@
     StreamingHttpHandler m_handler;
     ByteCount m_maxBody{1U << 20U};
     ConnectionCount m_maxConnections{1'024};
+    std::shared_ptr<SharedReceiveAccount> m_account;
+    HttpHeaders m_refusalHeaders;
 };
 
 } // namespace dandeliondock
--- a/include/dandeliondock/node/control_listener.h
+++ b/include/dandeliondock/node/control_listener.h
@@ -60,6 +60,11 @@
 
     ControlListenerBuilder &coordinator(std::shared_ptr<RelayCoordinator> coordinator);
 
+    ControlListenerBuilder &maxConnections(ConnectionCount limit);
+
+    /// \brief Sets the account that bounds what connections hold; without one, nothing bounds them together.
+    ControlListenerBuilder &account(std::shared_ptr<SharedReceiveAccount> account);
+
     /// \brief Opens the listener and starts the threads; returns an error when the address cannot be bound.
     /// \pre listen() and coordinator() were called.
     [[nodiscard]] absl::StatusOr<std::unique_ptr<ControlListener>> start();
@@ -68,6 +73,8 @@
     std::string m_address;
     std::uint16_t m_port = 0;
     std::shared_ptr<RelayCoordinator> m_coordinator;
+    ConnectionCount m_maxConnections{1'024};
+    std::shared_ptr<SharedReceiveAccount> m_account;
 };
 
 } // namespace dandeliondock
--- a/include/dandeliondock/node/ingress.h
+++ b/include/dandeliondock/node/ingress.h
@@ -92,6 +92,9 @@
 
     IngressBuilder &maxConnections(ConnectionCount limit);
 
+    /// \brief Sets the account that bounds what connections hold; without one, nothing bounds them together.
+    IngressBuilder &account(std::shared_ptr<SharedReceiveAccount> account);
+
     /// \brief Opens the listener; returns an error when the address cannot be bound.
     /// \pre listen(), routing() and attemptReports() were called.
     [[nodiscard]] absl::StatusOr<std::unique_ptr<Ingress>> start();
@@ -102,6 +105,7 @@
     std::uint16_t m_port = 0;
     ByteCount m_maxBody{8U << 20U};
     ConnectionCount m_maxConnections{1'024};
+    std::shared_ptr<SharedReceiveAccount> m_account;
 };
 
 } // namespace dandeliondock
--- a/include/dandeliondock/settings/node_settings.h
+++ b/include/dandeliondock/settings/node_settings.h
@@ -54,6 +54,8 @@
     std::uint32_t fanOut = 8;
     Milliseconds pollHold{1'500};
     ByteCount maxBody{1U << 20U};
+    ByteCount memoryLimit{160'000'000}; ///< of the process
+    DescriptorCount descriptorLimit{4'100};
     Milliseconds drainTimeout{30'000};
     std::string logLevel = "info";
     DistributionMode distribution = DistributionMode::Tree;
--- a/src/node/control_listener.cpp
+++ b/src/node/control_listener.cpp
@@ -190,6 +190,18 @@
     return *this;
 }
 
+ControlListenerBuilder &ControlListenerBuilder::maxConnections(ConnectionCount limit)
+{
+    m_maxConnections = limit;
+    return *this;
+}
+
+ControlListenerBuilder &ControlListenerBuilder::account(std::shared_ptr<SharedReceiveAccount> account)
+{
+    m_account = std::move(account);
+    return *this;
+}
+
 absl::StatusOr<std::unique_ptr<ControlListener>> ControlListenerBuilder::start()
 {
     constexpr ByteCount maxPollBytes{16U << 20U};
@@ -198,6 +210,8 @@
     auto server = HttpServerBuilder()
                           .listen(m_address, m_port)
                           .maxBody(maxPollBytes)
+                          .maxConnections(m_maxConnections)
+                          .account(m_account)
                           .handler([self](const HttpRequest &request) { return self->serve(request); })
                           .start();
     if (!server.ok())
--- a/src/node/ingress.cpp
+++ b/src/node/ingress.cpp
@@ -14,6 +14,10 @@
 // which no node sends a non-idempotent request on an idle connection.
 constexpr Milliseconds drainIdleTime{maxIdleForNonIdempotent + Milliseconds(200)};
 
+// A request that is refused while it is received has not reached a target.
+constexpr absl::string_view outcomeHeader = "X-Dandeliondock-Outcome";
+constexpr absl::string_view notRunOutcome = "not-run";
+
 void fillDefaults(IngressDependencies &dependencies)
 {
     if (!dependencies.client)
@@ -124,15 +128,25 @@
     return *this;
 }
 
+IngressBuilder &IngressBuilder::account(std::shared_ptr<SharedReceiveAccount> account)
+{
+    m_account = std::move(account);
+    return *this;
+}
+
 absl::StatusOr<std::unique_ptr<Ingress>> IngressBuilder::start()
 {
     fillDefaults(m_dependencies);
     auto dependencies = std::make_shared<const IngressDependencies>(m_dependencies);
+    HttpHeaders refusalHeaders;
+    refusalHeaders.add(outcomeHeader, notRunOutcome);
     auto server =
             HttpServerBuilder()
                     .listen(m_address, m_port)
                     .maxBody(m_maxBody)
                     .maxConnections(m_maxConnections)
+                    .account(m_account)
+                    .refusalHeaders(std::move(refusalHeaders))
                     .streamingHandler([dependencies](HttpRequest request, const CallerConnection &caller) {
                         return std::make_shared<impl::ProxiedRequest>(dependencies, std::move(request), caller)->run();
                     })
--- a/src/node/node_components.cpp
+++ b/src/node/node_components.cpp
@@ -18,7 +18,12 @@
 constexpr Milliseconds announcementTimeout{2'000};
 constexpr Milliseconds operatorDrainTimeout{10'000};
 constexpr std::size_t attemptReportCapacity = 8'192;
-constexpr ByteCount maxOperatorBodyBytes{16U << 20U};
+// The platform's table takes rows of 64 KiB, and a ticket is one row.
+constexpr ByteCount maxOperatorBodyBytes{1U << 20U};
+// A request uses the descriptors of its connection and of its call: a socket and two for waking libcurl.
+constexpr std::uint32_t descriptorsPerConnection = 5;
+// Connections of a listener beyond those of the account, which are being closed.
+constexpr std::uint32_t closingConnections = 16;
 
 PassiveHealthSignal healthSignalOf(const AttemptOutcome &outcome)
 {
@@ -31,6 +36,9 @@
 
 NodeComponents::NodeComponents(NodeSettings givenSettings, LogSink givenLog)
     : settings(std::move(givenSettings)), log(std::move(givenLog)),
+      receiveAccount(std::make_shared<SharedReceiveAccount>(
+              receiveLimits(),
+              [this](const ShedHolder &holder, const ReceiveTotals &totals) { recordShed(holder, totals); })),
       store(makeHttpStore(client, settings.store, storeTimeout)), tickets(store, time),
       router(Router::create({settings.node, {settings.region, settings.dataCentre}, 1}, routerHooks(), *metrics)),
       endpoints(settings.region, router, {time, [this] { coordinator->notifyParent(); }}),
@@ -52,9 +60,11 @@
     startDispatcher();
     if (absl::Status status = startIngress(); !status.ok())
         return status;
-    auto server = HttpServerBuilder()
+    auto server = OperatorServerBuilder()
                           .listen(settings.operators.address, settings.operators.port)
                           .maxBody(maxOperatorBodyBytes)
+                          .maxConnections(maxConnections())
+                          .account(receiveAccount)
                           .handler([this](const HttpRequest &request) { return operatorApi.serve(request); })
                           .start();
     if (!server.ok())
@@ -81,6 +91,8 @@
     auto listener = ControlListenerBuilder()
                             .listen(settings.nodes.address, settings.nodes.port)
                             .coordinator(coordinator)
+                            .maxConnections(maxConnections())
+                            .account(receiveAccount)
                             .start();
     if (!listener.ok())
         return listener.status();
@@ -100,6 +112,8 @@
                            .time(time)
                            .log(log)
                            .maxBody(settings.maxBody)
+                           .maxConnections(maxConnections())
+                           .account(receiveAccount)
                            .start();
     if (!started.ok())
         return started.status();
@@ -217,6 +231,32 @@
     return hooks;
 }
 
+ReceiveLimits NodeComponents::receiveLimits() const
+{
+    return {receiveLimitsFor(settings.memoryLimit, settings.descriptorLimit).memory,
+            ConnectionCount(settings.descriptorLimit.value() / descriptorsPerConnection)};
+}
+
+ConnectionCount NodeComponents::maxConnections() const
+{
+    return ConnectionCount(receiveLimits().connections.value() + closingConnections);
+}
+
+void NodeComponents::recordShed(const ShedHolder &holder, const ReceiveTotals &totals)
+{
+    const char *activity = holderActivityName(holder.status.activity);
+    metrics->counter("connections_shed_total", activity).add();
+    const std::scoped_lock lock(shedLogMutex);
+    if (!shedLogLimiter.allow(time.monotonic(), log))
+        return;
+    LogEvent(LogLevel::Warn, "connection.shed")
+            .field("activity", activity)
+            .field("bytes", holder.status.bytes.value())
+            .field("held_bytes", totals.held.value())
+            .field("connections", totals.connections.value())
+            .write(log);
+}
+
 void NodeComponents::announceLeaving()
 {
     if (!settings.target)
--- a/src/node/node_components.h
+++ b/src/node/node_components.h
@@ -3,10 +3,12 @@
 #include <dandeliondock/config/config_store.h>
 #include <dandeliondock/core/bounded_ring.h>
 #include <dandeliondock/core/log_event.h>
+#include <dandeliondock/core/log_rate_limiter.h>
 #include <dandeliondock/core/metrics.h>
 #include <dandeliondock/core/time_source.h>
 #include <dandeliondock/http/client.h>
-#include <dandeliondock/http/server.h>
+#include <dandeliondock/http/operator_server.h>
+#include <dandeliondock/http/shared_receive_account.h>
 #include <dandeliondock/node/control_listener.h>
 #include <dandeliondock/node/endpoint_registry.h>
 #include <dandeliondock/node/ingress.h>
@@ -26,6 +28,7 @@
 
 #include <atomic>
 #include <memory>
+#include <mutex>
 
 namespace dandeliondock::impl {
 
@@ -43,6 +46,9 @@
     TimeSource time = systemTime();
     std::shared_ptr<MetricsRegistry> metrics = std::make_shared<MetricsRegistry>();
     std::shared_ptr<HttpClient> client = std::make_shared<HttpClient>();
+    std::mutex shedLogMutex; ///< of shedLogLimiter
+    LogRateLimiter shedLogLimiter;
+    std::shared_ptr<SharedReceiveAccount> receiveAccount; ///< of all listeners
     StoreHooks store;
     TicketService tickets;
     ConfigStore config;
@@ -63,7 +69,7 @@
     std::unique_ptr<OutcomeDispatcher> dispatcher;
     std::unique_ptr<Ingress> ingress;
     OperatorApi operatorApi;
-    std::unique_ptr<HttpServer> operatorServer;
+    std::unique_ptr<OperatorServer> operatorServer;
 
     /// \brief Opens the listeners and starts the threads; returns an error when a listener cannot be opened.
     [[nodiscard]] absl::Status start();
@@ -95,6 +101,9 @@
     [[nodiscard]] Share shareOf(const RolloutRecord &record) const;
     [[nodiscard]] wire::NodeStatus status();
     void announceLeaving();
+    [[nodiscard]] ReceiveLimits receiveLimits() const;
+    [[nodiscard]] ConnectionCount maxConnections() const;
+    void recordShed(const ShedHolder &holder, const ReceiveTotals &totals);
 };
 
 } // namespace dandeliondock::impl
