Limit the responses that the commands of operators hold

A peer that sends a response without end took the memory of dandeliondock-status and dandeliondock-ticket until the request timed out: HttpClient::send() buffered any response. SendOptions has a limit now (32 MiB; 16 MiB for the commands), beyond which the request fails with Truncated. The last part that libcurl passes on may exceed the limit, so that the complete body is compared as well. A node's calls to its parent and to the store have the general limit.

--- a/include/dandeliondock/http/client.h
+++ b/include/dandeliondock/http/client.h
@@ -30,6 +30,9 @@
     /// Limit on the connections to the address, in use and idle; empty keeps the present limit. When all of them are in
     /// use, the request fails with ConnectionLimit before anything is sent.
     std::optional<ConnectionCount> connectionLimit{};
+    /// Longest body that send() accepts; a longer one fails with Truncated. An object of the platform has at most 8
+    /// MiB.
+    ByteCount responseLimit{32U << 20U};
     CancellationToken *cancellation = nullptr; ///< makes send() return Interrupted when cancelled; may be null
 };
 
@@ -67,8 +70,8 @@
 
     /// \brief Starts a request that the calling thread advances with HttpCall::wait().
     ///
-    /// \remark \c bufferLimit limits the part of the response that is buffered in memory. \c options.timeout is not
-    /// applied; the caller of wait() enforces it. The call may outlive the client.
+    /// \remark \c bufferLimit limits the part of the response that is buffered in memory. \c options.timeout and
+    /// \c options.responseLimit are not applied; the caller of wait() enforces it. The call may outlive the client.
     [[nodiscard]] std::shared_ptr<HttpCall> start(const Address &address, HttpRequest request,
                                                   const SendOptions &options, ByteCount bufferLimit);
 
--- a/src/http/client.cpp
+++ b/src/http/client.cpp
@@ -5,15 +5,12 @@
 #include "call_state.h"
 
 #include <algorithm>
-#include <limits>
 #include <utility>
 
 namespace dandeliondock {
 
 namespace {
 
-constexpr ByteCount unlimited{std::numeric_limits<std::uint64_t>::max()};
-
 SendResult resultOf(HttpCall &call)
 {
     const absl::Status status = call.status();
@@ -28,6 +25,11 @@
     return {call.isSendStarted(), makeError(kind, address.value() + ": no whole answer in time")};
 }
 
+SendResult tooLongResult(const Address &address)
+{
+    return {true, makeError(ErrorKind::Truncated, address.value() + ": the response is longer than the limit")};
+}
+
 } // namespace
 
 /// \brief Registers a call with its cancellation token while the scope lives, so that cancel() wakes the thread that
@@ -75,17 +77,22 @@
 
 SendResult HttpClient::send(const Address &address, const HttpRequest &request, const SendOptions &options)
 {
-    const std::shared_ptr<HttpCall> call = start(address, request, options, unlimited);
+    const std::shared_ptr<HttpCall> call = start(address, request, options, options.responseLimit);
     const CancellationScope scope(options.cancellation, *call);
     const auto end = std::chrono::steady_clock::now() + options.timeout;
     while (!call->isFinished()) {
         if (options.cancellation != nullptr && options.cancellation->isCancelled())
             return {call->isSendStarted(), makeError(ErrorKind::Interrupted, address.value())};
+        if (call->isResponseReady()) // not finished, so the buffer is full or the announced length exceeds it
+            return tooLongResult(address);
         const auto remaining = std::chrono::duration_cast<Microseconds>(end - std::chrono::steady_clock::now());
         if (remaining.count() <= 0)
             return timeoutResult(*call, address);
         static_cast<void>(HttpCall::wait({call.get()}, {}, remaining));
     }
+    // The last part of a response is added to the buffer as a whole.
+    if (call->response().body.size() > options.responseLimit.value())
+        return tooLongResult(address);
     return resultOf(*call);
 }
 
--- a/src/node/operator_client.cpp
+++ b/src/node/operator_client.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// A list has at most 1,000 tickets, which leaves 16 KiB for the status of each.
+constexpr ByteCount maxResponseBytes{16U << 20U};
+
 // Removes the remedy from the end of the node's message, because makeError() appends it again.
 absl::Status decodeRefusal(const HttpResponse &response)
 {
@@ -101,6 +104,7 @@
     request.body = body;
     SendOptions options;
     options.timeout = m_timeout;
+    options.responseLimit = maxResponseBytes;
     return m_client->send(m_node, request, options);
 }
 
--- a/tests/http/client_test.cpp
+++ b/tests/http/client_test.cpp
@@ -275,4 +275,28 @@
     CHECK(result.response->headers.lines()[1] == second);
 }
 
+// Guards against responses without end that are held whole.
+TEST_CASE("a response that is longer than the limit is an error", "[http]")
+{
+    const std::string body(2'000, 'x');
+    const RawListener peer([&](const RawConnection &connection, int number) {
+        static_cast<void>(connection.readUntil("\r\n\r\n"));
+        connection.write(number == 0 ? "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n" + body
+                                     : "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n7d0\r\n" + body
+                                               + "\r\n7d0\r\n" + body + "\r\n");
+        static_cast<void>(connection.readAll());
+    });
+    HttpClient client;
+    SendOptions options;
+    options.responseLimit = ByteCount(1'000);
+    options.forceNewConnection = true;
+    options.timeout = Milliseconds(5'000);
+    for (int number = 0; number < 2; ++number) {
+        const SendResult result = client.send(peer.address(), {"GET", "/", {}, {}}, options);
+        CHECK(result.maybeSent);
+        CHECK(errorKind(result.response.status()) == ErrorKind::Truncated);
+        CHECK(errorDetail(result.response.status()).find("longer than the limit") != std::string::npos);
+    }
+}
+
 } // namespace dandeliondock::testing
