Do not count refusals before the route as failed calls of the target

A target that failed on its own was treated as one whose call to another service had failed, so that its failures were not blamed on it, whenever its proxy had refused any request in the last 100 ms before the service was known: without a configuration, with unconfirmed keys, and now with an unconfirmed configuration, which made it more frequent.

recordFailure() ignores an empty service. The new test failed before.

--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -610,10 +610,11 @@
                          std::nullopt);
 }
 
-// Requests to the service of the local target are not calls made by that target: it does not call its own service.
+// Requests to the service of the local target are not calls made by that target: it does not call its own service. A
+// request that was refused before its service was known says nothing about another service.
 void Forwarder::recordFailure(const ServiceName &service)
 {
-    if (service != m_dependencies.callerService)
+    if (!service.value().empty() && service != m_dependencies.callerService)
         m_lastDependencyFailure = EventLoop::now();
 }
 
