Refuse unknown routes with 503 while the newest configuration cannot be used

Callers got 404 and 401, for as long as it lasted, for what a configuration had added that a proxy refused or could not read: the former one stayed in force and its confirmations went on, so that the lease on final refusals was held. One bad entry refuses a whole configuration. Found by review; it is the same cause as for a proxy that has missed a configuration.

A confirmation now tells whether every row of the operator's table could be used; otherwise it does not extend that lease. Keys are accepted as before.

Evidence: without the condition the new test fails (404 and 401 at both proxies); it passes with it.

--- a/include/dandeliondock/proxy/config_confirmed.h
+++ b/include/dandeliondock/proxy/config_confirmed.h
@@ -10,6 +10,9 @@
 {
     RevisionNumber revision;
     BootTime at; ///< a time at which this was certainly so
+    /// Whether every row of the operator's table could be used. Otherwise a later configuration may be among the
+    /// others.
+    bool isComplete = true;
 };
 
 /// \brief Smallest progress of the confirmed time that is published, which bounds the messages between the duties.
--- a/include/dandeliondock/proxy/control_duty.h
+++ b/include/dandeliondock/proxy/control_duty.h
@@ -129,7 +129,7 @@
     void handle(PeerMessageKind kind, absl::string_view body, std::function<void(int, std::string)> respond);
 
 private:
-    void applyOperatorRows(const TableReadResult &result);
+    void applyOperatorRows(const TableReadResult &result, bool isFull);
     void applyEvacuations(const TableReadResult &result, bool isFull);
     void applySharedRows(const TableReadResult &result, bool isFull);
     void applySharedRow(const TableRow &row, const TableVersion &version, bool isNewEra);
@@ -183,6 +183,8 @@
     ProxyConfigPtr m_config; ///< the read configuration with the highest revision
     std::optional<ConfigConfirmed> m_publishedConfirmation;
     bool m_hasConfig = false;
+    std::set<RowKey> m_refusedRows;   ///< rows of the operator's table whose last value could not be used
+    bool m_hasUnreadableRows = false; ///< since the last full read or configuration
     bool m_isInitialSyncDone = false;
     bool m_isOperatorWatchStarted = false;
 };
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -35,7 +35,7 @@
               [this](const TableReadResult &result, bool isFull) {
                   m_relayServer.apply(m_dependencies.documents.table, result, isFull);
                   applyEvacuations(result, isFull);
-                  applyOperatorRows(result);
+                  applyOperatorRows(result, isFull);
               },
               [this](bool isCurrent) { m_relayServer.setCurrent(m_dependencies.documents.table, isCurrent); }),
       m_sharedWatch(
@@ -270,9 +270,12 @@
     m_dependencies.publish(EvacuationsUpdate{dataCentres});
 }
 
-void ControlDuty::applyOperatorRows(const TableReadResult &result)
+void ControlDuty::applyOperatorRows(const TableReadResult &result, bool isFull)
 {
     recordTableTime(result);
+    m_hasUnreadableRows = result.unreadable > 0 || (m_hasUnreadableRows && !isFull);
+    for (const RowKey &key : result.removed)
+        m_refusedRows.erase(key);
     for (const TableRow &row : result.rows) {
         auto document = m_dependencies.documents.read(row, result.asOfVersion.era);
         if (!document.ok()) {
@@ -282,14 +285,17 @@
                     .field("version", row.version)
                     .error(document.status())
                     .write(m_dependencies.log);
+            m_refusedRows.insert(row.key);
             continue;
         }
+        m_refusedRows.erase(row.key);
         if (const auto *config = std::get_if<ProxyConfigPtr>(&*document)) {
             LogEvent(LogLevel::Info, "config.read")
                     .field("revision", (*config)->state->revision())
                     .field("row_version", row.version)
                     .write(m_dependencies.log);
             m_hasConfig = true;
+            m_hasUnreadableRows = result.unreadable > 0;
             if (!m_config || m_config->state->revision() < (*config)->state->revision())
                 m_config = *config;
             m_quotaExchange.setConfig(*config);
@@ -309,8 +315,10 @@
     if (!result.confirmedAt || !m_config)
         return;
     m_confirmationProbe.recordConfirmation(*result.confirmedAt);
-    const ConfigConfirmed confirmed{m_config->state->revision(), *result.confirmedAt};
+    const bool isComplete = m_refusedRows.empty() && !m_hasUnreadableRows;
+    const ConfigConfirmed confirmed{m_config->state->revision(), *result.confirmedAt, isComplete};
     if (m_publishedConfirmation && m_publishedConfirmation->revision == confirmed.revision
+        && m_publishedConfirmation->isComplete == isComplete
         && confirmed.at - m_publishedConfirmation->at < confirmationInterval)
         return;
     m_publishedConfirmation = confirmed;
--- a/src/proxy/forwarder.cpp
+++ b/src/proxy/forwarder.cpp
@@ -547,7 +547,8 @@
     if (!m_config || m_config->state->revision() < confirmed.revision)
         return;
     m_keyCheck.confirm(confirmed, *m_config);
-    m_refusalLease.confirm(confirmed.at, BootClock::now());
+    if (confirmed.isComplete)
+        m_refusalLease.confirm(confirmed.at, BootClock::now());
 }
 
 bool Forwarder::mayRefuseFinally() const
--- a/tests/platform/outdated_refusals_test.cpp
+++ b/tests/platform/outdated_refusals_test.cpp
@@ -86,6 +86,26 @@
     }
 }
 
+// Guards against 404 and 401 for what a configuration has added that the proxies cannot use.
+TEST_CASE("a proxy that cannot use the newest configuration refuses unknown routes and keys with 503", "[platform]")
+{
+    AccountsDeployment deployment;
+    deployment.startServing();
+    const std::string sharedKey = absl::StrCat(quoted(millKey), ",", quoted(newKey), ",", quoted(farmKey));
+    deployment.store.put("op", "config", configText(2, sharedKey, newRoute)); // refused: two accounts hold one key
+    std::this_thread::sleep_for(applyBound);
+    for (const std::size_t proxy : {0U, 1U}) {
+        CHECK(deployment.callProxy(proxy, "/new/1").status == 503);
+        CHECK(deployment.callWithKey(newKey, proxy).status == 503);
+        CHECK(deployment.callWithKey(millKey, proxy).status == 200);
+    }
+    deployment.store.put("op", "config", configText(3, quoted(millKey)));
+    for (const std::size_t proxy : {0U, 1U}) {
+        CHECK(deployment.eventually([&] { return deployment.callProxy(proxy, "/new/1").status == 404; }));
+        CHECK(deployment.callWithKey(newKey, proxy).status == 401);
+    }
+}
+
 // Guards against 413 and 431 for sizes that a later configuration allows.
 TEST_CASE("a proxy without a recent confirmation refuses long requests with 503", "[platform]")
 {
