Give dandeliondock-node the settings memory_mb and max_fds

The bound on what the connections of a node hold was fixed at 160 MB and 4,100 descriptors. The settings have these defaults, which no client inside the limits meets: max_body_bytes is 1 MiB by default and must be at most a quarter of memory_mb.

--- a/src/settings/node_settings.cpp
+++ b/src/settings/node_settings.cpp
@@ -25,6 +25,12 @@
 constexpr std::uint64_t maxDrainTimeoutMs = 600'000;
 constexpr std::uint32_t maxSlots = 100'000;
 constexpr std::size_t minOperatorKeyLength = 8;
+constexpr double minMemoryMb = 64;
+constexpr double maxMemoryMb = 1'000'000;
+constexpr double bytesPerMegabyte = 1'000'000;
+constexpr std::uint32_t minDescriptors = 256;
+// Messages have 55 percent of the memory. A chunked body needs twice its length while its buffer grows.
+constexpr std::uint64_t bodyMemoryDivisor = 4;
 
 struct NamedEndpoint
 {
@@ -161,6 +167,27 @@
         return value;
     }
 
+    void readMachineLimits()
+    {
+        if (m_givenKeys.count("memory_mb") > 0) {
+            const double megabytes = m_message.memory_mb();
+            const bool isValid = megabytes >= minMemoryMb && megabytes <= maxMemoryMb;
+            m_errors.require(isValid, "memory_mb", absl::StrCat(megabytes),
+                             "must be a number of MB from 64 to 1000000; the default is 160");
+            if (isValid)
+                m_settings.memoryLimit = ByteCount(static_cast<std::uint64_t>(megabytes * bytesPerMegabyte));
+        }
+        if (m_givenKeys.count("max_fds") > 0) {
+            m_errors.require(m_message.max_fds() >= minDescriptors, "max_fds", absl::StrCat(m_message.max_fds()),
+                             "must be a number of descriptors from 256 on; the default is 4100");
+            m_settings.descriptorLimit = DescriptorCount(m_message.max_fds());
+        }
+        const std::uint64_t longestBody = m_settings.memoryLimit.value() / bodyMemoryDivisor;
+        m_errors.require(m_settings.maxBody.value() <= longestBody, "max_body_bytes",
+                         absl::StrCat(m_settings.maxBody.value()),
+                         absl::StrCat("must be at most a quarter of memory_mb, ", longestBody, "; raise memory_mb"));
+    }
+
     void readLimits()
     {
         const NodeSettings defaults;
@@ -171,6 +198,7 @@
                                                      minPollHoldMs, maxPollHoldMs));
         m_settings.maxBody = ByteCount(
                 readLimit("max_body_bytes", m_message.max_body_bytes(), defaults.maxBody.value(), 1, maxBodyBytes));
+        readMachineLimits();
         m_settings.drainTimeout = Milliseconds(readLimit("drain_ms", m_message.drain_ms(),
                                                          static_cast<std::uint64_t>(defaults.drainTimeout.count()), 1,
                                                          maxDrainTimeoutMs));
--- a/tests/settings/node_settings_test.cpp
+++ b/tests/settings/node_settings_test.cpp
@@ -43,11 +43,30 @@
     CHECK(settings->fanOut == 8);
     CHECK(settings->pollHold == Milliseconds(1'500));
     CHECK(settings->maxBody == ByteCount(1U << 20U));
+    CHECK(settings->memoryLimit == ByteCount(160'000'000));
+    CHECK(settings->descriptorLimit == DescriptorCount(4'100));
     CHECK(settings->drainTimeout == Milliseconds(30'000));
     CHECK(settings->logLevel == "info");
     CHECK(settings->target->slots == SlotCount(20));
 }
 
+// Guards against a node whose largest legal body does not fit into its memory.
+TEST_CASE("the limits of the machine are read, and a body fits into them", "[settings]")
+{
+    const auto settings =
+            parseNodeSettings(withReplacement("\"deployment\"", "\"memory_mb\": 64, \"max_fds\": 256, \"deployment\""));
+    REQUIRE(settings.ok());
+    CHECK(settings->memoryLimit == ByteCount(64'000'000));
+    CHECK(settings->descriptorLimit == DescriptorCount(256));
+    CHECK(absl::StrContains(settingsError(withReplacement("\"deployment\"", "\"memory_mb\": 63, \"deployment\"")),
+                            "memory_mb = 63"));
+    CHECK(absl::StrContains(settingsError(withReplacement("\"deployment\"", "\"max_fds\": 255, \"deployment\"")),
+                            "max_fds = 255"));
+    CHECK(absl::StrContains(
+            settingsError(withReplacement("\"deployment\"", "\"max_body_bytes\": 40000001, \"deployment\"")),
+            "max_body_bytes = 40000001"));
+}
+
 // Guards against reporting only one error per start of the node.
 TEST_CASE("all errors of a settings file are reported together", "[settings]")
 {
