Let the control duty receive 16 MiB of responses at once

Changes of a table have no pages: one response of the store may hold several versions of a configuration of thousands of routes, about 0.6 MB each as base64, and the watch, its hedged reads and probes for confirmations may be received side by side. At 4 MiB such reads would fail in a storm of changes, and again when they are repeated.

The number of JSON values stays the bound on what parsing takes.

--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -17,8 +17,9 @@
 constexpr std::size_t controlUpdateCapacity = 65'536;
 constexpr std::size_t trafficUpdateCapacity = 4'096;
 // Bound on the responses that the control duty receives at once. A page of the store has at most 1 MB of values, which
-// take 1.4 MB as base64, and copies of tables are compressed.
-constexpr ByteCount maxControlResponseBytes{4'194'304};
+// take 1.4 MB as base64, but changes have no pages: several versions of a configuration of thousands of routes may be
+// in one response, and several responses may be received side by side.
+constexpr ByteCount maxControlResponseBytes{16'777'216};
 
 AsyncClientLimits controlClientLimits()
 {
