Decide in a module of its own where a table is read and served

The selection of sources, the number of readers of the platform and what a proxy serves to others were spread over the relay client and server, which hold sockets and timers, so that no test could replay them for a fleet. RelaySourceSelection and mayServeCopy take events and a time; relay_parent, relay_peer_health and relay_protocol move beside them into the module relay.

--- a/include/dandeliondock/dandeliondock.h
+++ b/include/dandeliondock/dandeliondock.h
@@ -97,7 +97,6 @@
 #include <dandeliondock/proxy/proxy_config.h>
 #include <dandeliondock/proxy/proxy_settings.h>
 #include <dandeliondock/proxy/quota_exchange.h>
-#include <dandeliondock/proxy/relay_parent.h>
 #include <dandeliondock/proxy/rollout_control.h>
 #include <dandeliondock/proxy/service_versions.h>
 #include <dandeliondock/proxy/table_cache.h>
@@ -119,6 +118,8 @@
 #include <dandeliondock/quotas/quota_peer.h>
 #include <dandeliondock/quotas/token_bucket.h>
 #include <dandeliondock/quotas/usage_window.h>
+#include <dandeliondock/relay/relay_parent.h>
+#include <dandeliondock/relay/relay_source_selection.h>
 #include <dandeliondock/rollout/local_guard.h>
 #include <dandeliondock/rollout/outcome_aggregator.h>
 #include <dandeliondock/rollout/outcomes.h>
--- a/include/dandeliondock/proxy/confirmation_probe.h
+++ b/include/dandeliondock/proxy/confirmation_probe.h
@@ -15,10 +15,6 @@
 /// \brief Time between two probes for each serving proxy of a large fleet, which bounds the reads of all proxies
 /// together to 1,000 per second; the platform serves about 2,000.
 inline constexpr Milliseconds confirmationProbeShare{1};
-/// \brief Largest number of probes without a response. A probe without a response ends after 3 s, so that a new one can
-/// be sent at every interval.
-inline constexpr std::size_t maxOpenConfirmationProbes = 16;
-
 /// \brief Dependencies of the confirmation probe.
 struct ConfirmationProbeDependencies
 {
@@ -29,6 +25,8 @@
     std::function<bool()> isNeeded;
     /// Returns the number of known serving proxies.
     std::function<std::size_t()> fleetSize;
+    /// Returns the largest number of probes without a response at present.
+    std::function<std::size_t()> openProbeLimit;
     /// Polls the platform for changes without a hold and passes the result to the watch of the table.
     std::function<void(std::function<void()> onEnd)> poll;
 };
--- a/include/dandeliondock/proxy/relay_read_log.h
+++ b/include/dandeliondock/proxy/relay_read_log.h
@@ -5,7 +5,7 @@
 #include <dandeliondock/core/log_rate_limiter.h>
 #include <dandeliondock/core/metrics.h>
 #include <dandeliondock/core/units.h>
-#include <dandeliondock/proxy/relay_protocol.h>
+#include <dandeliondock/relay/relay_protocol.h>
 #include <dandeliondock/store/async_table.h>
 
 #include <absl/container/flat_hash_map.h>
--- a/include/dandeliondock/proxy/table_relay_client.h
+++ b/include/dandeliondock/proxy/table_relay_client.h
@@ -4,8 +4,9 @@
 #include <dandeliondock/core/metrics.h>
 #include <dandeliondock/http/async_client.h>
 #include <dandeliondock/http/event_loop.h>
-#include <dandeliondock/proxy/relay_parent.h>
-#include <dandeliondock/proxy/relay_protocol.h>
+#include <dandeliondock/relay/relay_parent.h>
+#include <dandeliondock/relay/relay_protocol.h>
+#include <dandeliondock/relay/relay_source_selection.h>
 #include <dandeliondock/store/async_table.h>
 
 #include <functional>
@@ -24,17 +25,6 @@
 inline constexpr Milliseconds relayResponseTimeout{3'000};
 /// \brief Time allowed for the rest of a response that has begun to arrive.
 inline constexpr Milliseconds relayTransferTimeout{1'000};
-/// \brief Most sources that one poll for changes calls: the parent, and a second one when the parent is overdue.
-inline constexpr std::size_t maxChangeSources = 2;
-/// \brief Failed attempts to read a full table through peers after which it is read from the platform. A full table is
-/// long, and hundreds of proxies that start together would saturate a link between regions with copies of it.
-inline constexpr int maxFullReadAttempts = 3;
-/// \brief Time for which a proxy polls the platform after its parent failed, because the next parent may have failed as
-/// well.
-inline constexpr Milliseconds platformFallbackTime{2'000};
-/// \brief Number of proxies per region, in the order of their addresses, that may read from the platform in a large
-/// fleet when their parent fails.
-inline constexpr std::size_t maxPlatformReaders = 8;
 /// \brief Round trip to a peer, without the hold time, from which a call is logged as slow.
 inline constexpr Milliseconds slowRelayRoundTrip{150};
 
@@ -59,10 +49,9 @@
 
 /// \brief Reads tables through a parent proxy and falls back to the platform.
 ///
-/// relayParent() selects the parent: one proxy reads from the platform, and one compressed copy of each change crosses
+/// RelaySourceSelection selects the source: one proxy reads from the platform, and one compressed copy of each change crosses
 /// the link to each further region. When a response is overdue, a second source is called as well and the first
-/// response is used, because the changes after a version are the same from every source. RelayPeerHealth decides which
-/// peers are excluded. A proxy without a parent reads from the platform.
+/// response is used, because the changes after a version are the same from every source.
 ///
 /// \remark Belongs to the control duty's thread.
 class TableRelayClient
@@ -78,6 +67,9 @@
     /// are valid during the lifetime of the client.
     [[nodiscard]] AsyncTableHooks hooks();
 
+    /// \brief Returns how many confirmation probes of this proxy to the platform may be without a response at present.
+    [[nodiscard]] std::size_t openProbeLimit() const;
+
 private:
     std::shared_ptr<impl::RelayClientState> m_state;
 };
--- a/include/dandeliondock/proxy/table_relay_server.h
+++ b/include/dandeliondock/proxy/table_relay_server.h
@@ -4,7 +4,7 @@
 #include <dandeliondock/core/log_event.h>
 #include <dandeliondock/core/metrics.h>
 #include <dandeliondock/http/event_loop.h>
-#include <dandeliondock/proxy/relay_protocol.h>
+#include <dandeliondock/relay/relay_protocol.h>
 #include <dandeliondock/proxy/table_cache.h>
 #include <dandeliondock/store/async_table.h>
 
--- a/include/dandeliondock/proxy/relay_peer_health.h
+++ b/include/dandeliondock/relay/relay_peer_health.h
@@ -3,7 +3,7 @@
 #include <dandeliondock/core/ids.h>
 #include <dandeliondock/core/strong_type.h>
 #include <dandeliondock/core/units.h>
-#include <dandeliondock/proxy/relay_parent.h>
+#include <dandeliondock/relay/relay_parent.h>
 
 #include <absl/container/flat_hash_map.h>
 
--- a/src/proxy/confirmation_probe.cpp
+++ b/src/proxy/confirmation_probe.cpp
@@ -31,7 +31,7 @@
 void ConfirmationProbe::probeWhenDue()
 {
     if (!isConfirmationOld(m_confirmedAt, *m_dependencies.bound, BootClock::now()) || !m_dependencies.isNeeded()
-        || m_openProbes >= maxOpenConfirmationProbes)
+        || m_openProbes >= m_dependencies.openProbeLimit())
         return;
     ++m_openProbes;
     m_dependencies.metrics->counter("key_confirmation_probes_total").add();
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -104,6 +104,7 @@
     dependencies.bound = m_dependencies.keyWithdrawalBound;
     dependencies.isNeeded = [this] { return m_config && !m_config->accounts.isEmpty(); };
     dependencies.fleetSize = [this] { return servingPeers().size(); };
+    dependencies.openProbeLimit = [this] { return m_relayClient.openProbeLimit(); };
     dependencies.poll = [this](std::function<void()> onEnd) {
         m_dependencies.table.pollChanges(
                 m_dependencies.documents.table, m_operatorWatch.asOfVersion(), Milliseconds{0},
--- a/src/proxy/table_relay_client.cpp
+++ b/src/proxy/table_relay_client.cpp
@@ -2,9 +2,9 @@
 #include <dandeliondock/core/error.h>
 #include <dandeliondock/core/log_rate_limiter.h>
 #include <dandeliondock/proxy/peer_message.h>
-#include <dandeliondock/proxy/relay_peer_health.h>
 #include <dandeliondock/proxy/relay_read_log.h>
 #include <dandeliondock/proxy/table_relay_client.h>
+#include <dandeliondock/relay/relay_source_selection.h>
 
 #include <algorithm>
 #include <optional>
@@ -18,7 +18,6 @@
 
 constexpr int statusOk = 200;
 constexpr int statusGone = 410;
-constexpr std::size_t maxReaderDoublings = 16; // 524,288 proxies in a region
 
 Milliseconds elapsedSince(MonotonicTime time)
 {
@@ -48,76 +47,34 @@
 {
 public:
     explicit RelayClientState(TableRelayClientDependencies clientDependencies)
-        : dependencies(std::move(clientDependencies)), readLog(*dependencies.metrics, dependencies.log)
+        : dependencies(std::move(clientDependencies)), selection(dependencies.self),
+          readLog(*dependencies.metrics, dependencies.log)
     {
     }
 
-    /// Returns the peer to call; empty when the platform is to be called.
-    [[nodiscard]] std::optional<Address> selectParent(const TablePoll &poll) const;
-    /// Returns an unresponsive peer that would be the parent if it responded again, when a probe to it is due.
-    [[nodiscard]] std::optional<Address> peerToProbe() const;
-    /// Whether this proxy may read from the platform when its parent fails.
-    [[nodiscard]] bool mayReadPlatform() const;
+    /// Returns the selection with the proxies that are known at present.
+    [[nodiscard]] RelaySourceSelection &currentSelection();
     AsyncHttpCall sendPoll(const Address &peer, const TablePoll &poll, Milliseconds hold,
                            AsyncCallHandler handler) const;
     void readPlatform(const TablePoll &poll, Milliseconds hold, TableReadHandler handler) const;
     void recordRoundTrip(const Address &peer, const TablePoll &poll, Milliseconds roundTrip,
                          const TableReadResult &result, ByteCount bytes);
-    /// Logs an exclusion and lets this proxy poll the platform for a time when it may read there.
-    void recordExclusion(const PeerExclusion &exclusion, const absl::Status &status);
-    void recordUnresponsivePeers(const std::vector<PeerExclusion> &exclusions);
+    void logExclusion(const PeerExclusion &exclusion, const absl::Status &status) const;
+    void logUnresponsivePeers(const std::vector<PeerExclusion> &exclusions) const;
 
     const TableRelayClientDependencies dependencies;
-    RelayPeerHealth peerHealth;
+    RelaySourceSelection selection;
     RelayReadLog readLog;
-    int fullReadFailures = 0; ///< consecutive
     bool isStopped = false;
 
 private:
     LogRateLimiter m_slowRelayLogLimiter;
-    MonotonicTime m_platformPreferredUntil;
 };
 
-std::optional<Address> RelayClientState::selectParent(const TablePoll &poll) const
+RelaySourceSelection &RelayClientState::currentSelection()
 {
-    std::vector<RelayPeer> peers = dependencies.peers();
-    const MonotonicTime now = EventLoop::now();
-    // A full table is long and many proxies read it at the same time, so after a failure another peer is called for it
-    // before the platform.
-    const bool isPlatformPreferred = poll.isFull ? peers.size() < largeFleetThreshold : now < m_platformPreferredUntil;
-    if (isPlatformPreferred)
-        return std::nullopt;
-    std::erase_if(peers, [this, now](const RelayPeer &peer) { return !peerHealth.isAvailable(peer.address, now); });
-    return relayParent(dependencies.self, peers);
-}
-
-std::optional<Address> RelayClientState::peerToProbe() const
-{
-    if (!peerHealth.hasUnresponsivePeers())
-        return std::nullopt;
-    std::vector<RelayPeer> peers = dependencies.peers();
-    const MonotonicTime now = EventLoop::now();
-    std::erase_if(peers, [this, now](const RelayPeer &peer) {
-        return !peerHealth.isAvailable(peer.address, now) && !peerHealth.isProbeDue(peer.address, now);
-    });
-    const std::optional<Address> parent = relayParent(dependencies.self, peers);
-    return parent && peerHealth.isProbeDue(*parent, now) ? parent : std::nullopt;
-}
-
-// When many peers are lost at once, those that remain may all rank behind the number of readers, and it takes a call to
-// find out that a peer is lost. The number of readers therefore doubles with each call that gets no response, until the
-// proxies that remain read from the platform. Peers that respond, even without data, keep it low.
-bool RelayClientState::mayReadPlatform() const
-{
-    const std::vector<RelayPeer> peers = dependencies.peers();
-    if (peers.size() < largeFleetThreshold)
-        return true;
-    const auto earlierPeers = std::count_if(peers.begin(), peers.end(), [this](const RelayPeer &peer) {
-        return peer.region == dependencies.self.region && peer.address < dependencies.self.address
-               && !peerHealth.isUnresponsive(peer.address);
-    });
-    const std::size_t doublings = std::min(peerHealth.unansweredCalls(EventLoop::now()), maxReaderDoublings);
-    return static_cast<std::size_t>(earlierPeers) < maxPlatformReaders << doublings;
+    selection.setPeers(dependencies.peers());
+    return selection;
 }
 
 AsyncHttpCall RelayClientState::sendPoll(const Address &peer, const TablePoll &poll, Milliseconds hold,
@@ -156,27 +113,23 @@
             .write(dependencies.log);
 }
 
-void RelayClientState::recordExclusion(const PeerExclusion &exclusion, const absl::Status &status)
+void RelayClientState::logExclusion(const PeerExclusion &exclusion, const absl::Status &status) const
 {
-    const MonotonicTime now = EventLoop::now();
-    if (mayReadPlatform())
-        m_platformPreferredUntil = now + platformFallbackTime;
-    peerHealth.retain(dependencies.peers());
     LogEvent(LogLevel::Info, "relay.passed_over")
             .field("door", exclusion.address)
             .field("for_ms", exclusion.duration.count())
             .field("after_ms", exclusion.sinceCall.count())
-            .field("unanswered_calls", peerHealth.unansweredCalls(now))
+            .field("unanswered_calls", selection.unansweredCalls(EventLoop::now()))
             .field("loop_late_ms", dependencies.loopLateness().count())
             .error(status)
             .write(dependencies.log);
 }
 
-void RelayClientState::recordUnresponsivePeers(const std::vector<PeerExclusion> &exclusions)
+void RelayClientState::logUnresponsivePeers(const std::vector<PeerExclusion> &exclusions) const
 {
     for (const PeerExclusion &exclusion : exclusions)
-        recordExclusion(exclusion, makeError(ErrorKind::DeadlineExceeded,
-                                             "no response although another source responded to a later call"));
+        logExclusion(exclusion, makeError(ErrorKind::DeadlineExceeded,
+                                          "no response although another source responded to a later call"));
 }
 
 /// \brief One read of a table through peers or the platform. Keeps itself alive until all of its calls have ended.
@@ -190,37 +143,33 @@
 
     void start()
     {
-        if (const std::optional<Address> peer = m_poll.isFull ? std::nullopt : m_state->peerToProbe())
+        const MonotonicTime now = EventLoop::now();
+        const RelaySourceSelection &selection = m_state->currentSelection();
+        if (const std::optional<Address> peer = m_poll.isFull ? std::nullopt : selection.peerToProbe(now))
             probe(*peer);
-        if (const std::optional<Address> peer = m_state->selectParent(m_poll))
-            callPeer(*peer);
-        else
-            callPlatform(platformHold);
+        call(selection.firstSource(m_poll.isFull, now), platformHold);
     }
 
 private:
     /// Sends the poll to an unresponsive peer as well, only to learn whether it responds.
     void probe(const Address &peer);
+    /// Calls a source and returns whether there was one to call.
+    bool call(const RelaySource &source, Milliseconds hold);
     void callPeer(const Address &peer);
     void callPlatform(Milliseconds hold);
     void handlePlatformResult(MonotonicTime sentAt, absl::StatusOr<TableReadResult> result);
     void startOverdueTimer(Milliseconds delay);
     void handleOverdueCall();
-    void callNextSource();
     void handlePeerResult(const Address &peer, RelayCallId id, const CallStart &start,
                           const AsyncCallResult &callResult);
-    void handlePeerFailure(const PeerExclusion &exclusion, const absl::Status &status);
+    void handlePeerFailure(const std::optional<PeerExclusion> &exclusion, const absl::Status &status);
     /// \param source that returned the result; empty for the platform
     void finish(absl::StatusOr<TableReadResult> result, const Address &source = Address());
 
     /// Longest time for which a peer holds the call.
     [[nodiscard]] Milliseconds hold() const { return m_poll.isFull ? Milliseconds{0} : relayHold; }
 
-    /// Whether the platform is the next source after a failure or an overdue response.
-    [[nodiscard]] bool isPlatformNext() const
-    {
-        return m_poll.isFull ? m_state->fullReadFailures >= maxFullReadAttempts : m_state->mayReadPlatform();
-    }
+    [[nodiscard]] RelayReadProgress progress() const { return {m_poll.isFull, m_sources.size(), m_hasCalledPlatform}; }
 
     std::shared_ptr<RelayClientState> m_state;
     TablePoll m_poll;
@@ -237,23 +186,38 @@
 void RelayedTableRead::probe(const Address &peer)
 {
     const MonotonicTime now = EventLoop::now();
-    const RelayCallId id = m_state->peerHealth.callSent(peer, now, now + hold() + relayHedgeDelay);
+    const RelayCallId id = m_state->selection.callSent(peer, now, now + hold() + relayHedgeDelay);
     m_state->sendPoll(peer, m_poll, hold(), [state = m_state, id](const AsyncCallResult &callResult) {
         if (state->isStopped)
             return;
         const MonotonicTime endedAt = EventLoop::now();
         if (callResult.status.ok())
-            state->recordUnresponsivePeers(state->peerHealth.callSucceeded(id, endedAt));
+            state->logUnresponsivePeers(state->selection.responseReceived(id, endedAt));
         else
-            state->peerHealth.callTimedOut(id, endedAt);
+            state->selection.callTimedOut(id, endedAt);
     });
 }
 
+bool RelayedTableRead::call(const RelaySource &source, Milliseconds hold)
+{
+    switch (source.kind) {
+    case RelaySource::Kind::Peer:
+        callPeer(source.peer);
+        return true;
+    case RelaySource::Kind::Platform:
+        callPlatform(hold);
+        return true;
+    case RelaySource::Kind::None:
+        break;
+    }
+    return false;
+}
+
 void RelayedTableRead::callPeer(const Address &peer)
 {
     const MonotonicTime now = EventLoop::now();
     const Milliseconds dueAfter = hold() + relayHedgeDelay;
-    const RelayCallId id = m_state->peerHealth.callSent(peer, now, now + dueAfter);
+    const RelayCallId id = m_state->selection.callSent(peer, now, now + dueAfter);
     m_sources.push_back(peer);
     ++m_callsInProgress;
     const CallStart start{now, BootClock::now()};
@@ -281,7 +245,7 @@
 {
     --m_callsInProgress;
     if (result.ok())
-        m_state->recordUnresponsivePeers(m_state->peerHealth.platformResponded(sentAt, EventLoop::now()));
+        m_state->logUnresponsivePeers(m_state->selection.platformResponded(sentAt, EventLoop::now()));
     // When the platform fails, the response of a peer may still arrive late. A failed full read ends at once, because
     // it is soon repeated.
     if (result.ok() || m_poll.isFull || m_callsInProgress == 0)
@@ -304,20 +268,7 @@
         startOverdueTimer(relayTransferTimeout);
         return;
     }
-    if (m_poll.isFull)
-        ++m_state->fullReadFailures;
-    callNextSource();
-}
-
-void RelayedTableRead::callNextSource()
-{
-    if (!m_poll.isFull && m_sources.size() >= maxChangeSources)
-        return;
-    const std::optional<Address> peer = isPlatformNext() ? std::nullopt : m_state->selectParent(m_poll);
-    if (peer)
-        callPeer(*peer);
-    else
-        callPlatform(relayHold);
+    call(m_state->currentSelection().sourceWhenOverdue(progress(), EventLoop::now()), relayHold);
 }
 
 void RelayedTableRead::handlePeerResult(const Address &peer, RelayCallId id, const CallStart &start,
@@ -326,27 +277,27 @@
     --m_callsInProgress;
     if (m_state->isStopped)
         return;
+    const MonotonicTime now = EventLoop::now();
+    RelaySourceSelection &selection = m_state->currentSelection();
     if (errorKind(callResult.status) == ErrorKind::DeadlineExceeded) {
-        m_state->peerHealth.callTimedOut(id, EventLoop::now());
+        selection.callTimedOut(id, now);
         if (m_callsInProgress == 0)
             finish(makeError(ErrorKind::StoreUnavailable, "no peer responded in time"));
         return;
     }
     if (!callResult.status.ok()) {
-        handlePeerFailure(m_state->peerHealth.callFailed(id, EventLoop::now()), callResult.status);
+        handlePeerFailure(selection.callFailed(id, now), callResult.status);
         return;
     }
     if (callResult.response.status == statusGone) {
-        m_state->recordUnresponsivePeers(m_state->peerHealth.callSucceeded(id, EventLoop::now()));
+        m_state->logUnresponsivePeers(selection.responseReceived(id, now));
         finish(makeError(ErrorKind::RevisionGap,
                          "the parent proxy no longer has the changes since the requested version"));
         return;
     }
-    const auto rejectResponse = [this, id](const absl::Status &status) {
-        handlePeerFailure(m_state->peerHealth.callRejected(id, EventLoop::now()), status);
-    };
     if (callResult.response.status != statusOk) {
-        rejectResponse(makeError(ErrorKind::StoreUnavailable, "the parent proxy cannot serve the table"));
+        handlePeerFailure(selection.copyMissing(id, now),
+                          makeError(ErrorKind::StoreUnavailable, "the parent proxy cannot serve the table"));
         return;
     }
     const ByteCount bytes(callResult.response.body.size());
@@ -354,33 +305,31 @@
             .add(bytes.value());
     auto result = decodeTableReadResult(callResult.response.body);
     if (!result.ok()) {
-        rejectResponse(result.status());
+        handlePeerFailure(selection.responseInvalid(id, now), result.status());
         return;
     }
     const Milliseconds roundTrip = elapsedSince(start.monotonic) - result->holdTime;
     m_state->recordRoundTrip(peer, m_poll, roundTrip, *result, bytes);
-    if (result->age > maxRelayedAge) {
-        rejectResponse(makeError(ErrorKind::StoreUnavailable, "the data of the parent proxy is too old"));
+    const CopyAssessment assessment = selection.copyReceived(id, result->age, m_poll.isFull, now);
+    if (!assessment.isUsable) {
+        handlePeerFailure(assessment.exclusions.front(),
+                          makeError(ErrorKind::StoreUnavailable, "the data of the parent proxy is too old"));
         return;
     }
+    m_state->logUnresponsivePeers(assessment.exclusions);
     result->age += roundTrip;
     result->confirmedAt = confirmationTime(start.boot, *result);
-    m_state->recordUnresponsivePeers(m_state->peerHealth.callSucceeded(id, EventLoop::now()));
-    if (m_poll.isFull)
-        m_state->fullReadFailures = 0;
     finish(*std::move(result), peer);
 }
 
-void RelayedTableRead::handlePeerFailure(const PeerExclusion &exclusion, const absl::Status &status)
+void RelayedTableRead::handlePeerFailure(const std::optional<PeerExclusion> &exclusion, const absl::Status &status)
 {
-    m_state->recordExclusion(exclusion, status);
+    if (exclusion)
+        m_state->logExclusion(*exclusion, status);
     if (!m_handler)
         return;
-    if (m_poll.isFull)
-        ++m_state->fullReadFailures;
-    if (isPlatformNext() && !m_hasCalledPlatform)
-        callPlatform(platformHold);
-    else if (m_callsInProgress == 0)
+    const RelaySource next = m_state->selection.sourceAfterFailure(progress(), EventLoop::now());
+    if (!call(next, platformHold) && m_callsInProgress == 0)
         finish(makeError(ErrorKind::StoreUnavailable, "the parent proxy has failed"));
 }
 
@@ -410,6 +359,11 @@
     m_state->isStopped = true;
 }
 
+std::size_t TableRelayClient::openProbeLimit() const
+{
+    return m_state->currentSelection().openProbeLimit(EventLoop::now());
+}
+
 AsyncTableHooks TableRelayClient::hooks()
 {
     AsyncTableHooks hooks = m_state->dependencies.platform;
--- a/src/proxy/table_relay_server.cpp
+++ b/src/proxy/table_relay_server.cpp
@@ -1,5 +1,6 @@
 #include <dandeliondock/proxy/relay_read_log.h>
 #include <dandeliondock/proxy/table_relay_server.h>
+#include <dandeliondock/relay/relay_serving.h>
 
 #include <algorithm>
 #include <utility>
@@ -15,12 +16,14 @@
 
 } // namespace
 
-// In a large fleet, children are still served recent data after contact with the platform is lost: a short loss would
-// otherwise make all of them switch to other sources at once. They reject data by its age.
 bool TableRelayServer::canServe(const Table &table) const
 {
-    const bool isRecent = table.confirmedAt != MonotonicTime() && ageOf(table) <= maxRelayedAge;
-    return !m_isStopped && (table.isCurrent || (isRecent && m_dependencies.fleetSize() >= largeFleetThreshold));
+    ServedCopyState state;
+    state.isCurrent = table.isCurrent;
+    if (table.confirmedAt != MonotonicTime())
+        state.age = ageOf(table);
+    state.fleetSize = m_dependencies.fleetSize();
+    return !m_isStopped && mayServeCopy(state);
 }
 
 void TableRelayServer::apply(const TableName &name, const TableReadResult &result, bool isFull)
--- a/src/proxy/relay_parent.cpp
+++ b/src/relay/relay_parent.cpp
@@ -1,4 +1,4 @@
-#include <dandeliondock/proxy/relay_parent.h>
+#include <dandeliondock/relay/relay_parent.h>
 
 #include <algorithm>
 
--- a/src/proxy/relay_peer_health.cpp
+++ b/src/relay/relay_peer_health.cpp
@@ -1,4 +1,4 @@
-#include <dandeliondock/proxy/relay_peer_health.h>
+#include <dandeliondock/relay/relay_peer_health.h>
 
 #include <absl/container/flat_hash_set.h>
 
--- a/tests/proxy/lost_peers_test.cpp
+++ b/tests/proxy/lost_peers_test.cpp
@@ -1,7 +1,7 @@
 #include "support/relay_fleet.h"
 #include "support/table_versions.h"
 
-#include <dandeliondock/proxy/relay_peer_health.h>
+#include <dandeliondock/relay/relay_peer_health.h>
 
 #include <catch2/catch.hpp>
 
--- a/tests/proxy/relay_parent_test.cpp
+++ b/tests/relay/relay_parent_test.cpp
@@ -1,4 +1,4 @@
-#include <dandeliondock/proxy/relay_parent.h>
+#include <dandeliondock/relay/relay_parent.h>
 
 #include <absl/strings/str_cat.h>
 
@@ -25,7 +25,7 @@
 } // namespace
 
 // Guards against a cycle of proxies that read from each other, which a change of the platform never reaches.
-TEST_CASE("the relay tree has no cycle when the proxies know different sets of peers", "[proxy]")
+TEST_CASE("the relay tree has no cycle when the proxies know different sets of peers", "[relay]")
 {
     rc::prop("the chain of parents ends at a proxy that reads from the platform", [] {
         const std::vector<RelayPeer> peers = makePeers(*rc::gen::inRange(1, 24));
@@ -49,7 +49,7 @@
 // Guards against several proxies of the first region that read from the platform, and against a proxy of the first
 // region whose parent is in another region because the rows of its own region have not arrived yet.
 TEST_CASE("one proxy reads from the platform, and one of each further region has its parent in the first region",
-          "[proxy]")
+          "[relay]")
 {
     const std::vector<RelayPeer> peers = makePeers(60);
     std::size_t platformReaders = 0;
--- a/tests/proxy/relay_peer_health_test.cpp
+++ b/tests/relay/relay_peer_health_test.cpp
@@ -1,4 +1,4 @@
-#include <dandeliondock/proxy/relay_peer_health.h>
+#include <dandeliondock/relay/relay_peer_health.h>
 
 #include <absl/strings/str_cat.h>
 
@@ -18,7 +18,7 @@
 } // namespace
 
 // Guards against a proxy that takes the saturation of its own link for the failure of its peers.
-TEST_CASE("peers whose responses are late but arrive in the order of the calls are not excluded", "[proxy]")
+TEST_CASE("peers whose responses are late but arrive in the order of the calls are not excluded", "[relay]")
 {
     rc::prop("any delay that is the same for all responses", [] {
         RelayPeerHealth health;
@@ -35,7 +35,7 @@
     });
 }
 
-TEST_CASE("a peer that does not respond while another one does is excluded", "[proxy]")
+TEST_CASE("a peer that does not respond while another one does is excluded", "[relay]")
 {
     RelayPeerHealth health;
     static_cast<void>(health.callSent(firstPeer, start, start + responseTimeout));
@@ -51,7 +51,7 @@
     CHECK(health.isAvailable(secondPeer, later));
 }
 
-TEST_CASE("a peer that does not respond is excluded when the platform responds to a later call", "[proxy]")
+TEST_CASE("a peer that does not respond is excluded when the platform responds to a later call", "[relay]")
 {
     RelayPeerHealth health;
     static_cast<void>(health.callSent(firstPeer, start, start + responseTimeout));
@@ -60,7 +60,7 @@
 }
 
 // Guards against one short delay that counts once for each table and doubles the exclusion time.
-TEST_CASE("failures during an exclusion do not extend it", "[proxy]")
+TEST_CASE("failures during an exclusion do not extend it", "[relay]")
 {
     RelayPeerHealth health;
     const RelayCallId firstCall = health.callSent(firstPeer, start, start + responseTimeout);
@@ -77,7 +77,7 @@
 }
 
 // Guards against a lost peer that is called again and again after its exclusion and delays a read each time.
-TEST_CASE("a peer that did not respond is excluded until it responds to a probe", "[proxy]")
+TEST_CASE("a peer that did not respond is excluded until it responds to a probe", "[relay]")
 {
     RelayPeerHealth health;
     const RelayCallId call = health.callSent(firstPeer, start, start + responseTimeout);
@@ -103,7 +103,7 @@
 }
 
 // Guards against a fleet in which more proxies read from the platform although their peers respond.
-TEST_CASE("calls count as unanswered until any peer responds, with or without data", "[proxy]")
+TEST_CASE("calls count as unanswered until any peer responds, with or without data", "[relay]")
 {
     RelayPeerHealth health;
     const RelayCallId lateCall = health.callSent(firstPeer, start, start + responseTimeout);
@@ -119,7 +119,7 @@
     CHECK(health.unansweredCalls(now + responseTimeout) == 0);
 }
 
-TEST_CASE("the exclusion of a peer that is no longer known is forgotten", "[proxy]")
+TEST_CASE("the exclusion of a peer that is no longer known is forgotten", "[relay]")
 {
     RelayPeerHealth health;
     for (const Address &peer : {firstPeer, secondPeer})
@@ -130,7 +130,7 @@
     CHECK(health.isUnresponsive(secondPeer));
 }
 
-TEST_CASE("a response ends the exclusion of a peer", "[proxy]")
+TEST_CASE("a response ends the exclusion of a peer", "[relay]")
 {
     RelayPeerHealth health;
     const RelayCallId slowCall = health.callSent(firstPeer, start, start + responseTimeout);
@@ -142,7 +142,7 @@
 
 // Guards against a lost peer that is never excluded because its connection attempt ends before another source has
 // responded to the next call.
-TEST_CASE("a call without a response excludes its peer when another source responds to a later call", "[proxy]")
+TEST_CASE("a call without a response excludes its peer when another source responds to a later call", "[relay]")
 {
     RelayPeerHealth health;
     const RelayCallId call = health.callSent(firstPeer, start, start + responseTimeout);
@@ -156,7 +156,7 @@
 }
 
 // Guards against calls that stay recorded after they ended and make their peer unavailable for good.
-TEST_CASE("a call that ended without a response does not make its peer unavailable", "[proxy]")
+TEST_CASE("a call that ended without a response does not make its peer unavailable", "[relay]")
 {
     RelayPeerHealth health;
     const RelayCallId call = health.callSent(firstPeer, start, start + responseTimeout);
