Log and count reads from the platform by kind

A read that failed or was long is logged as platform.read, with its bytes and the reads beside it; platform_reads_total, platform_read_bytes_total and platform_read_failures_total count all of them.

--- a/include/dandeliondock/proxy/relay_read_log.h
+++ b/include/dandeliondock/proxy/relay_read_log.h
@@ -10,6 +10,7 @@
 
 #include <absl/container/flat_hash_map.h>
 #include <absl/status/status.h>
+#include <absl/status/statusor.h>
 
 #include <string>
 #include <vector>
@@ -25,6 +26,26 @@
     Milliseconds duration{0};
 };
 
+/// \brief What a proxy reads from the platform.
+enum class PlatformReadKind {
+    Full,
+    Changes,
+    Probe, ///< changes, for a confirmation
+};
+
+/// \brief A read from the platform that has ended.
+struct PlatformRead
+{
+    TableName table;
+    PlatformReadKind kind = PlatformReadKind::Full;
+    Milliseconds duration{0};
+    std::size_t inProgress = 0; ///< other reads of this proxy from the platform at the end of this one
+};
+
+/// \brief Number of bytes and time from which a read from the platform is logged.
+inline constexpr ByteCount longPlatformReadBytes{64 * 1'024};
+inline constexpr Milliseconds longPlatformReadTime{1'000};
+
 /// \brief Log lines and metrics of the reads of tables through peers and from the platform.
 ///
 /// \remark Not thread-safe.
@@ -40,6 +61,9 @@
     /// \brief Records a read for which no source returned a usable result.
     void recordFailure(const RelayRead &read, const absl::Status &status, MonotonicTime now);
 
+    /// \brief Records a read from the platform, whether it was part of a RelayRead or a probe.
+    void recordPlatformRead(const PlatformRead &read, const absl::StatusOr<TableReadResult> &result, MonotonicTime now);
+
 private:
     MetricsRegistry &m_metrics;
     LogSink m_log;
@@ -47,6 +71,7 @@
     LogRateLimiter m_sourceLimiter;
     LogRateLimiter m_fullReadLimiter;
     LogRateLimiter m_failureLimiter;
+    LogRateLimiter m_platformReadLimiter;
 };
 
 /// \brief Direction of a copy of a table between two proxies.
--- a/include/dandeliondock/proxy/table_relay_client.h
+++ b/include/dandeliondock/proxy/table_relay_client.h
@@ -49,8 +49,8 @@
 
 /// \brief Reads tables through a parent proxy and falls back to the platform.
 ///
-/// RelaySourceSelection selects the source: one proxy reads from the platform, and one compressed copy of each change crosses
-/// the link to each further region. When a response is overdue, a second source is called as well and the first
+/// RelaySourceSelection selects the source: one proxy reads from the platform, and one compressed copy of each change
+/// crosses the link to each further region. When a response is overdue, a second source is called as well and the first
 /// response is used, because the changes after a version are the same from every source.
 ///
 /// \remark Belongs to the control duty's thread.
@@ -67,6 +67,11 @@
     /// are valid during the lifetime of the client.
     [[nodiscard]] AsyncTableHooks hooks();
 
+    /// \brief Reads the changes after a version from the platform, without a hold. The handler is not called after the
+    /// client was destroyed.
+    /// \pre The table was read up to \c after.
+    void probePlatform(const TableName &table, const TableVersion &after, TableReadHandler handler);
+
     /// \brief Returns how many confirmation probes of this proxy to the platform may be without a response at present.
     [[nodiscard]] std::size_t openProbeLimit() const;
 
--- a/include/dandeliondock/proxy/table_relay_server.h
+++ b/include/dandeliondock/proxy/table_relay_server.h
@@ -4,8 +4,8 @@
 #include <dandeliondock/core/log_event.h>
 #include <dandeliondock/core/metrics.h>
 #include <dandeliondock/http/event_loop.h>
-#include <dandeliondock/relay/relay_protocol.h>
 #include <dandeliondock/proxy/table_cache.h>
+#include <dandeliondock/relay/relay_protocol.h>
 #include <dandeliondock/store/async_table.h>
 
 #include <absl/container/flat_hash_map.h>
--- a/include/dandeliondock/store/async_table.h
+++ b/include/dandeliondock/store/async_table.h
@@ -38,6 +38,7 @@
     std::optional<BootTime> confirmedAt;
     /// In a response of a relaying proxy: age of its confirmedAt when it responded.
     std::optional<Milliseconds> confirmedAge;
+    ByteCount bytes; ///< read from the platform for this result; 0 if a proxy relayed it
 
     /// \brief Returns the version of one of the rows.
     [[nodiscard]] TableVersion versionOf(const TableRow &row) const { return {asOfVersion.era, row.version}; }
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -106,12 +106,11 @@
     dependencies.fleetSize = [this] { return servingPeers().size(); };
     dependencies.openProbeLimit = [this] { return m_relayClient.openProbeLimit(); };
     dependencies.poll = [this](std::function<void()> onEnd) {
-        m_dependencies.table.pollChanges(
-                m_dependencies.documents.table, m_operatorWatch.asOfVersion(), Milliseconds{0},
-                [this, onEnd = std::move(onEnd)](const absl::StatusOr<TableReadResult> &result) {
-                    onEnd();
-                    m_operatorWatch.applyPoll(result);
-                });
+        m_relayClient.probePlatform(m_dependencies.documents.table, m_operatorWatch.asOfVersion(),
+                                    [this, onEnd = std::move(onEnd)](const absl::StatusOr<TableReadResult> &result) {
+                                        onEnd();
+                                        m_operatorWatch.applyPoll(result);
+                                    });
     };
     return dependencies;
 }
--- a/src/proxy/relay_read_log.cpp
+++ b/src/proxy/relay_read_log.cpp
@@ -18,6 +18,19 @@
                          [](std::string *out, const Address &source) { absl::StrAppend(out, sourceName(source)); });
 }
 
+absl::string_view nameOf(PlatformReadKind kind)
+{
+    switch (kind) {
+    case PlatformReadKind::Full:
+        return "full";
+    case PlatformReadKind::Changes:
+        return "changes";
+    case PlatformReadKind::Probe:
+        break;
+    }
+    return "probe";
+}
+
 } // namespace
 
 void RelayReadLog::recordSuccess(const RelayRead &read, const Address &source, const TableReadResult &result,
@@ -62,6 +75,30 @@
             .write(m_log);
 }
 
+void RelayReadLog::recordPlatformRead(const PlatformRead &read, const absl::StatusOr<TableReadResult> &result,
+                                      MonotonicTime now)
+{
+    const ByteCount bytes = result.ok() ? result->bytes : ByteCount();
+    const MetricLabel label{"read", nameOf(read.kind)};
+    m_metrics.counter("platform_reads_total", label).add();
+    m_metrics.counter("platform_read_bytes_total", label).add(bytes.value());
+    if (!result.ok())
+        m_metrics.counter("platform_read_failures_total", label).add();
+    const bool isLong = bytes >= longPlatformReadBytes || read.duration >= longPlatformReadTime;
+    if ((result.ok() && !isLong) || !m_platformReadLimiter.allow(now, m_log))
+        return;
+    LogEvent event(LogLevel::Info, "platform.read");
+    event.field("table", read.table)
+            .field("read", nameOf(read.kind))
+            .field("took_ms", read.duration.count())
+            .field("in_progress", read.inProgress);
+    if (result.ok())
+        event.field("bytes", bytes).field("changes", result->changes).field("version", result->asOfVersion);
+    else
+        event.error(result.status());
+    event.write(m_log);
+}
+
 Counter &relayedBytes(MetricsRegistry &metrics, RelayDirection direction, const TableName &table, bool isFull)
 {
     const absl::string_view read = isFull ? "full" : "changes";
--- a/src/proxy/table_relay_client.cpp
+++ b/src/proxy/table_relay_client.cpp
@@ -43,7 +43,7 @@
 } // namespace
 
 /// \brief State shared by the reads of a relay client.
-class RelayClientState
+class RelayClientState : public std::enable_shared_from_this<RelayClientState>
 {
 public:
     explicit RelayClientState(TableRelayClientDependencies clientDependencies)
@@ -56,7 +56,7 @@
     [[nodiscard]] RelaySourceSelection &currentSelection();
     AsyncHttpCall sendPoll(const Address &peer, const TablePoll &poll, Milliseconds hold,
                            AsyncCallHandler handler) const;
-    void readPlatform(const TablePoll &poll, Milliseconds hold, TableReadHandler handler) const;
+    void readPlatform(PlatformReadKind kind, const TablePoll &poll, Milliseconds hold, TableReadHandler handler);
     void recordRoundTrip(const Address &peer, const TablePoll &poll, Milliseconds roundTrip,
                          const TableReadResult &result, ByteCount bytes);
     void logExclusion(const PeerExclusion &exclusion, const absl::Status &status) const;
@@ -69,6 +69,7 @@
 
 private:
     LogRateLimiter m_slowRelayLogLimiter;
+    std::size_t m_platformReads = 0; ///< in progress
 };
 
 RelaySourceSelection &RelayClientState::currentSelection()
@@ -87,12 +88,23 @@
                                      options, std::move(handler));
 }
 
-void RelayClientState::readPlatform(const TablePoll &poll, Milliseconds hold, TableReadHandler handler) const
+void RelayClientState::readPlatform(PlatformReadKind kind, const TablePoll &poll, Milliseconds hold,
+                                    TableReadHandler handler)
 {
+    ++m_platformReads;
+    auto recordedHandler = [self = shared_from_this(), kind, table = poll.table, sentAt = EventLoop::now(),
+                            handler = std::move(handler)](absl::StatusOr<TableReadResult> result) {
+        --self->m_platformReads;
+        if (self->isStopped)
+            return;
+        self->readLog.recordPlatformRead({table, kind, elapsedSince(sentAt), self->m_platformReads}, result,
+                                         EventLoop::now());
+        handler(std::move(result));
+    };
     if (poll.isFull)
-        dependencies.platform.list(poll.table, std::move(handler));
+        dependencies.platform.list(poll.table, std::move(recordedHandler));
     else
-        dependencies.platform.pollChanges(poll.table, poll.after, hold, std::move(handler));
+        dependencies.platform.pollChanges(poll.table, poll.after, hold, std::move(recordedHandler));
 }
 
 void RelayClientState::recordRoundTrip(const Address &peer, const TablePoll &poll, Milliseconds roundTrip,
@@ -235,7 +247,7 @@
     m_hasCalledPlatform = true;
     m_overdueTimer.cancel();
     m_state->readPlatform(
-            m_poll, hold,
+            m_poll.isFull ? PlatformReadKind::Full : PlatformReadKind::Changes, m_poll, hold,
             [self = shared_from_this(), sentAt = EventLoop::now()](absl::StatusOr<TableReadResult> result) {
                 self->handlePlatformResult(sentAt, std::move(result));
             });
@@ -359,6 +371,11 @@
     m_state->isStopped = true;
 }
 
+void TableRelayClient::probePlatform(const TableName &table, const TableVersion &after, TableReadHandler handler)
+{
+    m_state->readPlatform(PlatformReadKind::Probe, TablePoll{table, after, false}, Milliseconds{0}, std::move(handler));
+}
+
 std::size_t TableRelayClient::openProbeLimit() const
 {
     return m_state->currentSelection().openProbeLimit(EventLoop::now());
--- a/tests/proxy/relay_read_log_test.cpp
+++ b/tests/proxy/relay_read_log_test.cpp
@@ -34,6 +34,14 @@
                             makeError(ErrorKind::StoreUnavailable, "refused"), MonotonicTime());
     }
 
+    void readPlatform(PlatformReadKind kind, ByteCount bytes)
+    {
+        TableReadResult result;
+        result.asOfVersion = tableVersion(7);
+        result.bytes = bytes;
+        m_log.recordPlatformRead({table, kind, Milliseconds(90), 2}, result, MonotonicTime());
+    }
+
     MetricsRegistry metrics;
     std::vector<std::string> lines;
 
@@ -95,4 +103,21 @@
     }
 }
 
+// Guards against bytes on the link to the platform that no log line or metric attributes to a kind of read.
+TEST_CASE("reads from the platform are counted by kind, and long ones are logged", "[proxy]")
+{
+    RecordedReads reads;
+    reads.readPlatform(PlatformReadKind::Changes, ByteCount(300));
+    CHECK(reads.lines.empty());
+    reads.readPlatform(PlatformReadKind::Probe, longPlatformReadBytes);
+    REQUIRE(reads.lines.size() == 1);
+    CHECK(absl::StrContains(reads.lines[0], "platform.read table=op read=probe took_ms=90 in_progress=2 bytes=65536"));
+    const auto bytesOf = [&reads](const char *kind) {
+        return reads.metrics.counter("platform_read_bytes_total", MetricLabel{"read", kind}).value();
+    };
+    CHECK(bytesOf("changes") == 300);
+    CHECK(bytesOf("probe") == longPlatformReadBytes.value());
+    CHECK(bytesOf("full") == 0);
+}
+
 } // namespace dandeliondock::testing
