Show that a region stays behind after a trouble of the store (fails)

A replay in virtual time of two regions with modelled links runs the decisions of the product: sources, serving, probes. Bounds are config_apply_ms and contact_ms of the users' deployments.

--- /dev/null
+++ b/tests/relay/config_late_after_store_trouble_test.cpp
@@ -0,0 +1,126 @@
+#include "relay/relay_replay.h"
+
+#include <catch2/catch.hpp>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace dandeliondock::testing {
+namespace {
+
+// The bounds that the users state for the deployments of 65 and 80 proxies.
+constexpr Milliseconds configApplyTime{3'000};
+constexpr Milliseconds contactTime{4'000}; ///< without trouble, after which the bounds hold again
+
+struct ReplayCase
+{
+    std::string name;
+    ReplayEvents events;
+};
+
+std::vector<Milliseconds> series(Milliseconds from, Milliseconds interval, int count)
+{
+    std::vector<Milliseconds> times;
+    for (int index = 0; index < count; ++index)
+        times.push_back(from + interval * index);
+    return times;
+}
+
+ReplayEvents events(std::vector<Milliseconds> writes, std::vector<ReplaySpan> platformAway)
+{
+    ReplayEvents events;
+    events.writes = std::move(writes);
+    events.platformAway = std::move(platformAway);
+    return events;
+}
+
+ReplayEvents withRestarts(ReplayEvents events, double share, ReplaySpan away)
+{
+    events.restartedShare = share;
+    events.proxiesAway = {away};
+    return events;
+}
+
+std::vector<ReplayCase> replayCases()
+{
+    const std::vector<ReplaySpan> once{{Milliseconds(3'000), Milliseconds(7'000)}};
+    const std::vector<ReplaySpan> thrice{{Milliseconds(3'000), Milliseconds(4'500)},
+                                         {Milliseconds(5'000), Milliseconds(6'500)},
+                                         {Milliseconds(7'000), Milliseconds(8'500)}};
+    const ReplaySpan restart{Milliseconds(3'500), Milliseconds(5'500)};
+    return {
+            {"no trouble", events({Milliseconds(2'000), Milliseconds(6'000)}, {})},
+            {"the store is away for 4 s, then a change", events({Milliseconds(2'000), Milliseconds(9'000)}, once)},
+            {"a change just before the store is away", events({Milliseconds(2'900), Milliseconds(9'000)}, once)},
+            {"the store is away three times", events({Milliseconds(2'000), Milliseconds(9'000)}, thrice)},
+            {"changes while the store is away three times",
+             events(series(Milliseconds(2'800), Milliseconds(700), 9), thrice)},
+            {"a series of changes, all proxies restarted",
+             withRestarts(events(series(Milliseconds(3'000), Milliseconds(200), 25), {}), 1, restart)},
+            {"a series of changes, nine tenths restarted",
+             withRestarts(events(series(Milliseconds(3'000), Milliseconds(200), 25), {}), 0.9, restart)},
+            {"all proxies restarted while the store is away",
+             withRestarts(events({Milliseconds(2'000), Milliseconds(9'000)}, once), 1, restart)},
+            {"a series of changes while the store is away",
+             events(series(Milliseconds(3'000), Milliseconds(200), 25), {{Milliseconds(4'000), Milliseconds(8'000)}})},
+    };
+}
+
+/// Returns the time of the latest write or end of a trouble from which on the bounds hold.
+Milliseconds lastTrouble(const ReplayEvents &events)
+{
+    Milliseconds last{0};
+    for (const auto *spans : {&events.platformAway, &events.proxiesAway}) {
+        for (const ReplaySpan &span : *spans)
+            last = std::max(last, span.until);
+    }
+    return last;
+}
+
+} // namespace
+
+// Guards against a region that loses its copies while the store is away and then crowds the link to the store with
+// reads, so that no change reaches it although the trouble has ended.
+TEST_CASE("a change reaches all proxies in time after a trouble of the store", "[relay]")
+{
+    const auto replayCase = GENERATE(from_range(replayCases()));
+    const std::uint64_t seed = GENERATE(1, 2, 3);
+    INFO(replayCase.name << ", seed " << seed);
+    const ReplayEvents &events = replayCase.events;
+    const ReplayResult result = RelayReplay(ReplayDeployment(), events, seed).run();
+    const Milliseconds calmFrom =
+            lastTrouble(events) + (lastTrouble(events).count() > 0 ? contactTime : Milliseconds(0));
+    for (std::size_t index = 0; index < events.writes.size(); ++index) {
+        INFO("write " << index);
+        REQUIRE(result.timeToAll[index]);
+        CHECK(events.writes[index] + *result.timeToAll[index]
+              <= std::max(events.writes[index] + configApplyTime, calmFrom));
+    }
+    REQUIRE(result.allConfirmedAt);
+    CHECK(*result.allConfirmedAt <= calmFrom + configApplyTime);
+}
+
+// Guards against a number of readers, or of bytes in flight, that grows with the fleet.
+TEST_CASE("the number of reads from the platform in progress does not grow with the fleet", "[relay]")
+{
+    const auto replayCase = GENERATE(from_range(replayCases()));
+    INFO(replayCase.name);
+    const auto mostReads = [&replayCase](std::size_t proxiesPerRegion) {
+        ReplayDeployment deployment;
+        deployment.proxiesPerRegion = proxiesPerRegion;
+        return RelayReplay(deployment, replayCase.events, 1).run().mostPlatformReads;
+    };
+    const std::size_t bound = 4 * maxPlatformReaders;
+    CHECK(mostReads(40) <= bound);
+    CHECK(mostReads(150) <= bound);
+}
+
+// Guards against proxies that give up the copy that they have because nobody can confirm it.
+TEST_CASE("no proxy stops serving its copy while the store is away", "[relay]")
+{
+    ReplayEvents away = events({Milliseconds(2'000)}, {{Milliseconds(3'000), Milliseconds(13'000)}});
+    CHECK(RelayReplay(ReplayDeployment(), away, 1).run().copiesLost == 0);
+}
+
+} // namespace dandeliondock::testing
