Keep copies of tables whatever their age, and bound the readers of the store

Cause: a copy of a table that the store had confirmed more than 1.5 s ago was rejected and its sender excluded. While the store is away every copy grows old, so all proxies of a region passed over all of their parents and served nothing themselves. Then each of them read the configuration whole from the store after three failures, 0.6 MB over the link between the regions, and probed it with up to 16 polls that carried all changes since; these reads slowed each other until they were given up and repeated, also after the store was back (a metastable failure).

Change: an old copy is used and passed on, and its sender only set back behind sources with recent copies. The first four proxies of a region, of those that respond, read outside of it; at most two full tables at a time, which are awaited; a copy older than 0.5 s is replaced by a full read instead of all changes since; only these readers probe, two at a time. A peer without a copy is asked again after 0.5 s instead of 3 to 30 s. Fleets below 32 proxies keep reading from the store.

--- a/include/dandeliondock/proxy/table_watch.h
+++ b/include/dandeliondock/proxy/table_watch.h
@@ -30,7 +30,8 @@
 /// \brief Watches one table: reads it in full, then polls for changes, and reads it in full again when changes were
 /// missed or the table is of another era.
 ///
-/// Changes that arrive after the response timeout are applied as well, unless newer ones are known.
+/// Changes that arrive after the response timeout are applied as well, unless newer ones are known. A result that was
+/// confirmed too long ago is applied like any other, but the table does not count as current then.
 ///
 /// \pre No response of the table arrives after the watch is destroyed; stopping the loop first ensures this.
 ///
@@ -40,7 +41,7 @@
 public:
     /// Receives a read result. With \c isFull, rows that are not in the result do not exist.
     using Handler = std::function<void(const TableReadResult &result, bool isFull)>;
-    /// Called with false when the table is lost and with true when it is read again.
+    /// Called with false when the table is lost or only old copies of it are read, and with true when it is read again.
     using CurrentHandler = std::function<void(bool)>;
 
     TableWatch(EventLoop &loop, const AsyncTableHooks &table, TableName name, WatchTiming timing, RandomSource random,
@@ -56,8 +57,8 @@
     /// \pre The table was read in full.
     void applyPoll(const absl::StatusOr<TableReadResult> &result) { handleLateResult(result); }
 
-    /// \brief Whether the table was read and no read has failed or timed out since the last success.
-    [[nodiscard]] bool isCurrent() const noexcept { return m_isSynced && m_failures == 0; }
+    /// \brief Whether the latest read returned a recent copy of the table.
+    [[nodiscard]] bool isCurrent() const noexcept { return m_isSynced && m_isRecent && m_failures == 0; }
 
     /// \brief Whether the table was read in full at least once.
     [[nodiscard]] bool isSynced() const noexcept { return m_isSynced; }
@@ -87,6 +88,7 @@
     std::uint64_t m_lastPoll = 0; ///< number of the latest poll for changes
     int m_failures = 0;
     bool m_isSynced = false;
+    bool m_isRecent = false;     ///< the latest result was confirmed recently
     bool m_needsFullRead = true; ///< the next read is a full one
 };
 
--- a/include/dandeliondock/relay/relay_peer_health.h
+++ b/include/dandeliondock/relay/relay_peer_health.h
@@ -10,6 +10,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace dandeliondock {
@@ -69,6 +70,9 @@
     /// \brief Whether a peer may be called: it is not excluded and no call to it is overdue.
     [[nodiscard]] bool isAvailable(const Address &peer, MonotonicTime now) const;
 
+    /// \brief Returns the peer of a call that has not ended; empty for an unknown call.
+    [[nodiscard]] std::optional<Address> peerOf(RelayCallId call) const;
+
     /// \brief Whether a peer is excluded because it did not respond.
     [[nodiscard]] bool isUnresponsive(const Address &peer) const;
 
--- a/include/dandeliondock/store/async_table.h
+++ b/include/dandeliondock/store/async_table.h
@@ -29,6 +29,7 @@
     std::vector<RowKey> removed;
     std::size_t unreadable = 0; ///< rows that were left out because their fields could not be read
     std::size_t changes = 0;    ///< number of changes added, including those that a later change replaced
+    bool isFull = false;        ///< rows that are not in a result for a poll for changes do not exist
     TableVersion asOfVersion;   ///< version of the table up to which changes are included
     WallTime tableTime;         ///< time of the table's own clock
     Milliseconds age{0};        ///< time since the platform confirmed the data; 0 unless a proxy relayed it
--- a/src/proxy/table_relay_client.cpp
+++ b/src/proxy/table_relay_client.cpp
@@ -4,8 +4,11 @@
 #include <dandeliondock/proxy/peer_message.h>
 #include <dandeliondock/proxy/relay_read_log.h>
 #include <dandeliondock/proxy/table_relay_client.h>
+#include <dandeliondock/relay/full_read_choice.h>
 #include <dandeliondock/relay/relay_source_selection.h>
 
+#include <absl/container/flat_hash_map.h>
+
 #include <algorithm>
 #include <optional>
 #include <utility>
@@ -56,10 +59,15 @@
     [[nodiscard]] RelaySourceSelection &currentSelection();
     AsyncHttpCall sendPoll(const Address &peer, const TablePoll &poll, Milliseconds hold,
                            AsyncCallHandler handler) const;
+    /// Reads from the platform; a read of changes may become one of the full table, see TableReadResult::isFull.
     void readPlatform(PlatformReadKind kind, const TablePoll &poll, Milliseconds hold, TableReadHandler handler);
+    /// Records a result for the choice between full reads and polls for changes.
+    void recordResult(const TableName &table, const TableReadResult &result, bool isFull);
     void recordRoundTrip(const Address &peer, const TablePoll &poll, Milliseconds roundTrip,
                          const TableReadResult &result, ByteCount bytes);
     void logExclusion(const PeerExclusion &exclusion, const absl::Status &status) const;
+    /// Logs a peer that has no recent copy of a table; \c age is empty if it has none.
+    void logOldCopy(const Address &peer, const TableName &table, std::optional<Milliseconds> age);
     void logUnresponsivePeers(const std::vector<PeerExclusion> &exclusions) const;
 
     const TableRelayClientDependencies dependencies;
@@ -68,8 +76,17 @@
     bool isStopped = false;
 
 private:
+    /// What was read of a table.
+    struct KnownTable
+    {
+        TableVersion newestRow;
+        FullReadChoice choice;
+    };
+
     LogRateLimiter m_slowRelayLogLimiter;
+    LogRateLimiter m_oldCopyLogLimiter;
     std::size_t m_platformReads = 0; ///< in progress
+    absl::flat_hash_map<TableName, KnownTable> m_tables;
 };
 
 RelaySourceSelection &RelayClientState::currentSelection()
@@ -91,22 +108,49 @@
 void RelayClientState::readPlatform(PlatformReadKind kind, const TablePoll &poll, Milliseconds hold,
                                     TableReadHandler handler)
 {
+    const bool isFull =
+            poll.isFull
+            || (currentSelection().isLargeFleet() && m_tables[poll.table].choice.isFullReadDue(EventLoop::now()));
+    if (isFull && kind == PlatformReadKind::Changes)
+        kind = PlatformReadKind::Full;
     ++m_platformReads;
-    auto recordedHandler = [self = shared_from_this(), kind, table = poll.table, sentAt = EventLoop::now(),
+    selection.platformCalled(isFull, EventLoop::now());
+    auto recordedHandler = [self = shared_from_this(), kind, isFull, table = poll.table, sentAt = EventLoop::now(),
                             handler = std::move(handler)](absl::StatusOr<TableReadResult> result) {
+        const MonotonicTime now = EventLoop::now();
         --self->m_platformReads;
+        self->selection.platformCallEnded(isFull);
         if (self->isStopped)
             return;
-        self->readLog.recordPlatformRead({table, kind, elapsedSince(sentAt), self->m_platformReads}, result,
-                                         EventLoop::now());
+        self->readLog.recordPlatformRead({table, kind, elapsedSince(sentAt), self->m_platformReads}, result, now);
+        if (result.ok()) {
+            result->isFull = isFull;
+            self->recordResult(table, *result, isFull);
+        } else {
+            self->selection.platformFailed(now);
+        }
         handler(std::move(result));
     };
-    if (poll.isFull)
+    if (isFull)
         dependencies.platform.list(poll.table, std::move(recordedHandler));
     else
         dependencies.platform.pollChanges(poll.table, poll.after, hold, std::move(recordedHandler));
 }
 
+void RelayClientState::recordResult(const TableName &table, const TableReadResult &result, bool isFull)
+{
+    KnownTable &known = m_tables[table];
+    TableVersion newestRow = known.newestRow;
+    for (const TableRow &row : result.rows)
+        newestRow = std::max(newestRow, result.versionOf(row));
+    const bool hasNewRows = newestRow > known.newestRow || !result.removed.empty();
+    known.newestRow = newestRow;
+    const Milliseconds age =
+            result.confirmedAt ? std::chrono::ceil<Milliseconds>(BootClock::now() - *result.confirmedAt) : result.age;
+    const MonotonicTime now = EventLoop::now();
+    known.choice.recordResult(now - age, now, isFull, hasNewRows);
+}
+
 void RelayClientState::recordRoundTrip(const Address &peer, const TablePoll &poll, Milliseconds roundTrip,
                                        const TableReadResult &result, ByteCount bytes)
 {
@@ -137,6 +181,17 @@
             .write(dependencies.log);
 }
 
+void RelayClientState::logOldCopy(const Address &peer, const TableName &table, std::optional<Milliseconds> age)
+{
+    if (!m_oldCopyLogLimiter.allow(EventLoop::now(), dependencies.log))
+        return;
+    LogEvent event(LogLevel::Info, age ? "relay.copy_outdated" : "relay.copy_missing");
+    event.field("door", peer).field("table", table);
+    if (age)
+        event.field("age_ms", age->count());
+    event.field("loop_late_ms", dependencies.loopLateness().count()).write(dependencies.log);
+}
+
 void RelayClientState::logUnresponsivePeers(const std::vector<PeerExclusion> &exclusions) const
 {
     for (const PeerExclusion &exclusion : exclusions)
@@ -159,7 +214,11 @@
         const RelaySourceSelection &selection = m_state->currentSelection();
         if (const std::optional<Address> peer = m_poll.isFull ? std::nullopt : selection.peerToProbe(now))
             probe(*peer);
-        call(selection.firstSource(m_poll.isFull, now), platformHold);
+        if (call(selection.firstSource(m_poll.isFull, now), platformHold))
+            return;
+        m_state->dependencies.loop->post([self = shared_from_this()] {
+            self->finish(makeError(ErrorKind::StoreUnavailable, "no proxy of the region has the table yet"));
+        });
     }
 
 private:
@@ -174,7 +233,9 @@
     void handleOverdueCall();
     void handlePeerResult(const Address &peer, RelayCallId id, const CallStart &start,
                           const AsyncCallResult &callResult);
-    void handlePeerFailure(const std::optional<PeerExclusion> &exclusion, const absl::Status &status);
+    void handlePeerFailure(const PeerExclusion &exclusion, const absl::Status &status);
+    /// Calls the next source, or ends the read if there is none and no call is in progress.
+    void callAfterFailure();
     /// \param source that returned the result; empty for the platform
     void finish(absl::StatusOr<TableReadResult> result, const Address &source = Address());
 
@@ -280,7 +341,7 @@
         startOverdueTimer(relayTransferTimeout);
         return;
     }
-    call(m_state->currentSelection().sourceWhenOverdue(progress(), EventLoop::now()), relayHold);
+    call(m_state->currentSelection().nextSource(progress(), EventLoop::now()), relayHold);
 }
 
 void RelayedTableRead::handlePeerResult(const Address &peer, RelayCallId id, const CallStart &start,
@@ -308,8 +369,9 @@
         return;
     }
     if (callResult.response.status != statusOk) {
-        handlePeerFailure(selection.copyMissing(id, now),
-                          makeError(ErrorKind::StoreUnavailable, "the parent proxy cannot serve the table"));
+        m_state->logUnresponsivePeers(selection.copyMissing(id, now));
+        m_state->logOldCopy(peer, m_poll.table, std::nullopt);
+        callAfterFailure();
         return;
     }
     const ByteCount bytes(callResult.response.body.size());
@@ -322,25 +384,27 @@
     }
     const Milliseconds roundTrip = elapsedSince(start.monotonic) - result->holdTime;
     m_state->recordRoundTrip(peer, m_poll, roundTrip, *result, bytes);
-    const CopyAssessment assessment = selection.copyReceived(id, result->age, m_poll.isFull, now);
-    if (!assessment.isUsable) {
-        handlePeerFailure(assessment.exclusions.front(),
-                          makeError(ErrorKind::StoreUnavailable, "the data of the parent proxy is too old"));
-        return;
-    }
+    const CopyAssessment assessment = selection.copyReceived(id, result->age, now);
+    if (!assessment.isRecent)
+        m_state->logOldCopy(peer, m_poll.table, result->age);
     m_state->logUnresponsivePeers(assessment.exclusions);
     result->age += roundTrip;
     result->confirmedAt = confirmationTime(start.boot, *result);
+    m_state->recordResult(m_poll.table, *result, m_poll.isFull);
     finish(*std::move(result), peer);
 }
 
-void RelayedTableRead::handlePeerFailure(const std::optional<PeerExclusion> &exclusion, const absl::Status &status)
+void RelayedTableRead::handlePeerFailure(const PeerExclusion &exclusion, const absl::Status &status)
+{
+    m_state->logExclusion(exclusion, status);
+    callAfterFailure();
+}
+
+void RelayedTableRead::callAfterFailure()
 {
-    if (exclusion)
-        m_state->logExclusion(*exclusion, status);
     if (!m_handler)
         return;
-    const RelaySource next = m_state->selection.sourceAfterFailure(progress(), EventLoop::now());
+    const RelaySource next = m_state->selection.nextSource(progress(), EventLoop::now());
     if (!call(next, platformHold) && m_callsInProgress == 0)
         finish(makeError(ErrorKind::StoreUnavailable, "the parent proxy has failed"));
 }
--- a/src/proxy/table_relay_server.cpp
+++ b/src/proxy/table_relay_server.cpp
@@ -32,7 +32,7 @@
     table.cache.apply(result, isFull);
     if (isFull || !result.rows.empty() || !result.removed.empty())
         table.encodedRows.clear();
-    table.confirmedAt = EventLoop::now() - result.age;
+    table.confirmedAt = std::max(table.confirmedAt, EventLoop::now() - result.age);
     if (result.confirmedAt)
         table.stateConfirmedAt = std::max(table.stateConfirmedAt.value_or(*result.confirmedAt), *result.confirmedAt);
     // Held polls get a response even without changes, so that a confirmation reaches every level of the tree equally
--- a/src/proxy/table_watch.cpp
+++ b/src/proxy/table_watch.cpp
@@ -1,5 +1,6 @@
 #include <dandeliondock/core/error.h>
 #include <dandeliondock/proxy/table_watch.h>
+#include <dandeliondock/relay/relay_protocol.h>
 
 #include <algorithm>
 #include <utility>
@@ -46,7 +47,7 @@
     });
     m_table.pollChanges(m_name, m_asOfVersion, m_timing.hold, [this, poll](absl::StatusOr<TableReadResult> result) {
         if (poll == m_lastPoll)
-            handleResult(std::move(result), false);
+            handleResult(std::move(result), result.ok() && result->isFull);
         else
             handleLateResult(result);
     });
@@ -74,8 +75,8 @@
 // Applies the result of a poll that timed out; the poll that replaced it continues.
 void TableWatch::handleLateResult(const absl::StatusOr<TableReadResult> &result)
 {
-    if (result.ok() && isApplicable(*result, false))
-        apply(*result, false);
+    if (result.ok() && isApplicable(*result, result->isFull))
+        apply(*result, result->isFull);
 }
 
 // Older rows would replace the applied ones permanently, because only changes after m_asOfVersion are polled.
@@ -86,13 +87,16 @@
 
 void TableWatch::apply(const TableReadResult &result, bool isFull)
 {
-    if (m_failures > 0 || !m_isSynced) {
-        LogEvent(LogLevel::Info, "table.regained")
+    const bool wasCurrent = isCurrent();
+    m_isRecent = result.age <= maxRelayedAge;
+    if (m_isRecent != wasCurrent) {
+        LogEvent(LogLevel::Info, m_isRecent ? "table.regained" : "table.outdated")
                 .field("table", m_name)
                 .field("version", result.asOfVersion)
+                .field("age_ms", result.age.count())
                 .field("failures", m_failures)
                 .write(m_log);
-        m_onCurrentChanged(true);
+        m_onCurrentChanged(m_isRecent);
     }
     if (result.unreadable > 0) {
         LogEvent(LogLevel::Warn, "table.rows_unreadable")
--- a/src/relay/relay_peer_health.cpp
+++ b/src/relay/relay_peer_health.cpp
@@ -94,6 +94,12 @@
            });
 }
 
+std::optional<Address> RelayPeerHealth::peerOf(RelayCallId call) const
+{
+    const auto found = m_calls.find(call);
+    return found == m_calls.end() ? std::nullopt : std::optional(found->second.peer);
+}
+
 bool RelayPeerHealth::isUnresponsive(const Address &peer) const
 {
     const auto exclusion = m_exclusions.find(peer);
--- a/src/relay/relay_serving.cpp
+++ b/src/relay/relay_serving.cpp
@@ -3,13 +3,11 @@
 
 namespace dandeliondock {
 
-// In a large fleet, children are still served recent data after contact with the platform is lost: a short loss would
-// otherwise make all of them switch to other sources at once. They reject data by its age.
+// The copy of a proxy that has lost its source is the latest one that its children can get while nobody reaches the
+// platform. They know its age and prefer other sources. In a small fleet all of them read from the platform instead.
 bool mayServeCopy(const ServedCopyState &state) noexcept
 {
-    if (state.isCurrent)
-        return true;
-    return state.age && *state.age <= maxRelayedAge && state.fleetSize >= largeFleetThreshold;
+    return state.isCurrent || (state.age && state.fleetSize >= largeFleetThreshold);
 }
 
 } // namespace dandeliondock
--- a/src/relay/relay_source_selection.cpp
+++ b/src/relay/relay_source_selection.cpp
@@ -2,6 +2,7 @@
 #include <dandeliondock/relay/relay_source_selection.h>
 
 #include <algorithm>
+#include <cstddef>
 #include <utility>
 
 namespace dandeliondock {
@@ -39,35 +40,58 @@
 
 RelaySource RelaySourceSelection::select(bool isFull, MonotonicTime now) const
 {
-    // A full table is long and many proxies read it at the same time, so after a failure another peer is called for it
+    const bool isLarge = isLargeFleet();
+    const bool isReader = mayReadPlatform(now);
+    const bool isPlatformDue =
+            isReader && (!isLarge || (now >= m_platformAvoidedUntil && m_fullPlatformReads < maxFullPlatformReads));
+    // A full table is long and many proxies read it at the same time, so in a large fleet a peer is called for it
     // before the platform.
-    if (isFull ? !isLargeFleet() : now < m_platformPreferredUntil)
+    const bool isPlatformPreferred = isFull ? !isLarge : now < m_platformPreferredUntil;
+    const bool arePeersSilent = m_health.unansweredCalls(now) >= maxChangeSources;
+    if (isPlatformDue && (isPlatformPreferred || arePeersSilent))
         return platformSource();
-    std::vector<RelayPeer> available = m_peers;
-    std::erase_if(available, [this, now](const RelayPeer &peer) { return !m_health.isAvailable(peer.address, now); });
-    const std::optional<Address> parent = relayParent(m_self, available);
-    return parent ? peerSource(*parent) : platformSource();
+    if (const auto parent = relayParent(m_self, candidates(CopyAge::Recent, isReader, now)))
+        return peerSource(*parent);
+    if (isPlatformDue)
+        return platformSource();
+    if (const auto parent = relayParent(m_self, candidates(CopyAge::Any, isReader, now)))
+        return peerSource(*parent);
+    return isReader && m_fullPlatformReads < maxFullPlatformReads ? platformSource() : RelaySource();
 }
 
-bool RelaySourceSelection::isPlatformNext(bool isFull, MonotonicTime now) const
+std::vector<RelayPeer> RelaySourceSelection::candidates(CopyAge age, bool mayLeaveRegion, MonotonicTime now) const
 {
-    return isFull ? m_fullReadFailures >= maxFullReadAttempts : mayReadPlatform(now);
+    std::vector<RelayPeer> peers = m_peers;
+    if (isLargeFleet()) {
+        const auto outside = std::partition(peers.begin(), peers.end(),
+                                            [this](const RelayPeer &peer) { return peer.region == m_self.region; });
+        // Those that read from the platform themselves have the latest copies of their region.
+        const std::size_t count = std::min(static_cast<std::size_t>(peers.end() - outside), maxPlatformReaders);
+        const auto end = outside + static_cast<std::ptrdiff_t>(mayLeaveRegion ? count : 0);
+        std::partial_sort(outside, end, peers.end());
+        peers.erase(end, peers.end());
+    }
+    std::erase_if(peers, [this, age, now](const RelayPeer &peer) {
+        return !m_health.isAvailable(peer.address, now) || !hasCopy(peer.address, age, now);
+    });
+    return peers;
 }
 
-RelaySource RelaySourceSelection::sourceWhenOverdue(const RelayReadProgress &read, MonotonicTime now)
+bool RelaySourceSelection::hasCopy(const Address &peer, CopyAge age, MonotonicTime now) const
 {
-    if (read.isFull)
-        ++m_fullReadFailures;
-    else if (read.calledSources >= maxChangeSources)
-        return {};
-    return isPlatformNext(read.isFull, now) ? platformSource() : select(read.isFull, now);
+    const auto copies = m_copies.find(peer);
+    if (copies == m_copies.end())
+        return true;
+    return now >= copies->second.missingUntil && (age == CopyAge::Any || now >= copies->second.outdatedUntil);
 }
 
-RelaySource RelaySourceSelection::sourceAfterFailure(const RelayReadProgress &read, MonotonicTime now)
+RelaySource RelaySourceSelection::nextSource(const RelayReadProgress &read, MonotonicTime now) const
 {
-    if (read.isFull)
-        ++m_fullReadFailures;
-    return isPlatformNext(read.isFull, now) && !read.hasCalledPlatform ? platformSource() : RelaySource();
+    const RelaySource next = select(read.isFull, now);
+    const bool mayCall = next.kind == RelaySource::Kind::Platform
+                                 ? !read.hasCalledPlatform
+                                 : read.calledSources < (read.isFull ? maxFullReadSources : maxChangeSources);
+    return mayCall ? next : RelaySource();
 }
 
 std::optional<Address> RelaySourceSelection::peerToProbe(MonotonicTime now) const
@@ -84,21 +108,45 @@
 
 // When many peers are lost at once, those that remain may all rank behind the number of readers, and it takes a call to
 // find out that a peer is lost. The number of readers therefore doubles with each call that gets no response, until the
-// proxies that remain read from the platform. Peers that respond, even without data, keep it low.
+// proxies that remain read from the platform. Peers that respond, even without a copy, keep it low.
 bool RelaySourceSelection::mayReadPlatform(MonotonicTime now) const
 {
     if (!isLargeFleet())
         return true;
-    const auto earlierPeers = std::count_if(m_peers.begin(), m_peers.end(), [this](const RelayPeer &peer) {
-        return peer.region == m_self.region && peer.address < m_self.address && !m_health.isUnresponsive(peer.address);
-    });
+    std::size_t earlierPeers = 0;
+    bool isAnyAvailable = false;
+    for (const RelayPeer &peer : m_peers) {
+        if (peer.region != m_self.region || peer.address >= m_self.address)
+            continue;
+        if (!m_health.isUnresponsive(peer.address))
+            ++earlierPeers;
+        isAnyAvailable = isAnyAvailable || m_health.isAvailable(peer.address, now);
+    }
     const std::size_t doublings = std::min(m_health.unansweredCalls(now), maxReaderDoublings);
-    return static_cast<std::size_t>(earlierPeers) < maxPlatformReaders << doublings;
+    return !isAnyAvailable || earlierPeers < maxPlatformReaders << doublings;
+}
+
+std::size_t RelaySourceSelection::openProbeLimit(MonotonicTime now) const
+{
+    if (!isLargeFleet())
+        return maxOpenConfirmationProbes;
+    // A read that was sent just now confirms the copy as well as a probe would.
+    const bool isReadExpected = now - m_platformCalledAt < platformRetryInterval;
+    return mayReadPlatform(now) && !isReadExpected && m_fullPlatformReads < maxFullPlatformReads ? maxOpenProbesOfReader
+                                                                                                 : 0;
+}
+
+void RelaySourceSelection::platformCalled(bool isFull, MonotonicTime now)
+{
+    m_platformCalledAt = now;
+    if (isFull)
+        ++m_fullPlatformReads;
 }
 
-std::size_t RelaySourceSelection::openProbeLimit(MonotonicTime) const
+void RelaySourceSelection::platformCallEnded(bool isFull)
 {
-    return maxOpenConfirmationProbes;
+    if (isFull)
+        --m_fullPlatformReads;
 }
 
 std::vector<PeerExclusion> RelaySourceSelection::responseReceived(RelayCallId call, MonotonicTime now)
@@ -106,18 +154,28 @@
     return recorded(m_health.callSucceeded(call, now), now);
 }
 
-CopyAssessment RelaySourceSelection::copyReceived(RelayCallId call, Milliseconds age, bool isFull, MonotonicTime now)
+CopyAssessment RelaySourceSelection::copyReceived(RelayCallId call, Milliseconds age, MonotonicTime now)
 {
-    if (age > maxRelayedAge)
-        return {false, recorded({m_health.callRejected(call, now)}, now)};
-    if (isFull)
-        m_fullReadFailures = 0;
-    return {true, responseReceived(call, now)};
+    const std::optional<Address> peer = m_health.peerOf(call);
+    CopyAssessment assessment{age <= maxRelayedAge, responseReceived(call, now)};
+    if (!peer)
+        return assessment;
+    if (assessment.isRecent) {
+        m_copies.erase(*peer);
+    } else {
+        m_copies[*peer] = {MonotonicTime(), now + outdatedCopyInterval};
+        preferPlatform(now);
+    }
+    return assessment;
 }
 
-std::optional<PeerExclusion> RelaySourceSelection::copyMissing(RelayCallId call, MonotonicTime now)
+std::vector<PeerExclusion> RelaySourceSelection::copyMissing(RelayCallId call, MonotonicTime now)
 {
-    return responseInvalid(call, now);
+    if (const std::optional<Address> peer = m_health.peerOf(call)) {
+        m_copies[*peer].missingUntil = now + missingCopyInterval;
+        preferPlatform(now);
+    }
+    return responseReceived(call, now);
 }
 
 PeerExclusion RelaySourceSelection::responseInvalid(RelayCallId call, MonotonicTime now)
@@ -135,13 +193,18 @@
     return recorded(m_health.platformResponded(sentAt, now), now);
 }
 
-std::vector<PeerExclusion> RelaySourceSelection::recorded(std::vector<PeerExclusion> exclusions, MonotonicTime now)
+void RelaySourceSelection::preferPlatform(MonotonicTime now)
 {
-    if (exclusions.empty())
-        return exclusions;
     if (mayReadPlatform(now))
         m_platformPreferredUntil = now + platformFallbackTime;
-    m_health.retain(m_peers);
+}
+
+std::vector<PeerExclusion> RelaySourceSelection::recorded(std::vector<PeerExclusion> exclusions, MonotonicTime now)
+{
+    if (!exclusions.empty()) {
+        preferPlatform(now);
+        m_health.retain(m_peers);
+    }
     return exclusions;
 }
 
--- a/tests/proxy/table_watch_test.cpp
+++ b/tests/proxy/table_watch_test.cpp
@@ -4,6 +4,7 @@
 #include <dandeliondock/core/error.h>
 #include <dandeliondock/core/random_source.h>
 #include <dandeliondock/proxy/table_watch.h>
+#include <dandeliondock/relay/relay_protocol.h>
 
 #include <absl/strings/match.h>
 
@@ -144,4 +145,76 @@
     CHECK(absl::StrContains(lines[1], "failures=2"));
 }
 
+// Guards against a table that is given up, or that counts as current, when only old copies of it can be read.
+TEST_CASE("a copy that was confirmed too long ago is applied, but does not count as current", "[proxy]")
+{
+    LoopThread thread;
+    std::vector<std::uint64_t> appliedVersions;
+    std::vector<bool> currentStates;
+    std::vector<std::string> lines;
+    int polls = 0;
+    AsyncTableHooks hooks;
+    hooks.list = [&](const TableName &, const TableReadHandler &handler) {
+        thread.loop().post([handler] { handler(resultAsOf(5)); });
+    };
+    hooks.pollChanges = [&](const TableName &, const TableVersion &after, Milliseconds,
+                            const TableReadHandler &handler) {
+        if (after.version.value() >= 7)
+            return;
+        TableReadResult result = resultAsOf(after.version.value() + 1);
+        result.age = ++polls == 1 ? maxRelayedAge + Milliseconds(1) : maxRelayedAge;
+        thread.loop().post([handler, result] { handler(result); });
+    };
+    std::unique_ptr<TableWatch> watch;
+    thread.run([&] {
+        watch = std::make_unique<TableWatch>(
+                thread.loop(), hooks, table, shortTiming, seededRandom(1),
+                [&lines](LogLevel, const std::string &line) { lines.push_back(line); },
+                [&appliedVersions](const TableReadResult &result, bool) {
+                    appliedVersions.push_back(result.asOfVersion.version.value());
+                },
+                [&currentStates](bool isCurrent) { currentStates.push_back(isCurrent); });
+        watch->start();
+    });
+    std::this_thread::sleep_for(Milliseconds(300));
+    thread.run([&] { CHECK(watch->isCurrent()); });
+    thread.stop();
+    watch.reset();
+    CHECK(appliedVersions == std::vector<std::uint64_t>{5, 6, 7});
+    CHECK(currentStates == std::vector<bool>{true, false, true});
+    REQUIRE(lines.size() == 3);
+    CHECK(absl::StrContains(lines[1], "table.outdated"));
+    CHECK(absl::StrContains(lines[2], "table.regained"));
+}
+
+// Guards against rows that stay although they are gone, when the platform was read in full for a poll for changes.
+TEST_CASE("a full table that comes for a poll for changes is applied as one", "[proxy]")
+{
+    LoopThread thread;
+    std::vector<bool> fullReads;
+    AsyncTableHooks hooks;
+    hooks.list = [&](const TableName &, const TableReadHandler &handler) {
+        thread.loop().post([handler] { handler(resultAsOf(5)); });
+    };
+    hooks.pollChanges = [&](const TableName &, const TableVersion &after, Milliseconds,
+                            const TableReadHandler &handler) {
+        if (after.version.value() > 5)
+            return;
+        TableReadResult result = resultAsOf(6);
+        result.isFull = true;
+        thread.loop().post([handler, result] { handler(result); });
+    };
+    std::unique_ptr<TableWatch> watch;
+    thread.run([&] {
+        watch = std::make_unique<TableWatch>(
+                thread.loop(), hooks, table, shortTiming, seededRandom(1), LogSink(),
+                [&fullReads](const TableReadResult &, bool isFull) { fullReads.push_back(isFull); }, [](bool) {});
+        watch->start();
+    });
+    std::this_thread::sleep_for(Milliseconds(200));
+    thread.stop();
+    watch.reset();
+    CHECK(fullReads == std::vector<bool>{true, true});
+}
+
 } // namespace dandeliondock::testing
--- a/tests/relay/relay_replay.h
+++ b/tests/relay/relay_replay.h
@@ -85,6 +85,7 @@
     {
         bool hasCopy = false;
         bool isGap = false;
+        bool isFull = false; ///< sent for a poll for changes
         std::uint64_t version = 0;
         std::size_t changes = 0;
         Milliseconds age{0};
@@ -131,6 +132,8 @@
     void handleLoss(Proxy &proxy, bool isGap);
     void apply(Proxy &proxy, const Response &response, bool isFull);
     void setCurrent(Proxy &proxy, bool isCurrent);
+    [[nodiscard]] Milliseconds ageOf(const Proxy &proxy) const;
+    [[nodiscard]] bool isFullReadDue(const Proxy &proxy) const;
     [[nodiscard]] bool mayServe(const Proxy &proxy) const;
     [[nodiscard]] Response copyOf(const Proxy &proxy, std::uint64_t after, bool isFull) const;
     void servePoll(Proxy &proxy, std::uint64_t after, bool isFull, std::function<void(Response)> respond);
