--- a/tests/relay/config_late_after_store_trouble_test.cpp
+++ b/tests/relay/config_late_after_store_trouble_test.cpp
@@ -1,4 +1,4 @@
-#include "relay/relay_replay.h"
+#include "support/relay_replay.h"
 
 #include <catch2/catch.hpp>
 
--- a/tests/relay/relay_replay_model.cpp
+++ b/tests/support/relay_replay.cpp
@@ -1,4 +1,4 @@
-#include "relay/relay_replay.h"
+#include "support/relay_replay.h"
 
 #include <dandeliondock/relay/full_read_choice.h>
 #include <dandeliondock/relay/relay_protocol.h>
