Read from other peers after one without a copy

What callers would see: a change late by 0.3 s in a region whose proxies all restarted during a series of changes.

Cause: a peer without a copy made a reader prefer the store for 2 s, although its next peer had a recent copy; the row of 0.6 MB takes 0.5 s on a link of 10 Mbit/s, and a poll for changes carried three of them.

Beside it, from the linter: the watch of a table read a result after it was moved from.

--- a/include/dandeliondock/proxy/relay_read_log.h
+++ b/include/dandeliondock/proxy/relay_read_log.h
@@ -43,7 +43,7 @@
 };
 
 /// \brief Number of bytes and time from which a read from the platform is logged.
-inline constexpr ByteCount longPlatformReadBytes{64 * 1'024};
+inline constexpr ByteCount longPlatformReadBytes{65'536};
 inline constexpr Milliseconds longPlatformReadTime{1'000};
 
 /// \brief Log lines and metrics of the reads of tables through peers and from the platform.
--- a/src/proxy/table_watch.cpp
+++ b/src/proxy/table_watch.cpp
@@ -46,8 +46,9 @@
         handleFailure(makeError(ErrorKind::StoreUnavailable, "no response within the response timeout"));
     });
     m_table.pollChanges(m_name, m_asOfVersion, m_timing.hold, [this, poll](absl::StatusOr<TableReadResult> result) {
+        const bool isFull = result.ok() && result->isFull;
         if (poll == m_lastPoll)
-            handleResult(std::move(result), result.ok() && result->isFull);
+            handleResult(std::move(result), isFull);
         else
             handleLateResult(result);
     });
--- a/src/relay/relay_source_selection.cpp
+++ b/src/relay/relay_source_selection.cpp
@@ -173,7 +173,9 @@
 {
     if (const std::optional<Address> peer = m_health.peerOf(call)) {
         m_copies[*peer].missingUntil = now + missingCopyInterval;
-        preferPlatform(now);
+        // In a large fleet other peers have the copy, at a fraction of the bytes of the platform's response.
+        if (!isLargeFleet())
+            preferPlatform(now);
     }
     return responseReceived(call, now);
 }
--- a/tests/relay/config_late_after_store_trouble_test.cpp
+++ b/tests/relay/config_late_after_store_trouble_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace dandeliondock::testing {
@@ -21,9 +22,9 @@
 
 std::vector<Milliseconds> series(Milliseconds from, Milliseconds interval, int count)
 {
-    std::vector<Milliseconds> times;
-    for (int index = 0; index < count; ++index)
-        times.push_back(from + interval * index);
+    std::vector<Milliseconds> times(static_cast<std::size_t>(count));
+    std::generate(times.begin(), times.end(),
+                  [next = from, interval]() mutable { return std::exchange(next, next + interval); });
     return times;
 }
 
@@ -85,7 +86,7 @@
 TEST_CASE("a change reaches all proxies in time after a trouble of the store", "[relay]")
 {
     const auto replayCase = GENERATE(from_range(replayCases()));
-    const std::uint64_t seed = GENERATE(1, 2, 3);
+    const std::uint64_t seed = GENERATE(1, 2, 3, 27);
     INFO(replayCase.name << ", seed " << seed);
     const ReplayEvents &events = replayCase.events;
     const ReplayResult result = RelayReplay(ReplayDeployment(), events, seed).run();
@@ -123,4 +124,35 @@
     CHECK(RelayReplay(ReplayDeployment(), away, 1).run().copiesLost == 0);
 }
 
+// Guards against a catch-up whose time or bytes grow with the fleet, or beyond what the link between regions carries in
+// the time in which a change must be in force.
+TEST_CASE("a fleet catches up in time for every size of fleet and configuration", "[relay]")
+{
+    const std::size_t proxies = GENERATE(80, 300);
+    const std::uint64_t routes = GENERATE(100, 600, 1'400, 2'000);
+    // Bytes of a route in a response of the platform and in a compressed copy.
+    constexpr std::uint64_t platformBytesPerRoute = 430;
+    constexpr std::uint64_t relayedBytesPerRoute = 25;
+    ReplayDeployment deployment;
+    deployment.proxiesPerRegion = proxies / 2;
+    deployment.platformRow = ByteCount(routes * platformBytesPerRoute);
+    deployment.relayedRow = ByteCount(routes * relayedBytesPerRoute);
+    const double linkBytes =
+            deployment.regionLinkMbps * 1e6 / 8 * std::chrono::duration<double>(configApplyTime).count();
+    const std::vector<Milliseconds> two{Milliseconds(2'000), Milliseconds(11'000)};
+    const std::vector<ReplayCase> cases{
+            {"calm", events(two, {})},
+            {"the store was away", events(two, {{Milliseconds(3'000), Milliseconds(7'000)}})},
+            {"all proxies restarted", withRestarts(events(two, {}), 1, {Milliseconds(5'000), Milliseconds(7'000)})},
+            {"ten changes a second", events(series(Milliseconds(3'000), Milliseconds(100), 50), {})},
+    };
+    for (const ReplayCase &replayCase : cases) {
+        INFO(proxies << " proxies, " << routes << " routes, " << replayCase.name);
+        const ReplayResult result = RelayReplay(deployment, replayCase.events, 1).run();
+        REQUIRE(result.timeToAll.back());
+        CHECK(*result.timeToAll.back() <= configApplyTime);
+        CHECK(static_cast<double>(result.platformBytes.value() + result.relayedBytes.value()) <= linkBytes);
+    }
+}
+
 } // namespace dandeliondock::testing
--- a/tests/relay/relay_source_selection_test.cpp
+++ b/tests/relay/relay_source_selection_test.cpp
@@ -46,7 +46,7 @@
 /// Calls the first source with a poll for changes and lets it respond with a copy of a given age.
 RelaySource receiveCopy(RelaySourceSelection &selection, Milliseconds age, MonotonicTime now)
 {
-    const RelaySource source = selection.firstSource(false, now);
+    RelaySource source = selection.firstSource(false, now);
     REQUIRE(source.kind == RelaySource::Kind::Peer);
     static_cast<void>(selection.copyReceived(selection.callSent(source.peer, now, now + responseTimeout), age, now));
     return source;
@@ -108,6 +108,17 @@
     CHECK(selection.firstSource(true, start + missingCopyInterval) == parent);
 }
 
+// Guards against the long responses of the platform where the copy of another peer would do.
+TEST_CASE("a reader that finds a peer without a copy goes on with its other peers", "[relay]")
+{
+    RelaySourceSelection selection = selectionOf(peerAt("b", 1));
+    const RelaySource parent = selection.firstSource(false, start);
+    static_cast<void>(selection.copyMissing(selection.callSent(parent.peer, start, start + responseTimeout), start));
+    const RelaySource next = selection.firstSource(false, start);
+    CHECK(next.kind == RelaySource::Kind::Peer);
+    CHECK(next != parent);
+}
+
 // Guards against a proxy without a source when all proxies before it refuse connections.
 TEST_CASE("a proxy whose earlier peers have all failed reads from the platform", "[relay]")
 {
