--- a/src/relay/relay_source_selection.cpp
+++ b/src/relay/relay_source_selection.cpp
@@ -47,7 +47,7 @@
     // A full table is long and many proxies read it at the same time, so in a large fleet a peer is called for it
     // before the platform.
     const bool isPlatformPreferred = isFull ? !isLarge : now < m_platformPreferredUntil;
-    const bool arePeersSilent = m_health.unansweredCalls(now) >= maxChangeSources;
+    const bool arePeersSilent = isLarge && m_health.unansweredCalls(now) >= maxChangeSources;
     if (isPlatformDue && (isPlatformPreferred || arePeersSilent))
         return platformSource();
     if (const auto parent = relayParent(m_self, candidates(CopyAge::Recent, isReader, now)))
@@ -206,6 +206,10 @@
     if (!exclusions.empty()) {
         preferPlatform(now);
         m_health.retain(m_peers);
+        absl::erase_if(m_copies, [this](const auto &item) {
+            return std::none_of(m_peers.begin(), m_peers.end(),
+                                [&item](const RelayPeer &peer) { return peer.address == item.first; });
+        });
     }
     return exclusions;
 }
