Spread the readers of the store over the data centres of a region

Cause: the store refused the machines of one data centre. The first four proxies of the region, the only ones that read from it, were all there; the others had old copies of each other and no way to one with a recent copy that comes later in the order of the tree.

Change: the first two proxies of each data centre are readers. A proxy among the first 64 of its region whose parent has an old copy tries the readers of the region, also those after it; such a copy is passed on as an old one, so that no two proxies feed each other. An old copy sets its sender back for 1.5 s instead of 3 s, because each level of the tree waits for it after a trouble.

--- a/include/dandeliondock/relay/relay_parent.h
+++ b/include/dandeliondock/relay/relay_parent.h
@@ -16,6 +16,7 @@
 {
     RegionName region;
     Address address; ///< inbound address
+    DataCentreName dataCentre = DataCentreName();
     auto operator<=>(const RelayPeer &) const = default;
 };
 
--- a/include/dandeliondock/relay/relay_source_selection.h
+++ b/include/dandeliondock/relay/relay_source_selection.h
@@ -23,10 +23,14 @@
 inline constexpr Milliseconds platformFallbackTime{2'000};
 /// \brief Time for which a proxy that has another source does not call the platform after it failed.
 inline constexpr Milliseconds platformRetryInterval{1'000};
-/// \brief Number of proxies per region, in the order of their addresses, that may read from outside of their region in
-/// a large fleet. It bounds the copies that cross the link of a region at the same time, whatever the size of the
-/// fleet.
-inline constexpr std::size_t maxPlatformReaders = 4;
+/// \brief Number of proxies of each data centre, in the order of their addresses, that may read from outside of their
+/// region in a large fleet: its readers. It bounds the copies that cross the link of a region at the same time,
+/// whatever the size of the fleet, and one data centre without the platform leaves the region the readers of the
+/// others.
+inline constexpr std::size_t maxPlatformReaders = 2;
+/// \brief Number of proxies of a region, in the order of their addresses, that call its readers whatever their order
+/// when their parent has no recent copy. The others get the changes from these.
+inline constexpr std::size_t maxReaderChildren = relayFanOut * relayFanOut;
 /// \brief Largest number of full tables that one proxy of a large fleet reads from the platform at the same time. Slow
 /// reads are awaited instead of repeated.
 inline constexpr std::size_t maxFullPlatformReads = 2;
@@ -34,7 +38,7 @@
 /// soon.
 inline constexpr Milliseconds missingCopyInterval{500};
 /// \brief Time for which peers with recent copies are preferred to one whose copy was too old.
-inline constexpr Milliseconds outdatedCopyInterval{3'000};
+inline constexpr Milliseconds outdatedCopyInterval{1'500};
 /// \brief Largest number of confirmation probes of one proxy without a response. A probe without a response ends after
 /// 3 s, so that a new one can be sent at every interval.
 inline constexpr std::size_t maxOpenConfirmationProbes = 16;
@@ -68,7 +72,10 @@
 /// \brief What follows from the copy of a table that a peer sent.
 struct CopyAssessment
 {
-    bool isRecent = false;                 ///< whether the peer is in contact with the platform
+    bool isRecent = false; ///< whether the peer is in contact with the platform
+    /// Age with which the copy is passed on. One of a peer that comes later in the order counts as old: that peer may
+    /// read from this proxy again when its copy seems recent.
+    Milliseconds age{0};
     std::vector<PeerExclusion> exclusions; ///< peers that are excluded from now on
 };
 
@@ -77,7 +84,7 @@
 /// Only calls that fail or get no response exclude a peer. A copy that is too old is used like any other, because
 /// versions only rise, but sources with recent copies are preferred: while the platform is away every copy grows old,
 /// and a proxy that rejected them would leave the proxies below it without a source as well. In a large fleet only the
-/// first proxies of each region that are not known to have failed read from outside of their region.
+/// first proxies of each data centre that are not known to have failed read from outside of their region.
 ///
 /// \remark Not thread-safe.
 class RelaySourceSelection
@@ -168,6 +175,13 @@
     /// Returns the peers that may be the parent.
     [[nodiscard]] std::vector<RelayPeer> candidates(CopyAge age, bool mayLeaveRegion, MonotonicTime now) const;
     [[nodiscard]] bool hasCopy(const Address &peer, CopyAge age, MonotonicTime now) const;
+    /// Returns the other proxies that read from outside of their region.
+    [[nodiscard]] std::vector<RelayPeer> readers() const;
+    /// Returns a reader of the own region that may have a recent copy.
+    [[nodiscard]] std::optional<Address> recentReader(MonotonicTime now) const;
+    /// Number of known proxies of the own region that come before this one.
+    [[nodiscard]] std::size_t rank() const;
+    [[nodiscard]] bool isBefore(const RelayPeer &peer) const;
     void preferPlatform(MonotonicTime now);
     std::vector<PeerExclusion> recorded(std::vector<PeerExclusion> exclusions, MonotonicTime now);
 
--- a/src/proxy/control_duty.cpp
+++ b/src/proxy/control_duty.cpp
@@ -64,7 +64,7 @@
     dependencies.platform = m_dependencies.table;
     dependencies.metrics = m_dependencies.metrics;
     dependencies.log = m_dependencies.log;
-    dependencies.self = {m_dependencies.region, m_dependencies.inboundAddress};
+    dependencies.self = {m_dependencies.region, m_dependencies.inboundAddress, m_dependencies.dataCentre};
     dependencies.peers = [this] { return servingPeers(); };
     dependencies.loopLateness = [this] { return m_loopMonitor.lateness(); };
     return dependencies;
@@ -146,7 +146,7 @@
     std::vector<RelayPeer> peers;
     for (const auto &[address, endpoint] : m_endpoints) {
         if (endpoint.stamp.state == EndpointState::Serving)
-            peers.push_back({endpoint.region, address});
+            peers.push_back({endpoint.region, address, endpoint.dataCentre});
     }
     return peers;
 }
--- a/src/proxy/table_relay_client.cpp
+++ b/src/proxy/table_relay_client.cpp
@@ -388,7 +388,7 @@
     if (!assessment.isRecent)
         m_state->logOldCopy(peer, m_poll.table, result->age);
     m_state->logUnresponsivePeers(assessment.exclusions);
-    result->age += roundTrip;
+    result->age = assessment.age + roundTrip;
     result->confirmedAt = confirmationTime(start.boot, *result);
     m_state->recordResult(m_poll.table, *result, m_poll.isFull);
     finish(*std::move(result), peer);
--- a/src/relay/relay_source_selection.cpp
+++ b/src/relay/relay_source_selection.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <cstddef>
+#include <iterator>
+#include <map>
 #include <utility>
 
 namespace dandeliondock {
@@ -50,26 +52,78 @@
     const bool arePeersSilent = isLarge && m_health.unansweredCalls(now) >= maxChangeSources;
     if (isPlatformDue && (isPlatformPreferred || arePeersSilent))
         return platformSource();
-    if (const auto parent = relayParent(m_self, candidates(CopyAge::Recent, isReader, now)))
+    const auto parent = relayParent(m_self, candidates(CopyAge::Any, isReader, now));
+    if (parent && hasCopy(*parent, CopyAge::Recent, now))
         return peerSource(*parent);
+    const auto recentParent = relayParent(m_self, candidates(CopyAge::Recent, isReader, now));
     if (isPlatformDue)
-        return platformSource();
-    if (const auto parent = relayParent(m_self, candidates(CopyAge::Any, isReader, now)))
+        return recentParent ? peerSource(*recentParent) : platformSource();
+    if (const auto reader = recentReader(now))
+        return peerSource(*reader);
+    if (recentParent)
+        return peerSource(*recentParent);
+    if (parent)
         return peerSource(*parent);
     return isReader && m_fullPlatformReads < maxFullPlatformReads ? platformSource() : RelaySource();
 }
 
+std::vector<RelayPeer> RelaySourceSelection::readers() const
+{
+    std::map<std::pair<RegionName, DataCentreName>, std::vector<RelayPeer>> byDataCentre;
+    for (const RelayPeer &peer : m_peers) {
+        if (peer.address == m_self.address)
+            continue;
+        std::vector<RelayPeer> &first = byDataCentre[{peer.region, peer.dataCentre}];
+        first.insert(std::upper_bound(first.begin(), first.end(), peer), peer);
+        if (first.size() > maxPlatformReaders)
+            first.pop_back();
+    }
+    std::vector<RelayPeer> all;
+    for (const auto &[place, first] : byDataCentre)
+        all.insert(all.end(), first.begin(), first.end());
+    return all;
+}
+
+// The proxies of the region begin with different readers, so that they spread over those with a recent copy.
+std::optional<Address> RelaySourceSelection::recentReader(MonotonicTime now) const
+{
+    const std::size_t ownRank = rank();
+    if (!isLargeFleet() || ownRank >= maxReaderChildren)
+        return std::nullopt;
+    std::vector<RelayPeer> known = readers();
+    std::erase_if(known, [this, now](const RelayPeer &peer) {
+        return peer.region != m_self.region || !m_health.isAvailable(peer.address, now)
+               || !hasCopy(peer.address, CopyAge::Recent, now);
+    });
+    return known.empty() ? std::nullopt : std::optional(known[ownRank % known.size()].address);
+}
+
+std::size_t RelaySourceSelection::rank() const
+{
+    return static_cast<std::size_t>(std::count_if(m_peers.begin(), m_peers.end(), [this](const RelayPeer &peer) {
+        return peer.region == m_self.region && isBefore(peer);
+    }));
+}
+
+bool RelaySourceSelection::isBefore(const RelayPeer &peer) const
+{
+    return peer.region != m_self.region ? peer.region < m_self.region : peer.address < m_self.address;
+}
+
 std::vector<RelayPeer> RelaySourceSelection::candidates(CopyAge age, bool mayLeaveRegion, MonotonicTime now) const
 {
-    std::vector<RelayPeer> peers = m_peers;
+    std::vector<RelayPeer> peers;
     if (isLargeFleet()) {
-        const auto outside = std::partition(peers.begin(), peers.end(),
-                                            [this](const RelayPeer &peer) { return peer.region == m_self.region; });
-        // Those that read from the platform themselves have the latest copies of their region.
-        const std::size_t count = std::min(static_cast<std::size_t>(peers.end() - outside), maxPlatformReaders);
-        const auto end = outside + static_cast<std::ptrdiff_t>(mayLeaveRegion ? count : 0);
-        std::partial_sort(outside, end, peers.end());
-        peers.erase(end, peers.end());
+        std::copy_if(m_peers.begin(), m_peers.end(), std::back_inserter(peers),
+                     [this](const RelayPeer &peer) { return peer.region == m_self.region; });
+        if (mayLeaveRegion) {
+            // Those that read from the platform themselves have the latest copies of their region.
+            const std::vector<RelayPeer> all = readers();
+            std::copy_if(all.begin(), all.end(), std::back_inserter(peers),
+                         [this](const RelayPeer &peer) { return peer.region != m_self.region; });
+        }
+    } else {
+        peers = m_peers;
     }
     std::erase_if(peers, [this, age, now](const RelayPeer &peer) {
         return !m_health.isAvailable(peer.address, now) || !hasCopy(peer.address, age, now);
@@ -113,17 +167,17 @@
 {
     if (!isLargeFleet())
         return true;
-    std::size_t earlierPeers = 0;
+    std::size_t earlierInDataCentre = 0;
     bool isAnyAvailable = false;
     for (const RelayPeer &peer : m_peers) {
-        if (peer.region != m_self.region || peer.address >= m_self.address)
+        if (peer.region != m_self.region || !isBefore(peer))
             continue;
-        if (!m_health.isUnresponsive(peer.address))
-            ++earlierPeers;
+        if (peer.dataCentre == m_self.dataCentre && !m_health.isUnresponsive(peer.address))
+            ++earlierInDataCentre;
         isAnyAvailable = isAnyAvailable || m_health.isAvailable(peer.address, now);
     }
     const std::size_t doublings = std::min(m_health.unansweredCalls(now), maxReaderDoublings);
-    return !isAnyAvailable || earlierPeers < maxPlatformReaders << doublings;
+    return !isAnyAvailable || earlierInDataCentre < maxPlatformReaders << doublings;
 }
 
 std::size_t RelaySourceSelection::openProbeLimit(MonotonicTime now) const
@@ -157,9 +211,14 @@
 CopyAssessment RelaySourceSelection::copyReceived(RelayCallId call, Milliseconds age, MonotonicTime now)
 {
     const std::optional<Address> peer = m_health.peerOf(call);
-    CopyAssessment assessment{age <= maxRelayedAge, responseReceived(call, now)};
+    CopyAssessment assessment{age <= maxRelayedAge, age, responseReceived(call, now)};
     if (!peer)
         return assessment;
+    const bool isLater = std::any_of(m_peers.begin(), m_peers.end(), [this, &peer](const RelayPeer &known) {
+        return known.address == *peer && !isBefore(known);
+    });
+    if (isLater)
+        assessment.age = std::max(age, maxRelayedAge + Milliseconds(1));
     if (assessment.isRecent) {
         m_copies.erase(*peer);
     } else {
--- a/tests/support/relay_replay.h
+++ b/tests/support/relay_replay.h
@@ -40,7 +40,9 @@
 {
     std::vector<Milliseconds> writes;     ///< acknowledged changes of the configuration
     std::vector<ReplaySpan> platformAway; ///< calls to the platform get no response
-    std::vector<ReplaySpan> proxiesAway;  ///< the proxies of \c restartedShare end and start again without a copy
+    /// The platform refuses the proxies of the first data centre of the first region.
+    std::vector<ReplaySpan> platformRefuses;
+    std::vector<ReplaySpan> proxiesAway; ///< the proxies of \c restartedShare end and start again without a copy
     double restartedShare = 0;
     Milliseconds end{20'000};
 };
@@ -106,6 +108,7 @@
     void at(MonotonicTime time, std::function<void()> action);
     [[nodiscard]] Milliseconds elapsed() const;
     [[nodiscard]] bool isPlatformAway() const;
+    [[nodiscard]] bool isRefused(const Proxy &proxy) const;
 
     void send(const MessagePtr &message);
     void advance(Link &link);
