--- a/include/dandeliondock/relay/relay_source_selection.h
+++ b/include/dandeliondock/relay/relay_source_selection.h
@@ -146,6 +146,7 @@
     void platformCalled(bool isFull, MonotonicTime now);
 
     /// \brief Records the end of a read from the platform, with or without a result.
+    /// \pre platformCalled() was called for this read with the same \c isFull.
     void platformCallEnded(bool isFull);
 
     /// \brief Records that the platform responded to a call that was sent at \c sentAt.
